--- a/src/ramppin/__init__.py
+++ b/src/ramppin/__init__.py
@@ -1,37 +1,96 @@
 """ramppin: a router fleet for very many returning chats.
 
 Coordination parts are plain synchronous state machines that others can embed;
-import them from here. Daemons are thin shells around them.
+import them from here. Daemons are thin shells around them. Each name is loaded
+at its first use, so that a small VM loads only what it runs.
 """
 
-from ramppin.errors import (
-    AppendUnknownError,
-    BrokenAnswerError,
-    ConflictError,
-    LogTrimmedError,
-    LogUnavailableError,
-    NotSentError,
-    PeerUnavailableError,
-    ProtocolError,
-    RamppinError,
-    RefusedError,
-    SettingsError,
-)
-from ramppin.process.allocator import Allocator
-from ramppin.process.claims import ClaimTable, HeldClaims
-from ramppin.process.config import RouterConfig, load_config
-from ramppin.process.homes import Homes
-from ramppin.process.leases import LeaseHolder, LeaseTable
-from ramppin.process.load import Member, compute_cap
-from ramppin.process.queue import FairQueue
-from ramppin.process.router import Router
-from ramppin.request.identity import hash_chat, hash_opening
-from ramppin.request.outcome import Outcome
-from ramppin.request.placement import Grant, PlaceId, PlaceRequest, Reason, Refusal
-from ramppin.request.ranking import Ranking, RendezvousRanking
-from ramppin.version.acceptance import SettingsHistory
-from ramppin.version.schema import SettingsTree
-from ramppin.version.tree import Settings
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ramppin.errors import (
+        AppendUnknownError,
+        BrokenAnswerError,
+        ConflictError,
+        LogTrimmedError,
+        LogUnavailableError,
+        NotSentError,
+        PeerUnavailableError,
+        ProtocolError,
+        RamppinError,
+        RefusedError,
+        SettingsError,
+    )
+    from ramppin.process.allocator import Allocator
+    from ramppin.process.claims import ClaimTable, HeldClaims
+    from ramppin.process.config import RouterConfig, load_config
+    from ramppin.process.directory import ServerDirectory
+    from ramppin.process.gateway import Gateway, GatewayConfig
+    from ramppin.process.homes import Homes
+    from ramppin.process.leases import LeaseHolder, LeaseTable
+    from ramppin.process.load import Member, compute_cap
+    from ramppin.process.queue import FairQueue
+    from ramppin.process.replica import Replica
+    from ramppin.process.retries import RetryWindow
+    from ramppin.process.router import Router
+    from ramppin.process.selection import PrefixSelection
+    from ramppin.request.identity import hash_chat, hash_opening
+    from ramppin.request.outcome import Outcome
+    from ramppin.request.placement import Grant, PlaceId, PlaceRequest, Reason, Refusal
+    from ramppin.request.ranking import Ranking, RendezvousRanking
+    from ramppin.version.acceptance import SettingsHistory
+    from ramppin.version.routing import RoutingTable
+    from ramppin.version.schema import SettingsTree
+    from ramppin.version.tree import Settings
+
+_MODULES = {
+    "Allocator": "ramppin.process.allocator",
+    "AppendUnknownError": "ramppin.errors",
+    "BrokenAnswerError": "ramppin.errors",
+    "ClaimTable": "ramppin.process.claims",
+    "ConflictError": "ramppin.errors",
+    "FairQueue": "ramppin.process.queue",
+    "Gateway": "ramppin.process.gateway",
+    "GatewayConfig": "ramppin.process.gateway",
+    "Grant": "ramppin.request.placement",
+    "HeldClaims": "ramppin.process.claims",
+    "Homes": "ramppin.process.homes",
+    "LeaseHolder": "ramppin.process.leases",
+    "LeaseTable": "ramppin.process.leases",
+    "LogTrimmedError": "ramppin.errors",
+    "LogUnavailableError": "ramppin.errors",
+    "Member": "ramppin.process.load",
+    "NotSentError": "ramppin.errors",
+    "Outcome": "ramppin.request.outcome",
+    "PeerUnavailableError": "ramppin.errors",
+    "PlaceId": "ramppin.request.placement",
+    "PlaceRequest": "ramppin.request.placement",
+    "PrefixSelection": "ramppin.process.selection",
+    "ProtocolError": "ramppin.errors",
+    "RamppinError": "ramppin.errors",
+    "Ranking": "ramppin.request.ranking",
+    "Reason": "ramppin.request.placement",
+    "Refusal": "ramppin.request.placement",
+    "RefusedError": "ramppin.errors",
+    "RendezvousRanking": "ramppin.request.ranking",
+    "Replica": "ramppin.process.replica",
+    "RetryWindow": "ramppin.process.retries",
+    "Router": "ramppin.process.router",
+    "RouterConfig": "ramppin.process.config",
+    "RoutingTable": "ramppin.version.routing",
+    "ServerDirectory": "ramppin.process.directory",
+    "Settings": "ramppin.version.tree",
+    "SettingsError": "ramppin.errors",
+    "SettingsHistory": "ramppin.version.acceptance",
+    "SettingsTree": "ramppin.version.schema",
+    "compute_cap": "ramppin.process.load",
+    "hash_chat": "ramppin.request.identity",
+    "hash_opening": "ramppin.request.identity",
+    "load_config": "ramppin.process.config",
+}
 
 __all__ = [
     "Allocator",
@@ -40,6 +99,8 @@
     "ClaimTable",
     "ConflictError",
     "FairQueue",
+    "Gateway",
+    "GatewayConfig",
     "Grant",
     "HeldClaims",
     "Homes",
@@ -53,6 +114,7 @@
     "PeerUnavailableError",
     "PlaceId",
     "PlaceRequest",
+    "PrefixSelection",
     "ProtocolError",
     "RamppinError",
     "Ranking",
@@ -60,8 +122,12 @@
     "Refusal",
     "RefusedError",
     "RendezvousRanking",
+    "Replica",
+    "RetryWindow",
     "Router",
     "RouterConfig",
+    "RoutingTable",
+    "ServerDirectory",
     "Settings",
     "SettingsError",
     "SettingsHistory",
@@ -71,3 +137,13 @@
     "hash_opening",
     "load_config",
 ]
+
+
+def __getattr__(name: str) -> object:
+    """Load a public name at its first use."""
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module 'ramppin' has no attribute {name!r}")
+    value = getattr(import_module(module), name)
+    globals()[name] = value
+    return value
--- /dev/null
+++ b/src/ramppin/connection/callerwire.py
@@ -0,0 +1,356 @@
+"""Connections of callers: requests in, answers out, one at a time.
+
+Built on asyncio's protocols and httptools' parser, which uvicorn uses as well:
+an application interface in between costs processor time for every event of a
+stream that these small VMs don't have (docs/PLATFORM.md has the figures).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import httptools
+
+from ramppin.connection.httpwire import (
+    LAST_CHUNK,
+    Headers,
+    encode_answer,
+    encode_chunk,
+    find_header,
+)
+from ramppin.version.routing import CallerLimits
+
+MAX_QUEUED = 2
+"""Requests of one connection that wait behind the one in flight."""
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A request as a caller sent it, whole.
+
+    Attributes:
+        method: as sent.
+        target: path and query as sent.
+        headers: in order, as sent.
+        body: the whole body.
+        arrived: the loop's time at which it was whole.
+        keep_alive: whether the caller wants to keep the connection.
+        http_1_0: whether the caller can't read chunks.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+    arrived: float = 0.0
+    keep_alive: bool = True
+    http_1_0: bool = False
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of a header, or None."""
+        return find_header(self.headers, name)
+
+
+class Responder(ABC):
+    """Takes requests and the leave of callers; one for each connection."""
+
+    @abstractmethod
+    def accept_request(self, request: CallerRequest) -> None:
+        """Take a whole request; it is answered through the connection."""
+
+    @abstractmethod
+    def accept_leave(self) -> None:
+        """Take the news that the caller has closed or reset."""
+
+    @abstractmethod
+    def accept_flow(self, *, paused: bool) -> None:
+        """Take the news that the caller reads too slowly, or reads again."""
+
+
+@dataclass(slots=True)
+class ListenerState:
+    """What the connections of one listener share.
+
+    Attributes:
+        limits: limits in force.
+        draining: whether answers ask callers to close.
+        connections: those that are open.
+    """
+
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    draining: bool = False
+    connections: set[CallerConnection] = field(default_factory=set)
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    Args:
+        state: shared by the listener's connections.
+        build_responder: called with the connection, returns its responder.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        state: ListenerState,
+        build_responder: Callable[[CallerConnection], Responder],
+    ) -> None:
+        self._state = state
+        self._loop = asyncio.get_running_loop()
+        self._responder = build_responder(self)
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[CallerRequest] = deque()
+        self._current: CallerRequest | None = None
+        self._incoming: CallerRequest | None = None
+        self._body: list[bytes] = []
+        self._head_size = 0
+        self._body_size = 0
+        self._chunked = False
+        self._answer_started = False
+        self.resting_until: float | None = None
+        self.head_due: float | None = None
+        self.gone = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is in flight, waiting or half received."""
+        return not (self._current or self._waiting or self._incoming)
+
+    # asyncio's side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to rest."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._state.connections.add(self)
+        self._begin_rest()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of requests."""
+        if self.gone:
+            return
+        if self.resting_until is not None:
+            self.resting_until = None
+            if self.head_due is None:
+                limits = self._state.limits
+                self.head_due = self._loop.time() + limits.header_timeout_s
+        if self._incoming is not None and self.head_due is not None:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if not isinstance(error.__context__, _RefusedRequestError):
+                raise
+            self._refuse(error.__context__.status)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+
+    def eof_received(self) -> bool:
+        """Treat the caller's close as its leave."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the responder that the caller is gone."""
+        self.gone = True
+        self._state.connections.discard(self)
+        self._waiting.clear()
+        if self._current is not None:
+            self._responder.accept_leave()
+
+    def pause_writing(self) -> None:
+        """Pass on that the caller reads too slowly."""
+        self._responder.accept_flow(paused=True)
+
+    def resume_writing(self) -> None:
+        """Pass on that the caller reads again."""
+        self._responder.accept_flow(paused=False)
+
+    # httptools' side
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._incoming = CallerRequest(b"", b"", [])
+        self._body = []
+        self._body_size = 0
+        self._head_size = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        assert self._incoming is not None
+        self._incoming.target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        assert self._incoming is not None
+        self._incoming.headers.append((name, value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Check what the head announces."""
+        request = self._incoming
+        assert request is not None
+        self.head_due = None
+        length = request.find(b"content-length")
+        if length is not None and int(length) > self._state.limits.max_body_bytes:
+            raise _RefusedRequestError(413)
+        if request.find(b"expect") is not None and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self._body.append(data)
+        self._body_size += len(data)
+        if self._body_size > self._state.limits.max_body_bytes:
+            raise _RefusedRequestError(413)
+
+    def on_message_complete(self) -> None:
+        """Hand on a whole request."""
+        request = self._incoming
+        assert request is not None
+        self._incoming = None
+        request.method = self._parser.get_method()
+        request.body = b"".join(self._body)
+        request.arrived = self._loop.time()
+        request.keep_alive = self._parser.should_keep_alive()
+        request.http_1_0 = self._parser.get_http_version() == "1.0"
+        self._body = []
+        self._waiting.append(request)
+        if self._current is None:
+            self._start_next()
+        elif len(self._waiting) >= MAX_QUEUED and self._transport is not None:
+            self._transport.pause_reading()
+
+    # the responder's side
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer and go on to the next request."""
+        request = self._current
+        if request is None or self.gone or self._transport is None:
+            return
+        sent = [*headers, (b"Content-Length", b"%d" % len(body))]
+        sent += self._build_connection_headers(request)
+        shown = b"" if request.method == b"HEAD" else body
+        self._transport.write(encode_answer(status, sent) + shown)
+        self._finish(request)
+
+    def start_stream(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        request = self._current
+        if request is None or self.gone or self._transport is None:
+            return
+        self._answer_started = True
+        sent = list(headers)
+        self._chunked = length is None and not request.http_1_0
+        if length is not None:
+            sent.append((b"Content-Length", b"%d" % length))
+        elif self._chunked:
+            sent.append((b"Transfer-Encoding", b"chunked"))
+        else:
+            request.keep_alive = False
+        sent += self._build_connection_headers(request)
+        self._transport.write(encode_answer(status, sent))
+
+    def send_piece(self, data: bytes) -> None:
+        """Send a piece of a body."""
+        if self.gone or self._transport is None or not data:
+            return
+        self._transport.write(encode_chunk(data) if self._chunked else data)
+
+    def end_stream(self) -> None:
+        """End a whole answer."""
+        request = self._current
+        if request is None or self.gone or self._transport is None:
+            return
+        if self._chunked:
+            self._transport.write(LAST_CHUNK)
+        self._finish(request)
+
+    def break_off(self) -> None:
+        """Close without the end of the answer, so that it can't look whole."""
+        self.gone = True
+        self._current = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close a connection that carries nothing."""
+        if self.idle and self._transport is not None:
+            self.gone = True
+            self._transport.close()
+
+    def check_timeouts(self, now: float) -> None:
+        """Close or refuse a connection that rested or dawdled too long."""
+        if self.resting_until is not None and now >= self.resting_until:
+            self.close_if_idle()
+        elif self.head_due is not None and now >= self.head_due:
+            self.head_due = None
+            self._refuse(408)
+
+    # inside
+
+    def _count_head(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > self._state.limits.max_header_bytes:
+            raise _RefusedRequestError(431)
+
+    def _begin_rest(self) -> None:
+        limits = self._state.limits
+        self.resting_until = self._loop.time() + limits.idle_timeout_s
+        self.head_due = None
+
+    def _start_next(self) -> None:
+        self._current = self._waiting.popleft()
+        self._answer_started = False
+        self._responder.accept_request(self._current)
+
+    def _build_connection_headers(self, request: CallerRequest) -> Headers:
+        if self._state.draining:
+            request.keep_alive = False
+        if request.keep_alive:
+            return []
+        return [(b"Connection", b"close")]
+
+    def _finish(self, request: CallerRequest) -> None:
+        self._current = None
+        if self._transport is None:
+            return
+        if not request.keep_alive:
+            self.gone = True
+            self._transport.close()
+            return
+        if self._waiting:
+            self._transport.resume_reading()
+            self._start_next()
+        elif self._incoming is None:
+            self._begin_rest()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        if self._transport is None or self.gone:
+            return
+        if self._current is None:
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            self._transport.write(encode_answer(status, headers))
+            self.gone = True
+            self._transport.close()
+        else:
+            self._responder.accept_leave()
+            self.break_off()
+
+
+class _RefusedRequestError(Exception):
+    """A request that breaks a limit; carries the status of its refusal."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
--- /dev/null
+++ b/src/ramppin/connection/fetch.py
@@ -0,0 +1,130 @@
+"""Small calls over HTTP to one peer, one at a time on a kept connection.
+
+In place of aiohttp's client: its import alone costs 8 MB and a tenth of a
+second on the smallest VMs (docs/PLATFORM.md).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from ramppin.connection.httpwire import Headers, encode_request
+from ramppin.connection.upstream import (
+    AnswerHead,
+    AnswerReceiver,
+    UpstreamConnection,
+    open_connection,
+)
+from ramppin.errors import BrokenAnswerError, LogUnavailableError, NotSentError
+
+CONNECT_TIMEOUT_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class FetchedAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class Fetcher:
+    """Sends calls to one peer.
+
+    Args:
+        host: its IP address.
+        port: its port.
+        peer: its name, for errors.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, host: str, port: int, peer: str) -> None:
+        self.peer = peer
+        self._host = host
+        self._port = port
+        self._connection: UpstreamConnection | None = None
+
+    async def get(self, target: str, *, timeout_s: float) -> FetchedAnswer:
+        """Return the answer to a GET.
+
+        Raises:
+            LogUnavailableError: there was no whole answer in time.
+        """
+        return await self._call(b"GET", target, b"", timeout_s)
+
+    async def post(
+        self, target: str, body: bytes, *, timeout_s: float
+    ) -> FetchedAnswer:
+        """Return the answer to a POST.
+
+        Raises:
+            LogUnavailableError: there was no whole answer in time; the call may
+                have been done.
+        """
+        return await self._call(b"POST", target, body, timeout_s)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _call(
+        self, method: bytes, target: str, body: bytes, timeout_s: float
+    ) -> FetchedAnswer:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(method, target, body)
+        except (NotSentError, BrokenAnswerError) as error:
+            self.close()
+            raise LogUnavailableError(
+                error.message, step=error.step, peer=self.peer
+            ) from error
+        except TimeoutError as error:
+            self.close()
+            raise LogUnavailableError(
+                f"no answer within {timeout_s:.1f} s", step="read", peer=self.peer
+            ) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    async def _exchange(self, method: bytes, target: str, body: bytes) -> FetchedAnswer:
+        if self._connection is None or not self._connection.alive:
+            self._connection = await open_connection(
+                self._host, self._port, self.peer, timeout_s=CONNECT_TIMEOUT_S
+            )
+        headers: Headers = [(b"Host", f"{self._host}:{self._port}".encode())]
+        if method == b"POST":
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        receiver = _WholeReceiver()
+        head = encode_request(method, target.encode(), headers)
+        self._connection.send(head, body, receiver)
+        return await receiver.answer
+
+
+class _WholeReceiver(AnswerReceiver):
+    """Collects an answer until it is whole."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.answer: asyncio.Future[FetchedAnswer] = loop.create_future()
+        self._status = 0
+        self._body: list[bytes] = []
+
+    def accept_head(self, head: AnswerHead) -> bool:
+        self._status = head.status
+        return True
+
+    def accept_body(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def accept_end(self) -> None:
+        if not self.answer.done():
+            self.answer.set_result(FetchedAnswer(self._status, b"".join(self._body)))
+
+    def accept_failure(self, error: BrokenAnswerError) -> None:
+        if not self.answer.done():
+            self.answer.set_exception(error)
--- /dev/null
+++ b/src/ramppin/connection/upstream.py
@@ -0,0 +1,370 @@
+"""Connections to backend servers, each with one request at a time.
+
+Built on asyncio's protocols and httptools' parser in place of aiohttp's
+client, which repeats some requests unasked when a kept connection drops.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import httptools
+
+from ramppin.connection.httpwire import Headers, find_header
+from ramppin.errors import BrokenAnswerError, NotSentError
+
+USER_TIMEOUT_MS = 10_000
+"""Unacknowledged bytes end a connection after this long (TCP_USER_TIMEOUT)."""
+
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """The head of a backend server's answer.
+
+    Attributes:
+        status: the HTTP status.
+        headers: the headers as received.
+        length: the body's length if the head tells it.
+    """
+
+    status: int
+    headers: Headers
+    length: int | None
+
+
+class AnswerReceiver(ABC):
+    """Takes an answer as it arrives."""
+
+    @abstractmethod
+    def accept_head(self, head: AnswerHead) -> bool:
+        """Take a head; False if it answers another request."""
+
+    @abstractmethod
+    def accept_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+
+    @abstractmethod
+    def accept_end(self) -> None:
+        """Take the end of a whole answer."""
+
+    @abstractmethod
+    def accept_failure(self, error: BrokenAnswerError) -> None:
+        """Take the news that the answer ended before it was whole."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """A connection to a backend server.
+
+    Args:
+        peer: the backend server, for errors.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+        self.rested_since = 0.0
+        self.rest_limit_s: float | None = None
+        self.requests = 0
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._receiver: AnswerReceiver | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._headers: Headers = []
+        self._skipping = False
+        self._reusable = True
+        self._until_close = False
+        self._head_request = False
+
+    @property
+    def alive(self) -> bool:
+        """Whether the connection can carry another request."""
+        transport = self._transport
+        return bool(transport and not transport.is_closing() and self._reusable)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in flight."""
+        return self._receiver is not None
+
+    # asyncio's side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            with contextlib.suppress(OSError):
+                raw.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+                )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the answer."""
+        if self._receiver is None or self._parser is None:
+            # Bytes that belong to no request spoil the connection.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"bytes that form no answer: {error}")
+        except httptools.HttpParserCallbackError as error:
+            self._fail(f"the answer could not be taken: {error.__context__}")
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length; anything else is broken."""
+        if self._receiver is not None and self._until_close and not self._skipping:
+            self._finish()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in flight."""
+        self._reusable = False
+        self._fail(f"connection lost: {exc or 'closed by the peer'}")
+
+    # the caller's side
+
+    def send(
+        self,
+        head: bytes,
+        body: bytes,
+        receiver: AnswerReceiver,
+        *,
+        head_request: bool = False,
+    ) -> None:
+        """Send a request and pass its answer to a receiver.
+
+        Args:
+            head: the encoded head.
+            body: the whole body.
+            receiver: takes the answer.
+            head_request: whether the method is HEAD, whose answer has no body.
+
+        Raises:
+            NotSentError: the connection is gone; no byte was sent.
+        """
+        if not self.alive or self._transport is None:
+            raise NotSentError("connection is gone", step="send", peer=self.peer)
+        self._receiver = receiver
+        self._head_request = head_request
+        self._until_close = False
+        self._skipping = False
+        self.requests += 1
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = []
+        self._transport.write(head + body if body else head)
+
+    def pause(self) -> None:
+        """Stop reading: the reader of the answer is slow."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Go on reading."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Close at once; a request in flight is given up without a word."""
+        self._receiver = None
+        self._reusable = False
+        if self._transport:
+            self._transport.abort()
+
+    # httptools' side
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a surplus one spoils the connection."""
+        self._headers = []
+        if self._receiver is None:
+            self._reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on, unless it is interim or another request's."""
+        parser, receiver = self._parser, self._receiver
+        if parser is None or receiver is None:
+            return
+        status = parser.get_status_code()
+        if status < 200:
+            return
+        length = _read_length(self._headers)
+        chunked = find_header(self._headers, b"transfer-encoding") is not None
+        self._until_close = length is None and not chunked
+        if self._head_request or status in NO_BODY_STATUSES:
+            self._until_close = False
+        self._skipping = not receiver.accept_head(
+            AnswerHead(status, self._headers, length)
+        )
+        if self._skipping:
+            self._reusable = False
+
+    def on_body(self, data: bytes) -> None:
+        """Pass a piece of the body on."""
+        if self._receiver is not None and not self._skipping:
+            self._receiver.accept_body(data)
+
+    def on_message_complete(self) -> None:
+        """End the answer if it is the one awaited."""
+        parser = self._parser
+        if parser is None or self._receiver is None:
+            return
+        if parser.get_status_code() < 200 or self._skipping:
+            self._skipping = False
+            return
+        if not parser.should_keep_alive():
+            self._reusable = False
+        self._finish()
+
+    # ends
+
+    def _finish(self) -> None:
+        receiver, self._receiver = self._receiver, None
+        if self._transport is None or receiver is None:
+            return
+        self.rested_since = self._loop.time()
+        self.rest_limit_s = _read_keep_alive(self._headers)
+        if self._transport.get_write_buffer_size() > 0:
+            # Answered before the body was sent: the rest has nowhere to go.
+            self._reusable = False
+        if self._until_close:
+            self._reusable = False
+        receiver.accept_end()
+        if not self._reusable:
+            self._transport.close()
+
+    def _fail(self, message: str) -> None:
+        receiver, self._receiver = self._receiver, None
+        self._reusable = False
+        if self._transport and not self._transport.is_closing():
+            self._transport.abort()
+        if receiver is not None:
+            receiver.accept_failure(
+                BrokenAnswerError(message, step="answer", peer=self.peer)
+            )
+
+
+def _read_length(headers: Headers) -> int | None:
+    value = find_header(headers, b"content-length")
+    return int(value) if value is not None and value.isdigit() else None
+
+
+def _read_keep_alive(headers: Headers) -> float | None:
+    value = find_header(headers, b"keep-alive")
+    if value is None:
+        return None
+    for part in value.lower().split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name == b"timeout" and number.isdigit():
+            return float(number)
+    return None
+
+
+async def open_connection(
+    host: str, port: int, peer: str, *, timeout_s: float
+) -> UpstreamConnection:
+    """Open a connection to a backend server.
+
+    Raises:
+        NotSentError: it did not come up in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                lambda: UpstreamConnection(peer), host, port
+            )
+    except TimeoutError as error:
+        raise NotSentError(
+            f"no connection within {timeout_s:.2f} s", step="connect", peer=peer
+        ) from error
+    except OSError as error:
+        raise NotSentError(str(error), step="connect", peer=peer) from error
+    return connection
+
+
+class ConnectionPool:
+    """Keeps connections to backend servers for a while.
+
+    Args:
+        keep_s: longest rest of a kept connection.
+        connect_timeout_s: longest time for a new one to come up.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, *, keep_s: float = 4.0, connect_timeout_s: float = 0.35) -> None:
+        self._keep_s = keep_s
+        self._connect_timeout_s = connect_timeout_s
+        self._resting: dict[str, list[UpstreamConnection]] = {}
+        self.opened = 0
+
+    async def acquire(
+        self, peer: str, host: str, port: int, *, max_rest_s: float
+    ) -> UpstreamConnection:
+        """Return a kept connection, or a new one.
+
+        Args:
+            peer: the backend server's id.
+            host: its address.
+            port: its port.
+            max_rest_s: longest rest after which a kept one is still used.
+        """
+        now = asyncio.get_running_loop().time()
+        resting = self._resting.get(peer)
+        while resting:
+            connection = resting.pop()
+            if connection.alive and self._is_fresh(connection, now, max_rest_s):
+                return connection
+            connection.abort()
+        self.opened += 1
+        return await open_connection(
+            host, port, peer, timeout_s=self._connect_timeout_s
+        )
+
+    def release(self, connection: UpstreamConnection) -> None:
+        """Keep a connection whose answer was whole."""
+        if connection.alive and not connection.busy:
+            self._resting.setdefault(connection.peer, []).append(connection)
+
+    def release_unused(self, connection: UpstreamConnection) -> None:
+        """Keep a connection over which nothing was sent."""
+        connection.rested_since = asyncio.get_running_loop().time()
+        self.release(connection)
+
+    def drop_peer(self, peer: str) -> None:
+        """Close what rests of a backend server that is gone."""
+        for connection in self._resting.pop(peer, []):
+            connection.abort()
+
+    def sweep(self, now: float) -> None:
+        """Close connections that rested too long."""
+        for resting in self._resting.values():
+            stale = [
+                connection
+                for connection in resting
+                if not connection.alive
+                or not self._is_fresh(connection, now, self._keep_s)
+            ]
+            for connection in stale:
+                resting.remove(connection)
+                connection.abort()
+
+    def _is_fresh(
+        self, connection: UpstreamConnection, now: float, max_rest_s: float
+    ) -> bool:
+        limit = min(max_rest_s, self._keep_s)
+        if connection.rest_limit_s is not None:
+            limit = min(limit, connection.rest_limit_s * 0.5)
+        return now - connection.rested_since < limit
--- /dev/null
+++ b/src/ramppin/process/context.py
@@ -0,0 +1,101 @@
+"""What all exchanges of a gateway process share."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass, field
+
+from ramppin.connection.httpwire import HeaderNames
+from ramppin.connection.upstream import ConnectionPool
+from ramppin.process.decisions import DecisionLog
+from ramppin.process.directory import ServerDirectory
+from ramppin.process.retries import RetryWindow
+from ramppin.process.selection import (
+    NearestSelection,
+    PrefixSelection,
+    SelectionStrategy,
+)
+from ramppin.version.routing import RoutingTable
+
+LOG = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRules:
+    """The fleet's budget of retries, and this VM's part of it.
+
+    Attributes:
+        ratio: retries for each request of a service.
+        window_s: the sliding window.
+        extra: retries that one VM may make beyond the ratio.
+    """
+
+    ratio: float = 0.17
+    window_s: float = 10.0
+    extra: int = 2
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """Parts and state that exchanges use.
+
+    Attributes:
+        names: names of headers.
+        decisions: where decision lines go.
+        directory: the backend servers.
+        pool: connections to them.
+        prefix_selection: for routes whose servers cache prompts.
+        plain_selection: for all others.
+        generator: random numbers.
+        retry_rules: the budget of retries.
+        table: the routing settings in force; None before the first.
+        in_flight: exchanges that run.
+        tasks: their tasks.
+    """
+
+    names: HeaderNames
+    decisions: DecisionLog
+    directory: ServerDirectory
+    pool: ConnectionPool
+    prefix_selection: PrefixSelection
+    plain_selection: NearestSelection
+    generator: random.Random
+    retry_rules: RetryRules = field(default_factory=RetryRules)
+    table: RoutingTable | None = None
+    in_flight: int = 0
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    retries: dict[str, RetryWindow] = field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """The version of the settings in force; -1 before the first."""
+        return self.table.version if self.table else -1
+
+    def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
+        """Return the strategy for a request."""
+        return self.prefix_selection if keeps_prefix else self.plain_selection
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count a request of a service for the budget of retries."""
+        self._find_window(service).note_request(now)
+
+    def take_retry(self, service: str, now: float) -> bool:
+        """Return whether a request of a service may be sent once more."""
+        return self._find_window(service).take(now)
+
+    def finish_task(self, task: asyncio.Task[None]) -> None:
+        """Forget an exchange's task; log what it did not catch."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error("exchange failed", exc_info=task.exception())
+
+    def _find_window(self, service: str) -> RetryWindow:
+        window = self.retries.get(service)
+        if window is None:
+            rules = self.retry_rules
+            window = self.retries[service] = RetryWindow(
+                ratio=rules.ratio, window_s=rules.window_s, extra=rules.extra
+            )
+        return window
--- /dev/null
+++ b/src/ramppin/process/directory.py
@@ -0,0 +1,139 @@
+"""The backend servers that a process knows, with their load and their health."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ramppin.process.health import ServerHealth
+
+REPORT_TRUST_S = 4.0
+"""Age past which a load report says nothing any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A backend server as it announced itself.
+
+    Attributes:
+        id: its incarnation; a restart brings a new one.
+        service: the service that it serves.
+        host: its IP address.
+        port: its port.
+        failure_domain: where it stands.
+        slots: requests that it runs at once.
+        draining: whether it takes no new work.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    failure_domain: str = ""
+    slots: int = 0
+    draining: bool = False
+
+
+class ServerState:
+    """What a process knows about one backend server.
+
+    Args:
+        server: as it announced itself.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, server: BackendServer) -> None:
+        self.server = server
+        self.in_flight = 0
+        self.health = ServerHealth()
+        self.missing_since: float | None = None
+        self._reported = 0
+        self._reported_at = float("-inf")
+        self._in_flight_at_report = 0
+
+    @property
+    def id(self) -> str:
+        """The backend server's id."""
+        return self.server.id
+
+    def note_load(self, running: int, waiting: int, now: float) -> None:
+        """Take the load that an answer told."""
+        self._reported = running + waiting
+        self._reported_at = now
+        self._in_flight_at_report = self.in_flight
+
+    def estimate_load(self, now: float) -> int:
+        """Return the requests that the server is likely to hold."""
+        if now - self._reported_at > REPORT_TRUST_S:
+            return self.in_flight
+        since = self.in_flight - self._in_flight_at_report
+        return max(self.in_flight, self._reported + since)
+
+    def measure_report_age(self, now: float) -> float:
+        """Return the age of the last load report in seconds."""
+        return now - self._reported_at
+
+
+class ServerDirectory:
+    """Backend servers by service.
+
+    Args:
+        missing_hold_s: how long a server whose entry vanished is still used.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, *, missing_hold_s: float = 0.0) -> None:
+        self._missing_hold_s = missing_hold_s
+        self._states: dict[str, ServerState] = {}
+        self._by_service: dict[str, dict[str, ServerState]] = {}
+
+    def __iter__(self) -> Iterator[ServerState]:
+        return iter(self._states.values())
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def find(self, server_id: str) -> ServerState | None:
+        """Return what is known about a backend server, or None."""
+        return self._states.get(server_id)
+
+    def put(self, server: BackendServer) -> ServerState:
+        """Add a backend server, or take what changed of one."""
+        state = self._states.get(server.id)
+        if state is None:
+            state = self._states[server.id] = ServerState(server)
+        elif state.server.service != server.service:
+            self._by_service[state.server.service].pop(server.id, None)
+        state.server = server
+        state.missing_since = None
+        self._by_service.setdefault(server.service, {})[server.id] = state
+        return state
+
+    def mark_missing(self, server_id: str, now: float) -> None:
+        """Note that a backend server's entry vanished."""
+        state = self._states.get(server_id)
+        if state is not None and state.missing_since is None:
+            state.missing_since = now
+
+    def remove_missing(self, now: float) -> list[str]:
+        """Remove servers that have been missing too long; return their ids."""
+        gone = [
+            state.id
+            for state in self._states.values()
+            if state.missing_since is not None
+            and now - state.missing_since >= self._missing_hold_s
+        ]
+        for server_id in gone:
+            state = self._states.pop(server_id)
+            self._by_service[state.server.service].pop(server_id, None)
+        return gone
+
+    def list_open(self, service: str) -> list[ServerState]:
+        """Return the backend servers of a service that may get new work."""
+        return [
+            state
+            for state in self._by_service.get(service, {}).values()
+            if not state.server.draining and state.missing_since is None
+        ]
--- /dev/null
+++ b/src/ramppin/process/follower.py
@@ -0,0 +1,99 @@
+"""Keeps a replica current: from the shared log, and from peers without it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from ramppin.errors import LogTrimmedError, LogUnavailableError
+from ramppin.process.replica import Replica
+from ramppin.process.sources import RecordSource
+
+LOG = logging.getLogger(__name__)
+
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 0.6
+
+
+class Follower:
+    """Reads a source again and again into a replica.
+
+    Args:
+        replica: what is kept current.
+        source: where its records lie.
+        pace_s: shortest time between two reads.
+        wait_s: longest time that a read waits at the end of the log.
+        generator: spreads the retries of many VMs.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        source: RecordSource,
+        *,
+        pace_s: float,
+        wait_s: float,
+        generator: random.Random,
+    ) -> None:
+        self._replica = replica
+        self._source = source
+        self._pace_s = pace_s
+        self._wait_s = wait_s
+        self._generator = generator
+        self._backoff_s = FIRST_BACKOFF_S
+        self._reachable = True
+        self._complete = False
+        self.lost_at = float("-inf")
+        self.regained_at = float("-inf")
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last read succeeded."""
+        return self._reachable
+
+    async def run(self) -> None:
+        """Follow the source until cancelled."""
+        while True:
+            try:
+                await self._read()
+            except LogTrimmedError:
+                self._complete = False
+            except LogUnavailableError as error:
+                self._note_lost(error)
+                await self._back_off()
+                continue
+            self._note_regained()
+            if self._pace_s:
+                await asyncio.sleep(self._pace_s)
+
+    async def _read(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
+        if not self._complete:
+            batch = await self._source.read_newest()
+            self._replica.replace(batch.records, batch.position, asked_at)
+            self._complete = True
+            return
+        batch = await self._source.read_after(
+            self._replica.position, wait_s=self._wait_s
+        )
+        self._replica.apply(batch.records, batch.position, asked_at)
+
+    async def _back_off(self) -> None:
+        await asyncio.sleep(self._backoff_s * self._generator.uniform(0.7, 1.3))
+        self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2)
+
+    def _note_lost(self, error: LogUnavailableError) -> None:
+        if self._reachable:
+            self._reachable = False
+            self.lost_at = asyncio.get_running_loop().time()
+            LOG.warning("log lost: %s", error, extra={"step": self._replica.name})
+
+    def _note_regained(self) -> None:
+        self._backoff_s = FIRST_BACKOFF_S
+        if not self._reachable:
+            self._reachable = True
+            self.regained_at = asyncio.get_running_loop().time()
+            LOG.info("log regained", extra={"step": self._replica.name})
--- /dev/null
+++ b/src/ramppin/process/gateway.py
@@ -0,0 +1,278 @@
+"""One gateway VM: listeners, replicas, readiness, drain.
+
+A gateway passes HTTP requests through unchanged to the backend servers of
+their route's service. It keeps nothing on its VM: settings and backend servers
+come from a shared log, or from peers while the log is away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ramppin.connection.callerwire import CallerConnection, ListenerState
+from ramppin.connection.httpwire import HeaderNames
+from ramppin.connection.upstream import ConnectionPool
+from ramppin.errors import SettingsError
+from ramppin.process.context import GatewayContext, RetryRules
+from ramppin.process.decisions import DecisionLog
+from ramppin.process.directory import ServerDirectory
+from ramppin.process.drain import DrainTimes, drain
+from ramppin.process.follower import Follower
+from ramppin.process.readiness import ReadinessResponder
+from ramppin.process.replica import Record, Replica
+from ramppin.process.selection import NearestSelection, PrefixSelection
+from ramppin.process.sources import RecordDecoder, RecordSource
+from ramppin.request.exchange import ExchangeResponder
+
+LOG = logging.getLogger(__name__)
+
+SWEEP_S = 0.25
+LISTEN_BACKLOG = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and port to listen on; port 0 picks a free one."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayConfig:
+    """What one gateway VM must know to start.
+
+    Attributes:
+        vm: its name.
+        failure_domain: where it stands.
+        callers: address for callers.
+        readiness: address where the balancer asks whether it is ready.
+        names: names of headers.
+        ready_path: path of the readiness question.
+        settings_key: key of the record that holds the routing settings.
+        server_pace_s: time between two reads of the backend servers' table.
+        settings_wait_s: longest wait of one read of the settings' table.
+        retry_rules: the fleet's budget of retries, and this VM's part.
+        drain_times: how long a planned stop may take.
+        seed: of the random numbers.
+    """
+
+    vm: str
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    names: HeaderNames = field(default_factory=HeaderNames)
+    ready_path: bytes = b"/ready"
+    settings_key: str = "settings"
+    server_pace_s: float = 0.5
+    settings_wait_s: float = 2.0
+    retry_rules: RetryRules = field(default_factory=RetryRules)
+    drain_times: DrainTimes = field(default_factory=DrainTimes)
+    seed: int | None = None
+
+
+class Gateway:
+    """A gateway process.
+
+    Args:
+        config: the process's own settings.
+        settings_source: table that holds the routing settings.
+        server_source: table of the backend servers.
+        decoder: turns records into models.
+        decisions: where decision lines go.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        config: GatewayConfig,
+        *,
+        settings_source: RecordSource,
+        server_source: RecordSource,
+        decoder: RecordDecoder,
+        decisions: DecisionLog,
+    ) -> None:
+        self.config = config
+        self.stopped = asyncio.Event()
+        generator = random.Random(config.seed)
+        self.context = GatewayContext(
+            names=config.names,
+            decisions=decisions,
+            directory=ServerDirectory(),
+            pool=ConnectionPool(),
+            prefix_selection=PrefixSelection(),
+            plain_selection=NearestSelection(
+                config.failure_domain, generator=generator
+            ),
+            generator=generator,
+            retry_rules=config.retry_rules,
+        )
+        self._decoder = decoder
+        self.settings = Replica("settings", self._take_settings)
+        self.servers = Replica("servers", self._take_server)
+        self._settings_follower = Follower(
+            self.settings,
+            settings_source,
+            pace_s=0.05,
+            wait_s=config.settings_wait_s,
+            generator=generator,
+        )
+        self._server_follower = Follower(
+            self.servers,
+            server_source,
+            pace_s=config.server_pace_s,
+            wait_s=1.0,
+            generator=generator,
+        )
+        self.listener_state = ListenerState()
+        self._readiness_state = ListenerState()
+        self._servers: list[asyncio.Server] = []
+        self._background: list[asyncio.Task[None]] = []
+        self._drain: asyncio.Task[None] | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        has_settings = self.context.table is not None
+        return has_settings and self.servers.started and self._drain is None
+
+    @property
+    def caller_port(self) -> int:
+        """The port on which callers are served."""
+        return int(self._servers[0].sockets[0].getsockname()[1])
+
+    @property
+    def readiness_port(self) -> int:
+        """The port on which readiness is told."""
+        return int(self._servers[1].sockets[0].getsockname()[1])
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the log."""
+        await self._listen(
+            self.config.callers,
+            lambda: CallerConnection(
+                self.listener_state,
+                lambda connection: ExchangeResponder(self.context, connection),
+            ),
+        )
+        await self._listen(
+            self.config.readiness,
+            lambda: CallerConnection(
+                self._readiness_state,
+                lambda connection: ReadinessResponder(
+                    connection, self.config.ready_path, lambda: self.ready
+                ),
+            ),
+        )
+        for work in (
+            self._settings_follower.run(),
+            self._server_follower.run(),
+            self._sweep(),
+        ):
+            self._background.append(asyncio.create_task(work))
+        self.context.decisions.note("started", version=self.context.version)
+
+    def start_drain(self) -> None:
+        """Begin a planned stop; a second call changes nothing."""
+        if self._drain is None:
+            self.context.decisions.note("draining", in_flight=self.context.in_flight)
+            self.listener_state.draining = True
+            self._drain = asyncio.create_task(self._drain_and_stop())
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        for task in self._background:
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        for connection in list(self.listener_state.connections):
+            connection.break_off()
+        self.context.decisions.note("stopped")
+        self.context.decisions.flush()
+        self.stopped.set()
+
+    async def _drain_and_stop(self) -> None:
+        await drain(self.listener_state, self.config.drain_times)
+        await self.stop()
+
+    async def _listen(
+        self, address: Address, build: Callable[[], CallerConnection]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            build, address.host, address.port, backlog=LISTEN_BACKLOG
+        )
+        self._servers.append(server)
+
+    async def _sweep(self) -> None:
+        """Close what rests too long, and write decision lines."""
+        loop = asyncio.get_running_loop()
+        refilled_at = loop.time()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = loop.time()
+            for connection in list(self.listener_state.connections):
+                connection.check_timeouts(now)
+            self.context.pool.sweep(now)
+            self._remove_missing(now)
+            if now - refilled_at >= 1.0:
+                refilled_at = now
+                self.context.decisions.refill()
+            self.context.decisions.flush()
+
+    def _remove_missing(self, now: float) -> None:
+        for server_id in self.context.directory.remove_missing(now):
+            self.context.pool.drop_peer(server_id)
+            self.context.decisions.note("server_gone", server=server_id)
+
+    # records
+
+    def _take_settings(self, record: Record) -> None:
+        if record.key != self.config.settings_key:
+            return
+        try:
+            table = self._decoder.decode_table(record)
+        except SettingsError as error:
+            self.context.decisions.note("settings_refused", reason=error.show())
+            return
+        if table is None:
+            return
+        if self.context.table is not None and table.version < self.context.version:
+            self.context.decisions.note("settings_older", version=table.version)
+            return
+        self.context.table = table
+        self.listener_state.limits = table.limits
+        self.context.decisions.note(
+            "settings_in_force",
+            version=table.version,
+            offset=record.offset,
+            routes=len(table.routes),
+        )
+
+    def _take_server(self, record: Record) -> None:
+        now = asyncio.get_running_loop().time()
+        directory = self.context.directory
+        if record.value is None:
+            directory.mark_missing(record.key, now)
+            return
+        try:
+            server = self._decoder.decode_server(record)
+        except SettingsError as error:
+            self.context.decisions.note("server_refused", reason=error.show())
+            return
+        known = directory.find(server.id)
+        before = known.server if known else None
+        directory.put(server)
+        if before != server:
+            self.context.decisions.note(
+                "server_known",
+                server=server.id,
+                service=server.service,
+                draining=server.draining,
+                offset=record.offset,
+            )
--- /dev/null
+++ b/src/ramppin/process/health.py
@@ -0,0 +1,90 @@
+"""Whether a backend server is sound, by what its answers showed.
+
+No probes are sent: each has a price, and health answers may be false. A server
+with bad evidence is set aside for a while and comes back by itself; the next
+requests show whether it is sound.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+FAILURE_WEIGHT = 0.25
+"""Weight of the newest outcome in the moving failure rate."""
+
+FAILURE_LIMIT = 0.45
+"""Failure rate above which a server is set aside."""
+
+RETURN_RATE = 0.3
+"""Failure rate with which a server comes back: one more failure counts."""
+
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 4.0
+BUSY_PAUSE_S = 0.15
+SILENCE_S = 0.8
+"""Silence with a request in flight after which a server counts as silent."""
+
+
+class Outcome(Enum):
+    """What one request showed about a backend server."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REJECTED = "rejected"
+    UNREACHABLE = "unreachable"
+
+
+class ServerHealth:
+    """Evidence about one backend server.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self) -> None:
+        self.failure_rate = 0.0
+        self.aside_until = float("-inf")
+        self._pause_s = FIRST_PAUSE_S
+        self._awaited_since: float | None = None
+
+    def note_sent(self, now: float) -> None:
+        """Note that a request left for the server."""
+        if self._awaited_since is None:
+            self._awaited_since = now
+
+    def note_heard(self, now: float, *, awaited: bool) -> None:
+        """Note bytes from the server.
+
+        Args:
+            now: the loop's time.
+            awaited: whether further answers are due.
+        """
+        self._awaited_since = now if awaited else None
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether answers are due and nothing has come for long."""
+        since = self._awaited_since
+        return since is not None and now - since > SILENCE_S
+
+    def note_outcome(self, outcome: Outcome, now: float) -> None:
+        """Take what a request showed."""
+        if outcome is Outcome.REJECTED:
+            self.aside_until = max(self.aside_until, now + BUSY_PAUSE_S)
+            return
+        if outcome is Outcome.UNREACHABLE:
+            self._set_aside(now)
+            return
+        failed = 1.0 if outcome is Outcome.FAILED else 0.0
+        self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
+        if outcome is Outcome.ANSWERED:
+            self._pause_s = FIRST_PAUSE_S
+        elif self.failure_rate > FAILURE_LIMIT and now >= self.aside_until:
+            self._set_aside(now)
+            self.failure_rate = RETURN_RATE
+
+    def is_aside(self, now: float) -> bool:
+        """Return whether other servers should be preferred."""
+        return now < self.aside_until or self.is_silent(now)
+
+    def _set_aside(self, now: float) -> None:
+        self.aside_until = now + self._pause_s
+        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
--- /dev/null
+++ b/src/ramppin/process/readiness.py
@@ -0,0 +1,39 @@
+"""Answers the balancer's question whether this VM should get callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+
+
+class ReadinessResponder(Responder):
+    """Answers 200 while ready, else 503.
+
+    Args:
+        connection: the balancer's connection.
+        path: path of the question.
+        is_ready: tells whether this VM is ready.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self, connection: CallerConnection, path: bytes, is_ready: Callable[[], bool]
+    ) -> None:
+        self._connection = connection
+        self._path = path
+        self._is_ready = is_ready
+
+    def accept_request(self, request: CallerRequest) -> None:
+        """Answer at once."""
+        if request.target.partition(b"?")[0] != self._path:
+            self._connection.send_whole(404, [], b"")
+        else:
+            self._connection.send_whole(200 if self._is_ready() else 503, [], b"")
+
+    def accept_leave(self) -> None:
+        """Nothing is in flight here."""
+
+    def accept_flow(self, *, paused: bool) -> None:
+        """Answers here are small."""
--- /dev/null
+++ b/src/ramppin/process/replica.py
@@ -0,0 +1,85 @@
+"""A local replica of keyed records that lie in a shared log.
+
+The newest record of each key counts, by its offset; a record without a value
+removes its key. A replica never goes back: an older record of a key, from
+whichever source, changes nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A record of the shared log.
+
+    Attributes:
+        key: what it is about.
+        value: what it says; None removes the key.
+        offset: its place in the log.
+    """
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+class Replica:
+    """The newest record of each key.
+
+    Args:
+        name: the table's name, for logs and peers.
+        on_change: called with each record that replaces an older one.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, name: str, on_change: Callable[[Record], None]) -> None:
+        self.name = name
+        self.position = 0
+        self.confirmed_at = float("-inf")
+        self._on_change = on_change
+        self._records: dict[str, Record] = {}
+
+    def __len__(self) -> int:
+        return sum(record.value is not None for record in self._records.values())
+
+    @property
+    def started(self) -> bool:
+        """Whether the replica has been filled once."""
+        return self.confirmed_at > float("-inf")
+
+    def apply(self, records: Iterable[Record], position: int, as_of: float) -> None:
+        """Take records that follow what the replica has.
+
+        Args:
+            records: in the log's order.
+            position: offset up to which the log is now known.
+            as_of: the loop's time at which that was the log's end.
+        """
+        for record in records:
+            self._put(record)
+        self.position = max(self.position, position)
+        self.confirmed_at = max(self.confirmed_at, as_of)
+
+    def replace(self, records: Iterable[Record], position: int, as_of: float) -> None:
+        """Take the newest record of every key; a key not among them is gone."""
+        found = {record.key: record for record in records}
+        for key, known in list(self._records.items()):
+            if key not in found and known.offset < position and known.value is not None:
+                self._put(Record(key, None, position - 1))
+        self.apply(found.values(), position, as_of)
+
+    def list_since(self, offset: int) -> list[Record]:
+        """Return the newest records at or after an offset, in the log's order."""
+        found = [r for r in self._records.values() if r.offset >= offset]
+        return sorted(found, key=lambda record: record.offset)
+
+    def _put(self, record: Record) -> None:
+        known = self._records.get(record.key)
+        if known is not None and known.offset >= record.offset:
+            return
+        self._records[record.key] = record
+        self._on_change(record)
--- /dev/null
+++ b/src/ramppin/process/selection.py
@@ -0,0 +1,169 @@
+"""Which backend server gets a request, by what this process knows alone.
+
+Each strategy sees the open servers of one service with their estimated loads.
+No other VM is asked: a VM must be able to serve without a word from peers.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ramppin.process.directory import ServerState
+from ramppin.request.ranking import RendezvousRanking
+
+
+@dataclass(frozen=True, slots=True)
+class SelectionRequest:
+    """What a strategy may know about a request.
+
+    Attributes:
+        prefix_key: hash of the shared part of the prompt; None if there is none.
+        exclude: ids of servers that this request has tried.
+    """
+
+    prefix_key: int | None = None
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """A chosen server and the reasons, for logs and explanations.
+
+    Attributes:
+        state: the chosen server.
+        rank: its place in the preference of the prompt's prefix, from 0.
+        load: its estimated load, this request not counted.
+        bound: the load that it must stay below.
+        report_age_s: age of its load report.
+    """
+
+    state: ServerState
+    rank: int
+    load: int
+    bound: float
+    report_age_s: float
+
+
+@dataclass(slots=True)
+class LoadView:
+    """Loads of a service's open servers at one moment."""
+
+    loads: dict[str, int] = field(default_factory=dict)
+    mean: float = 0.0
+
+
+def measure_loads(states: Sequence[ServerState], now: float) -> LoadView:
+    """Return the estimated loads of servers and their mean."""
+    loads = {state.id: state.estimate_load(now) for state in states}
+    return LoadView(loads, sum(loads.values()) / max(1, len(loads)))
+
+
+def list_usable(
+    states: Sequence[ServerState], exclude: frozenset[str], now: float
+) -> list[ServerState]:
+    """Return the servers to choose from: sound ones, else any that is left."""
+    left = [state for state in states if state.id not in exclude]
+    sound = [state for state in left if not state.health.is_aside(now)]
+    return sound or left
+
+
+class SelectionStrategy(ABC):
+    """Chooses a backend server for a request."""
+
+    @abstractmethod
+    def choose(
+        self, request: SelectionRequest, states: Sequence[ServerState], now: float
+    ) -> Selection | None:
+        """Return the choice among a service's open servers, or None.
+
+        Args:
+            request: what is known about the request.
+            states: the open servers of its service.
+            now: the loop's time.
+        """
+
+
+class PrefixSelection(SelectionStrategy):
+    """Returns prompts to the server that has their prefix, below a bound.
+
+    Rendezvous hashing over the servers, so that one that leaves moves only its
+    own prefixes; a server at or above the bound is passed over.
+
+    Args:
+        bound: multiple of the mean load that a server may hold.
+        slack: requests that it may hold beyond that.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, *, bound: float = 1.6, slack: float = 2.0) -> None:
+        self._bound = bound
+        self._slack = slack
+        self._ranking = RendezvousRanking()
+
+    def choose(
+        self, request: SelectionRequest, states: Sequence[ServerState], now: float
+    ) -> Selection | None:
+        """Return the first server in the prefix's order that is below the bound."""
+        usable = list_usable(states, request.exclude, now)
+        if not usable:
+            return None
+        view = measure_loads(states, now)
+        bound = self._bound * view.mean + self._slack
+        by_id = {state.id: state for state in usable}
+        key = request.prefix_key if request.prefix_key is not None else 0
+        ranked = self._ranking.rank(key, list(by_id))
+        for rank, server_id in enumerate(ranked):
+            if view.loads[server_id] < bound:
+                return self._select(by_id[server_id], rank, view, bound, now)
+        least = min(ranked, key=lambda server_id: view.loads[server_id])
+        return self._select(by_id[least], ranked.index(least), view, bound, now)
+
+    def _select(
+        self, state: ServerState, rank: int, view: LoadView, bound: float, now: float
+    ) -> Selection:
+        age = state.measure_report_age(now)
+        return Selection(state, rank, view.loads[state.id], bound, age)
+
+
+class NearestSelection(SelectionStrategy):
+    """Prefers servers of the own failure domain, then the least loaded.
+
+    Bytes between failure domains have a price; a server elsewhere is chosen
+    when the nearest hold clearly more.
+
+    Args:
+        failure_domain: where this process runs.
+        margin: requests that a near server may hold beyond a far one.
+        generator: breaks ties, so that VMs don't all choose alike.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self, failure_domain: str, *, margin: int = 1, generator: random.Random
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._margin = margin
+        self._generator = generator
+
+    def choose(
+        self, request: SelectionRequest, states: Sequence[ServerState], now: float
+    ) -> Selection | None:
+        """Return the least loaded server, near ones before far ones."""
+        usable = list_usable(states, request.exclude, now)
+        if not usable:
+            return None
+        view = measure_loads(states, now)
+        chosen = min(usable, key=lambda state: self._weigh(state, view))
+        age = chosen.measure_report_age(now)
+        return Selection(chosen, 0, view.loads[chosen.id], math.inf, age)
+
+    def _weigh(self, state: ServerState, view: LoadView) -> tuple[int, float]:
+        far = state.server.failure_domain != self._failure_domain
+        penalty = self._margin if far else 0
+        return view.loads[state.id] + penalty, self._generator.random()
--- /dev/null
+++ b/src/ramppin/process/sources.py
@@ -0,0 +1,76 @@
+"""Where a gateway learns its settings and backend servers from.
+
+Implementations: the files of this module's tests, and adapters to platforms.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from ramppin.errors import LogTrimmedError, LogUnavailableError
+from ramppin.process.directory import BackendServer
+from ramppin.process.replica import Record
+from ramppin.version.routing import RoutingTable
+
+__all__ = ["LogTrimmedError", "LogUnavailableError", "RecordBatch", "RecordSource"]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordBatch:
+    """Records that were read together.
+
+    Attributes:
+        records: in the log's order.
+        position: offset after the last record that the read covers.
+    """
+
+    records: tuple[Record, ...]
+    position: int
+
+
+class RecordSource(ABC):
+    """A keyed table in a shared log.
+
+    .. versionadded:: 0.2
+    """
+
+    @abstractmethod
+    async def read_newest(self) -> RecordBatch:
+        """Return the newest record of each key.
+
+        Raises:
+            LogUnavailableError: the log could not be read.
+        """
+
+    @abstractmethod
+    async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
+        """Return what follows a position; wait for it if there is nothing.
+
+        Raises:
+            LogTrimmedError: the log no longer keeps that position.
+            LogUnavailableError: the log could not be read.
+        """
+
+
+class RecordDecoder(ABC):
+    """Turns records into ramppin's own models.
+
+    .. versionadded:: 0.2
+    """
+
+    @abstractmethod
+    def decode_table(self, record: Record) -> RoutingTable | None:
+        """Return the routing settings of a record, or None if it has none.
+
+        Raises:
+            SettingsError: the record breaks the schema.
+        """
+
+    @abstractmethod
+    def decode_server(self, record: Record) -> BackendServer:
+        """Return the backend server that a record announces.
+
+        Raises:
+            SettingsError: the record breaks the schema.
+        """
--- /dev/null
+++ b/src/ramppin/request/attempt.py
@@ -0,0 +1,305 @@
+"""One attempt of a request at one backend server, and what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from ramppin.connection.callerwire import CallerConnection, CallerRequest
+from ramppin.connection.httpwire import (
+    HeaderNames,
+    Headers,
+    find_header,
+    keep_end_to_end,
+)
+from ramppin.connection.upstream import AnswerHead, AnswerReceiver, UpstreamConnection
+from ramppin.errors import BrokenAnswerError, NotSentError, ProtocolError
+from ramppin.process.directory import ServerState
+from ramppin.process.health import Outcome
+from ramppin.request.events import EventSplitter
+from ramppin.version.routing import Route
+
+MAX_HELD_BYTES = 262_144
+"""Part of a whole answer that is held before it is passed on in pieces."""
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503, 400})
+"""Statuses with which a server may say that it did not run a request."""
+
+MISDIRECTED = 421
+_LENGTH = frozenset({b"content-length"})
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    DELIVERED = "delivered"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    NOT_SENT = "not sent"
+    TIMED_OUT = "timed out"
+    CALLER_LEFT = "caller left"
+
+
+@dataclass(slots=True)
+class AttemptResult:
+    """What became of an attempt.
+
+    Attributes:
+        end: how it ended.
+        started: whether the caller has got a part of the answer.
+        status: the server's status; 0 if there was none.
+        answer: a whole answer that was not passed on.
+        last_event_id: the last event that the caller got.
+        message: what was wrong.
+    """
+
+    end: AttemptEnd
+    started: bool = False
+    status: int = 0
+    answer: tuple[AnswerHead, bytes] | None = None
+    last_event_id: bytes | None = None
+    message: str = ""
+
+
+class Attempt(AnswerReceiver):
+    """Sends a request to one backend server and passes its answer on.
+
+    Args:
+        names: names of headers.
+        caller: the caller's connection.
+        request_id: the id that the answer must carry.
+        state: the backend server.
+        previous: the attempt whose stream this one continues, or None.
+        streams: whether pieces are passed on as they come.
+        resumable: whether only whole events are passed on.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        caller: CallerConnection,
+        request_id: bytes,
+        state: ServerState,
+        *,
+        previous: Attempt | None,
+        streams: bool,
+        resumable: bool,
+    ) -> None:
+        self._names = names
+        self._caller = caller
+        self._request_id = request_id
+        self._state = state
+        self._streams = streams
+        self._loop = asyncio.get_running_loop()
+        self._result: asyncio.Future[AttemptResult] = self._loop.create_future()
+        self._connection: UpstreamConnection | None = None
+        self._head: AnswerHead | None = None
+        self._held: list[bytes] = []
+        self._held_size = 0
+        self._passing = False
+        self.started = previous is not None and previous.started
+        self._events: EventSplitter | None = None
+        if resumable:
+            self._events = previous._events if previous else EventSplitter()
+            if self._events is not None:
+                self._events.drop_partial()
+
+    async def run(
+        self,
+        connection: UpstreamConnection,
+        head: bytes,
+        request: CallerRequest,
+        ends_at: float,
+        route: Route,
+    ) -> AttemptResult:
+        """Send the request and wait until the attempt has ended.
+
+        Args:
+            connection: to the backend server.
+            head: the encoded head.
+            request: the caller's request.
+            ends_at: the loop's time at which to give up.
+            route: the request's route.
+        """
+        self._connection = connection
+        timer = self._loop.call_at(ends_at, self.cancel, AttemptEnd.TIMED_OUT)
+        try:
+            connection.send(
+                head, request.body, self, head_request=request.method == b"HEAD"
+            )
+            return await self._result
+        except NotSentError as error:
+            return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
+        finally:
+            timer.cancel()
+
+    def cancel(self, end: AttemptEnd) -> None:
+        """Give the attempt up; the server sees its connection close."""
+        if self._connection is not None:
+            self._connection.abort()
+        self._note_heard()
+        self._finish(end)
+
+    def hold_back(self, paused: bool) -> None:
+        """Pause or resume the server's answer."""
+        if self._connection is None or self._result.done():
+            return
+        if paused:
+            self._connection.pause()
+        else:
+            self._connection.resume()
+
+    # the connection's side
+
+    def accept_head(self, head: AnswerHead) -> bool:
+        """Take the head if it answers this request."""
+        self._note_heard()
+        found = find_header(head.headers, self._names.request_id)
+        if found is None and head.status < 300:
+            return False
+        if found is not None and found != self._request_id:
+            return False
+        self._head = head
+        self._note_load(head.headers)
+        return True
+
+    def accept_body(self, data: bytes) -> None:
+        """Pass a piece on, or hold it."""
+        if self._result.done():
+            return
+        self._note_heard()
+        if self._passing:
+            self._pass_on(data)
+            return
+        self._held.append(data)
+        self._held_size += len(data)
+        if self._is_good() and (self._streams or self._held_size > MAX_HELD_BYTES):
+            self._start_passing()
+
+    def accept_end(self) -> None:
+        """Pass the end of a whole answer on."""
+        self._note_heard()
+        head = self._head
+        if head is None or self._result.done():
+            return
+        if not self._is_good():
+            self._refuse_answer(head)
+            return
+        if self._streams and not self._passing:
+            self._start_passing()
+        if self._events is not None and self._events.partial:
+            self._fail("the stream ended in the middle of an event")
+            return
+        if self._passing:
+            self._caller.end_stream()
+        else:
+            headers = keep_end_to_end(head.headers, _LENGTH)
+            self._caller.send_whole(head.status, headers, b"".join(self._held))
+        self._state.health.note_outcome(Outcome.ANSWERED, self._loop.time())
+        self._finish(AttemptEnd.DELIVERED)
+
+    def accept_failure(self, error: BrokenAnswerError) -> None:
+        """Take the news that the answer broke off."""
+        self._note_heard()
+        self._fail(error.message)
+
+    # inside
+
+    def _is_good(self) -> bool:
+        """Return whether the answer is a success that may be passed on."""
+        head = self._head
+        return (
+            head is not None
+            and 200 <= head.status < 300
+            and find_header(head.headers, self._names.signature) is not None
+            and find_header(head.headers, b"content-encoding") is None
+        )
+
+    def _start_passing(self) -> None:
+        head = self._head
+        assert head is not None
+        self._passing = True
+        if not self.started:
+            self.started = True
+            headers = keep_end_to_end(head.headers, _LENGTH)
+            length = None if self._events is not None else head.length
+            self._caller.start_stream(head.status, headers, length)
+        held, self._held = self._held, []
+        for data in held:
+            self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        if self._events is None:
+            self._caller.send_piece(data)
+            return
+        try:
+            self._caller.send_piece(self._events.feed(data))
+        except ProtocolError as error:
+            self._fail(error.message)
+
+    def _refuse_answer(self, head: AnswerHead) -> None:
+        """End the attempt with an answer that is no success."""
+        health, now = self._state.health, self._loop.time()
+        body = b"".join(self._held)
+        if 200 <= head.status < 300:
+            health.note_outcome(Outcome.FAILED, now)
+            self._finish(AttemptEnd.FAILED, "a success that is not the server's own")
+        elif self._is_rejection(head):
+            if head.status != MISDIRECTED:
+                health.note_outcome(Outcome.REJECTED, now)
+            else:
+                health.note_outcome(Outcome.UNREACHABLE, now)
+            self._finish(AttemptEnd.REJECTED, answer=(head, body))
+        else:
+            failed = head.status >= 500
+            health.note_outcome(Outcome.FAILED if failed else Outcome.ANSWERED, now)
+            self._finish(AttemptEnd.FAILED, answer=(head, body))
+
+    def _is_rejection(self, head: AnswerHead) -> bool:
+        if head.status == MISDIRECTED:
+            return True
+        marked = find_header(head.headers, self._names.not_run) is not None
+        return marked and head.status in NOT_RUN_STATUSES
+
+    def _fail(self, message: str) -> None:
+        if self._result.done():
+            return
+        self._state.health.note_outcome(Outcome.FAILED, self._loop.time())
+        if self._connection is not None:
+            self._connection.abort()
+        self._finish(AttemptEnd.FAILED, message)
+
+    def _finish(
+        self,
+        end: AttemptEnd,
+        message: str = "",
+        answer: tuple[AnswerHead, bytes] | None = None,
+    ) -> None:
+        if self._result.done():
+            return
+        events = self._events
+        self._result.set_result(
+            AttemptResult(
+                end,
+                started=self.started,
+                status=self._head.status if self._head else 0,
+                answer=answer,
+                last_event_id=events.last_id if events else None,
+                message=message,
+            )
+        )
+
+    def _note_heard(self) -> None:
+        awaited = self._state.in_flight > 1
+        self._state.health.note_heard(self._loop.time(), awaited=awaited)
+
+    def _note_load(self, headers: Headers) -> None:
+        told = find_header(headers, self._names.load)
+        if told is None:
+            return
+        numbers = told.split(b",")
+        if len(numbers) >= 2 and numbers[0].isdigit() and numbers[1].isdigit():
+            self._state.note_load(int(numbers[0]), int(numbers[1]), self._loop.time())
--- /dev/null
+++ b/src/ramppin/request/events.py
@@ -0,0 +1,55 @@
+"""Whole events of a stream (``text/event-stream``), with the last event's id."""
+
+from __future__ import annotations
+
+from ramppin.errors import ProtocolError
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 1_048_576
+
+
+class EventSplitter:
+    """Holds back a partial event, so that another server can continue after it.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self) -> None:
+        self._partial = b""
+        self.last_id: bytes | None = None
+
+    @property
+    def partial(self) -> bytes:
+        """Bytes of an event that has not ended."""
+        return self._partial
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events among what has come; keep the rest.
+
+        Raises:
+            ProtocolError: an event is larger than any real one.
+        """
+        buffered = self._partial + data if self._partial else data
+        end = buffered.rfind(EVENT_END)
+        if end < 0:
+            self._partial = buffered
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise ProtocolError("an event does not end", step="stream")
+            return b""
+        end += len(EVENT_END)
+        whole, self._partial = buffered[:end], buffered[end:]
+        self._note_last_id(whole)
+        return whole
+
+    def drop_partial(self) -> None:
+        """Forget a partial event: it will come again from its start."""
+        self._partial = b""
+
+    def _note_last_id(self, whole: bytes) -> None:
+        start = len(whole)
+        while (start := whole.rfind(ID_FIELD, 0, start)) >= 0:
+            if start == 0 or whole[start - 1 : start] == b"\n":
+                line = whole[start + len(ID_FIELD) :].split(b"\n", 1)[0]
+                self.last_id = line.strip()
+                return
--- /dev/null
+++ b/src/ramppin/request/exchange.py
@@ -0,0 +1,383 @@
+"""One request of a caller, from its arrival to its final answer.
+
+An exchange finds the route and the customer, lets the selection choose a
+backend server, sends the request, and passes the answer on. Another server is
+tried only where nothing ran, or where the route may be repeated; each request
+gets its final answer at once when it is given up on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+from ramppin.connection.httpwire import Headers, find_header, keep_end_to_end
+from ramppin.connection.upstream import UpstreamConnection
+from ramppin.errors import NotSentError
+from ramppin.process.context import GatewayContext
+from ramppin.process.health import Outcome
+from ramppin.process.selection import Selection, SelectionRequest
+from ramppin.request.attempt import Attempt, AttemptEnd, AttemptResult
+from ramppin.request.promptkey import hash_prefix
+from ramppin.request.upstreamhead import RequestHeadBuilder
+from ramppin.version.routing import Customer, Route, RoutingTable, choose_service
+
+MAX_TRIES = 4
+"""Servers that one request may try, connections that failed included."""
+
+RETRY_AFTER_S = 0.25
+START_RETRY_AFTER_S = 0.5
+MIN_TIME_LEFT_S = 0.02
+"""Time below which another attempt is not worth its price."""
+
+REST_LIMIT_ONCE_S = 0.7
+"""Longest rest of a connection that carries what can't be repeated."""
+
+
+class Denial(Enum):
+    """Why a request is refused before any server is chosen."""
+
+    NO_SETTINGS = (503, "no settings yet")
+    NO_HOST = (400, "no host")
+    NO_ROUTE = (404, "no such route")
+    UNKNOWN_KEY = (401, "unknown key")
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return int(self.value[0])
+
+    @property
+    def reason(self) -> str:
+        """A short text for the log."""
+        return str(self.value[1])
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """What the settings say about an admitted request."""
+
+    table: RoutingTable
+    route: Route
+    customer: Customer | None
+    service: str
+    prefix_key: int | None
+
+
+class ExchangeResponder(Responder):
+    """Runs the exchanges of one caller's connection, one after the other.
+
+    Args:
+        context: what all exchanges of the process share.
+        connection: the caller's connection.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, context: GatewayContext, connection: CallerConnection) -> None:
+        self._context = context
+        self._connection = connection
+        self._exchange: Exchange | None = None
+
+    def accept_request(self, request: CallerRequest) -> None:
+        """Start an exchange."""
+        exchange = Exchange(self._context, self._connection, request)
+        self._exchange = exchange
+        task = asyncio.get_running_loop().create_task(exchange.run())
+        self._context.tasks.add(task)
+        task.add_done_callback(self._context.finish_task)
+
+    def accept_leave(self) -> None:
+        """Give the exchange up."""
+        if self._exchange is not None:
+            self._exchange.leave()
+
+    def accept_flow(self, *, paused: bool) -> None:
+        """Hold the answer's source back, or let it go on."""
+        if self._exchange is not None:
+            self._exchange.hold_back(paused)
+
+
+class Exchange:
+    """One request and its answer.
+
+    Args:
+        context: what all exchanges of the process share.
+        connection: the caller's connection.
+        request: the request, whole.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        connection: CallerConnection,
+        request: CallerRequest,
+    ) -> None:
+        self._context = context
+        self._connection = connection
+        self._request = request
+        self._loop = asyncio.get_running_loop()
+        self._attempt: Attempt | None = None
+        self._left = False
+        self._tried: set[str] = set()
+        self._tries = 0
+        self._runs = 0
+        self._ends_at = 0.0
+        names = context.names
+        found = request.find(names.request_id)
+        self._request_id = found or b""
+
+    # what the connection tells
+
+    def leave(self) -> None:
+        """Give up: the caller is gone."""
+        self._left = True
+        if self._attempt is not None:
+            self._attempt.cancel(AttemptEnd.CALLER_LEFT)
+
+    def hold_back(self, paused: bool) -> None:
+        """Pause or resume the answer's source."""
+        if self._attempt is not None:
+            self._attempt.hold_back(paused)
+
+    # the request's course
+
+    async def run(self) -> None:
+        """Serve the request."""
+        context = self._context
+        context.in_flight += 1
+        try:
+            admitted = self._admit()
+            if isinstance(admitted, Denial):
+                self._deny(admitted)
+                return
+            self._ends_at = self._request.arrived + self._read_time_limit(
+                admitted.route
+            )
+            context.note_request(admitted.service, self._loop.time())
+            await self._serve(admitted)
+        finally:
+            context.in_flight -= 1
+
+    def _admit(self) -> Admission | Denial:
+        context, request = self._context, self._request
+        table = context.table
+        if table is None:
+            return Denial.NO_SETTINGS
+        host = request.find(b"host")
+        if host is None:
+            return Denial.NO_HOST
+        route = table.find_route(
+            host.decode("latin-1"), request.target.decode("latin-1")
+        )
+        if route is None:
+            return Denial.NO_ROUTE
+        customer = None
+        if table.customers:
+            key = request.find(context.names.api_key)
+            if key is not None:
+                customer = table.customers.get(key.decode("latin-1"))
+            if customer is None and not route.public:
+                return Denial.UNKNOWN_KEY
+        parts = request.find(context.names.prompt_parts)
+        prefix_key = hash_prefix(parts) if parts and route.keeps_prefix else None
+        point = context.generator.random()
+        if prefix_key is not None:
+            point = (prefix_key & 0xFFFFFFFF) / 2.0**32
+        service = choose_service(route.services, point)
+        return Admission(table, route, customer, service, prefix_key)
+
+    def _deny(self, denial: Denial) -> None:
+        headers: Headers = []
+        if denial is Denial.NO_SETTINGS:
+            headers = [(b"Retry-After", b"%.2f" % START_RETRY_AFTER_S)]
+        self._context.decisions.note(
+            "denied",
+            request_id=self._request_id.decode("latin-1"),
+            status=denial.status,
+            reason=denial.reason,
+            version=self._context.version,
+        )
+        self._answer(denial.status, headers)
+
+    def _read_time_limit(self, route: Route) -> float:
+        limit = route.time_limit_s
+        told = self._request.find(self._context.names.deadline_ms)
+        if told is not None:
+            try:
+                limit = min(limit, float(told) / 1000)
+            except ValueError:
+                return limit
+        return limit
+
+    async def _serve(self, admission: Admission) -> None:
+        context = self._context
+        builder = RequestHeadBuilder(
+            context.names, self._request, admission.route, admission.customer
+        )
+        last: AttemptResult | None = None
+        while True:
+            selection = self._select(admission)
+            if selection is None:
+                self._give_up(admission, last)
+                return
+            result = await self._try(admission, selection, builder)
+            self._log_attempt(admission, selection, result)
+            if result.end is AttemptEnd.DELIVERED or self._left:
+                return
+            if result.last_event_id is not None:
+                builder.resume_after(result.last_event_id)
+            if not self._may_try_again(admission, result):
+                self._conclude(admission, result)
+                return
+            last = result
+
+    def _select(self, admission: Admission) -> Selection | None:
+        if self._left or self._tries >= MAX_TRIES:
+            return None
+        context, now = self._context, self._loop.time()
+        if self._ends_at - now < MIN_TIME_LEFT_S:
+            return None
+        request = SelectionRequest(admission.prefix_key, frozenset(self._tried))
+        states = context.directory.list_open(admission.service)
+        strategy = context.choose_strategy(admission.prefix_key is not None)
+        return strategy.choose(request, states, now)
+
+    async def _try(
+        self, admission: Admission, selection: Selection, builder: RequestHeadBuilder
+    ) -> AttemptResult:
+        context, state = self._context, selection.state
+        self._tries += 1
+        self._tried.add(state.id)
+        # Counted before the connection is there: other requests must see it.
+        state.in_flight += 1
+        try:
+            connection = await self._connect(admission, selection)
+            if isinstance(connection, AttemptResult):
+                return connection
+            now = self._loop.time()
+            if self._left or self._ends_at <= now:
+                context.pool.release_unused(connection)
+                return AttemptResult(AttemptEnd.NOT_SENT, message="too late")
+            attempt = Attempt(
+                context.names,
+                self._connection,
+                self._request_id,
+                state,
+                previous=self._attempt,
+                streams=admission.route.kind.is_stream,
+                resumable=admission.route.resumable,
+            )
+            self._attempt = attempt
+            head = builder.build(state.server.id, self._ends_at - now)
+            self._runs += 1
+            state.health.note_sent(now)
+            result = await attempt.run(
+                connection, head, self._request, self._ends_at, admission.route
+            )
+            if result.end is AttemptEnd.REJECTED:
+                self._runs -= 1
+            context.pool.release(connection)
+            return result
+        finally:
+            state.in_flight -= 1
+
+    async def _connect(
+        self, admission: Admission, selection: Selection
+    ) -> UpstreamConnection | AttemptResult:
+        server = selection.state.server
+        once = not admission.route.repeatable
+        try:
+            return await self._context.pool.acquire(
+                server.id,
+                server.host,
+                server.port,
+                max_rest_s=REST_LIMIT_ONCE_S if once else float("inf"),
+            )
+        except NotSentError as error:
+            selection.state.health.note_outcome(Outcome.UNREACHABLE, self._loop.time())
+            return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
+
+    def _may_try_again(self, admission: Admission, result: AttemptResult) -> bool:
+        route, now = admission.route, self._loop.time()
+        if result.end is AttemptEnd.NOT_SENT:
+            return True
+        if result.end is AttemptEnd.TIMED_OUT:
+            return False
+        if result.end is not AttemptEnd.REJECTED:
+            if not route.repeatable or self._runs >= route.max_attempts:
+                return False
+            if result.started and not route.resumable:
+                return False
+        return self._context.take_retry(admission.service, now)
+
+    def _conclude(self, admission: Admission, result: AttemptResult) -> None:
+        """Give the final answer after an attempt that is not followed by another."""
+        if result.started:
+            self._connection.break_off()
+        elif result.answer is not None and self._runs:
+            head, body = result.answer
+            self._answer(head.status, keep_end_to_end(head.headers, _LENGTH), body)
+        else:
+            self._give_up(admission, result)
+
+    def _give_up(self, admission: Admission, last: AttemptResult | None) -> None:
+        if self._left:
+            return
+        if last is not None and last.started:
+            self._connection.break_off()
+            return
+        headers: Headers = []
+        if self._runs == 0:
+            status = 503
+            headers = [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)]
+        elif last is not None and last.end is AttemptEnd.TIMED_OUT:
+            status = 504
+        else:
+            status = 502
+        self._context.decisions.note(
+            "given_up",
+            request_id=self._request_id.decode("latin-1"),
+            route=admission.route.name,
+            status=status,
+            tries=self._tries,
+            runs=self._runs,
+            open_servers=len(self._context.directory.list_open(admission.service)),
+        )
+        self._answer(status, headers)
+
+    def _answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        names = self._context.names
+        if self._request_id and find_header(headers, names.request_id) is None:
+            headers = [(names.request_id, self._request_id), *headers]
+        self._connection.send_whole(status, headers, body)
+
+    def _log_attempt(
+        self, admission: Admission, selection: Selection, result: AttemptResult
+    ) -> None:
+        note = self._context.decisions.note
+        if result.end is AttemptEnd.DELIVERED:
+            note = self._context.decisions.note_answered
+        bound = selection.bound
+        note(
+            *(() if result.end is AttemptEnd.DELIVERED else ("attempt_failed",)),
+            request_id=self._request_id.decode("latin-1"),
+            route=admission.route.name,
+            version=admission.table.version,
+            server=selection.state.id,
+            rank=selection.rank,
+            load=selection.load,
+            bound=round(bound, 1) if bound != float("inf") else None,
+            report_age_s=round(min(selection.report_age_s, 999.0), 2),
+            end=result.end.value,
+            status=result.status,
+            message=result.message,
+            took_ms=round((self._loop.time() - self._request.arrived) * 1000),
+        )
+
+
+_LENGTH = frozenset({b"content-length"})
--- /dev/null
+++ b/src/ramppin/request/upstreamhead.py
@@ -0,0 +1,85 @@
+"""The head of a request as a backend server gets it."""
+
+from __future__ import annotations
+
+from ramppin.connection.callerwire import CallerRequest
+from ramppin.connection.httpwire import (
+    HeaderNames,
+    Headers,
+    encode_request,
+    find_header,
+    keep_end_to_end,
+)
+from ramppin.version.routing import Customer, Route
+
+MAX_PRIORITY = 9
+PRIORITIES_PER_CUSTOMER_RANK = 3
+"""A customer's rank comes before the route's, which stays below this."""
+
+
+class RequestHeadBuilder:
+    """Builds the heads of a request's attempts.
+
+    Args:
+        names: names of headers.
+        request: as the caller sent it.
+        route: its route.
+        customer: the customer that owns its key, or None.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        request: CallerRequest,
+        route: Route,
+        customer: Customer | None,
+    ) -> None:
+        self._names = names
+        self._request = request
+        drop = frozenset(
+            {
+                names.api_key,
+                names.customer,
+                names.server,
+                names.deadline_ms,
+                b"content-length",
+                b"expect",
+            }
+        )
+        if route.keeps_prefix:
+            drop |= {names.priority}
+        self._headers = keep_end_to_end(request.headers, drop)
+        has_length = find_header(request.headers, b"content-length") is not None
+        if request.body or has_length:
+            self._headers.append((b"Content-Length", b"%d" % len(request.body)))
+        if customer is not None:
+            self._headers.append((names.customer, customer.name.encode()))
+        if route.keeps_prefix:
+            rank = customer.priority if customer else 0
+            priority = rank * PRIORITIES_PER_CUSTOMER_RANK + min(
+                route.priority, PRIORITIES_PER_CUSTOMER_RANK - 1
+            )
+            value = b"%d" % max(0, min(MAX_PRIORITY, priority))
+            self._headers.append((names.priority, value))
+
+    def resume_after(self, last_event_id: bytes) -> None:
+        """Let the next attempt continue after an event."""
+        name = self._names.last_event_id
+        self._headers = [pair for pair in self._headers if pair[0].lower() != name]
+        self._headers.append((name, last_event_id))
+
+    def build(self, server_id: str, time_left_s: float) -> bytes:
+        """Return the encoded head for one server.
+
+        Args:
+            server_id: the backend server that alone may run the request.
+            time_left_s: time until the request is given up.
+        """
+        headers: Headers = [
+            *self._headers,
+            (self._names.server, server_id.encode()),
+            (self._names.deadline_ms, b"%d" % max(1, int(time_left_s * 1000))),
+        ]
+        return encode_request(self._request.method, self._request.target, headers)
