Refuse what a stopping VM can't end in time

Ruled out: kept connections (they close at 4 s; these were new ones). Change: Drain.may_take: after 2.9 s only requests whose time limit ends before the stop are taken, others get 503 with when to come back; idle connections close 2.3 s after the start.

--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -11,6 +11,7 @@
 from ramppin.connection.upstream import ConnectionPool
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
+from ramppin.process.drain import Drain
 from ramppin.process.retries import RetryWindow
 from ramppin.process.selection import (
     NearestSelection,
@@ -51,6 +52,7 @@
         generator: random numbers.
         retry_rules: the budget of retries.
         table: the routing settings in force; None before the first.
+        drain: the planned stop that has begun, or None.
         in_flight: exchanges that run.
         tasks: their tasks.
     """
@@ -64,6 +66,7 @@
     generator: random.Random
     retry_rules: RetryRules = field(default_factory=RetryRules)
     table: RoutingTable | None = None
+    drain: Drain | None = None
     in_flight: int = 0
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     retries: dict[str, RetryWindow] = field(default_factory=dict)
--- a/src/ramppin/process/drain.py
+++ b/src/ramppin/process/drain.py
@@ -7,33 +7,61 @@
 
 from ramppin.connection.callerwire import ListenerState
 
-POLL_S = 0.1
+POLL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class DrainTimes:
-    """How long the parts of a planned stop take.
+    """How long the parts of a planned stop take, in seconds from its start.
 
     Attributes:
-        settle_s: time in which the balancer notices; connections stay open, and
-            each answer asks its caller to close.
-        rest_s: time after which connections that rest are closed.
-        limit_s: time after which the process ends in any case.
+        settle_s: until the balancer has noticed. Connections stay open so long,
+            and each answer asks its caller to close; then those that rest are
+            closed.
+        take_s: until every request is taken. Later ones are taken only if their
+            time limit ends before the stop: the balancer still sends some while
+            most VMs of a failure domain stop together.
+        limit_s: until the process ends in any case.
     """
 
-    settle_s: float = 2.5
-    rest_s: float = 4.0
+    settle_s: float = 2.3
+    take_s: float = 2.9
     limit_s: float = 7.5
 
 
-async def drain(state: ListenerState, times: DrainTimes) -> None:
-    """Wait until every connection has ended, or the limit is reached."""
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-    while (passed := loop.time() - started) < times.limit_s:
-        if passed >= times.rest_s:
-            for connection in list(state.connections):
-                connection.close_if_idle()
-        if passed >= times.settle_s and not state.connections:
-            return
-        await asyncio.sleep(POLL_S)
+class Drain:
+    """A planned stop that has begun.
+
+    Args:
+        times: how long its parts take.
+        started: the loop's time at which it began.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, times: DrainTimes, started: float) -> None:
+        self._times = times
+        self._started = started
+
+    def may_take(self, time_limit_s: float, now: float) -> bool:
+        """Return whether a request that arrives now will end in time.
+
+        Args:
+            time_limit_s: longest time that the request is held.
+            now: the loop's time.
+        """
+        passed = now - self._started
+        if passed < self._times.take_s:
+            return True
+        return passed + time_limit_s <= self._times.limit_s
+
+    async def wait_until_empty(self, state: ListenerState) -> None:
+        """Wait until every connection has ended, or the limit is reached."""
+        loop = asyncio.get_running_loop()
+        while (passed := loop.time() - self._started) < self._times.limit_s:
+            if passed >= self._times.settle_s:
+                for connection in list(state.connections):
+                    connection.close_if_idle()
+                if not state.connections:
+                    return
+            await asyncio.sleep(POLL_S)
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -20,7 +20,7 @@
 from ramppin.process.context import GatewayContext, RetryRules
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
-from ramppin.process.drain import DrainTimes, drain
+from ramppin.process.drain import Drain, DrainTimes
 from ramppin.process.follower import Follower
 from ramppin.process.readiness import ReadinessResponder
 from ramppin.process.replica import Record, Replica
@@ -133,13 +133,13 @@
         self._readiness_state = ListenerState()
         self._servers: list[asyncio.Server] = []
         self._background: list[asyncio.Task[None]] = []
-        self._drain: asyncio.Task[None] | None = None
+        self._stopping: asyncio.Task[None] | None = None
 
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
         has_settings = self.context.table is not None
-        return has_settings and self.servers.started and self._drain is None
+        return has_settings and self.servers.started and self.context.drain is None
 
     @property
     def caller_port(self) -> int:
@@ -179,10 +179,13 @@
 
     def start_drain(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
-        if self._drain is None:
-            self.context.decisions.note("draining", in_flight=self.context.in_flight)
-            self.listener_state.draining = True
-            self._drain = asyncio.create_task(self._drain_and_stop())
+        if self.context.drain is not None:
+            return
+        self.context.decisions.note("draining", in_flight=self.context.in_flight)
+        self.listener_state.draining = True
+        started = asyncio.get_running_loop().time()
+        drain = self.context.drain = Drain(self.config.drain_times, started)
+        self._stopping = asyncio.create_task(self._finish_and_stop(drain))
 
     async def stop(self) -> None:
         """Stop at once."""
@@ -196,8 +199,8 @@
         self.context.decisions.flush()
         self.stopped.set()
 
-    async def _drain_and_stop(self) -> None:
-        await drain(self.listener_state, self.config.drain_times)
+    async def _finish_and_stop(self, drain: Drain) -> None:
+        await drain.wait_until_empty(self.listener_state)
         await self.stop()
 
     async def _listen(
--- a/src/ramppin/request/attempt.py
+++ b/src/ramppin/request/attempt.py
@@ -100,13 +100,18 @@
         self._held: list[bytes] = []
         self._held_size = 0
         self._passing = False
-        self.started = previous is not None and previous.started
+        self.started: bool = previous.started if previous else False
         self._events: EventSplitter | None = None
         if resumable:
-            self._events = previous._events if previous else EventSplitter()
+            self._events = previous.events if previous else EventSplitter()
             if self._events is not None:
                 self._events.drop_partial()
 
+    @property
+    def events(self) -> EventSplitter | None:
+        """Splits the stream into whole events; None if it can't be resumed."""
+        return self._events
+
     async def run(
         self,
         connection: UpstreamConnection,
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -29,6 +29,7 @@
 
 RETRY_AFTER_S = 0.25
 START_RETRY_AFTER_S = 0.5
+STOP_RETRY_AFTER_S = 0.05
 MIN_TIME_LEFT_S = 0.02
 """Time below which another attempt is not worth its price."""
 
@@ -43,6 +44,7 @@
     NO_HOST = (400, "no host")
     NO_ROUTE = (404, "no such route")
     UNKNOWN_KEY = (401, "unknown key")
+    STOPPING = (503, "stopping")
 
     @property
     def status(self) -> int:
@@ -176,6 +178,11 @@
         )
         if route is None:
             return Denial.NO_ROUTE
+        drain = context.drain
+        if drain and not drain.may_take(
+            self._read_time_limit(route), self._loop.time()
+        ):
+            return Denial.STOPPING
         customer = None
         if table.customers:
             key = request.find(context.names.api_key)
@@ -195,6 +202,8 @@
         headers: Headers = []
         if denial is Denial.NO_SETTINGS:
             headers = [(b"Retry-After", b"%.2f" % START_RETRY_AFTER_S)]
+        elif denial is Denial.STOPPING:
+            headers = [(b"Retry-After", b"%.2f" % STOP_RETRY_AFTER_S)]
         self._context.decisions.note(
             "denied",
             request_id=self._request_id.decode("latin-1"),
@@ -359,25 +368,26 @@
     def _log_attempt(
         self, admission: Admission, selection: Selection, result: AttemptResult
     ) -> None:
-        note = self._context.decisions.note
-        if result.end is AttemptEnd.DELIVERED:
-            note = self._context.decisions.note_answered
         bound = selection.bound
-        note(
-            *(() if result.end is AttemptEnd.DELIVERED else ("attempt_failed",)),
-            request_id=self._request_id.decode("latin-1"),
-            route=admission.route.name,
-            version=admission.table.version,
-            server=selection.state.id,
-            rank=selection.rank,
-            load=selection.load,
-            bound=round(bound, 1) if bound != float("inf") else None,
-            report_age_s=round(min(selection.report_age_s, 999.0), 2),
-            end=result.end.value,
-            status=result.status,
-            message=result.message,
-            took_ms=round((self._loop.time() - self._request.arrived) * 1000),
-        )
+        fields: dict[str, object] = {
+            "request_id": self._request_id.decode("latin-1"),
+            "route": admission.route.name,
+            "version": admission.table.version,
+            "server": selection.state.id,
+            "rank": selection.rank,
+            "load": selection.load,
+            "bound": round(bound, 1) if bound != float("inf") else None,
+            "report_age_s": round(min(selection.report_age_s, 999.0), 2),
+            "end": result.end.value,
+            "status": result.status,
+            "message": result.message,
+            "took_ms": round((self._loop.time() - self._request.arrived) * 1000),
+        }
+        decisions = self._context.decisions
+        if result.end is AttemptEnd.DELIVERED:
+            decisions.note_answered(**fields)
+        else:
+            decisions.note("attempt_failed", **fields)
 
 
 _LENGTH = frozenset({b"content-length"})
