Homes of prefixes, told among VMs by small datagrams

Change: PrefixHomes (older home wins, ties by rank), HintExchange over UDP, members announced in a keyed table of the shared log; bound 1.8 x mean + 2.

--- /dev/null
+++ b/src/ramppin/connection/datagrams.py
@@ -0,0 +1,100 @@
+"""Datagrams between VMs: small hints that may be lost.
+
+MessagePack through msgspec in place of CBOR over WebSockets: a hint needs no
+connection, and msgspec checks each message against its type while decoding.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+LOG = logging.getLogger(__name__)
+
+MAX_DATAGRAM_BYTES = 1_300
+"""Stays below the usual path limit, so that datagrams aren't split."""
+
+
+class HomeHint(msgspec.Struct, array_like=True, frozen=True):
+    """Where a prefix is: its key, the backend server, and the age in ms."""
+
+    key: int
+    server: str
+    age_ms: int
+
+
+class PeerHints(msgspec.Struct, array_like=True, frozen=True):
+    """One datagram.
+
+    Attributes:
+        vm: who sends it.
+        homes: homes of prefixes.
+    """
+
+    vm: str
+    homes: list[HomeHint]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(PeerHints)
+
+
+class DatagramLink(asyncio.DatagramProtocol):
+    """Sends and receives hints.
+
+    Args:
+        take: called with each message and the sender's IP address.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, take: Callable[[PeerHints, str], None]) -> None:
+        self._take = take
+        self._transport: asyncio.DatagramTransport | None = None
+        self.sent = 0
+
+    @classmethod
+    async def open(
+        cls, host: str, port: int, take: Callable[[PeerHints, str], None]
+    ) -> DatagramLink:
+        """Open a link on an address."""
+        loop = asyncio.get_running_loop()
+        _, link = await loop.create_datagram_endpoint(
+            lambda: cls(take), local_addr=(host, port)
+        )
+        return link
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # Python 3.11's own transport does not inherit from DatagramTransport.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Decode a message; drop what is none."""
+        try:
+            hints = _DECODER.decode(data)
+        except msgspec.MsgspecError:
+            LOG.debug("no message of ours", extra={"peer": addr[0]})
+            return
+        self._take(hints, addr[0])
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore what the network reports: hints may be lost."""
+
+    def send(self, hints: PeerHints, hosts: list[str], port: int) -> None:
+        """Send a message to several VMs."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = _ENCODER.encode(hints)
+        for host in hosts:
+            self._transport.sendto(data, (host, port))
+            self.sent += 1
+
+    def close(self) -> None:
+        """Close the link."""
+        if self._transport is not None:
+            self._transport.close()
--- a/src/ramppin/process/directory.py
+++ b/src/ramppin/process/directory.py
@@ -57,6 +57,11 @@
         """The backend server's id."""
         return self.server.id
 
+    @property
+    def open(self) -> bool:
+        """Whether the server may get new work."""
+        return not self.server.draining and self.missing_since is None
+
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take the load that an answer told."""
         self._reported = running + waiting
@@ -130,10 +135,13 @@
             self._by_service[state.server.service].pop(server_id, None)
         return gone
 
+    def is_open(self, server_id: str) -> bool:
+        """Return whether a backend server may get new work."""
+        state = self._states.get(server_id)
+        return state is not None and state.open
+
     def list_open(self, service: str) -> list[ServerState]:
         """Return the backend servers of a service that may get new work."""
         return [
-            state
-            for state in self._by_service.get(service, {}).values()
-            if not state.server.draining and state.missing_since is None
+            state for state in self._by_service.get(service, {}).values() if state.open
         ]
--- /dev/null
+++ b/src/ramppin/process/fleet.py
@@ -0,0 +1,111 @@
+"""The other VMs of the fleet, as they announced themselves in the shared log."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from ramppin.errors import LogUnavailableError
+from ramppin.process.replica import Record
+from ramppin.process.sources import RecordLog
+
+LOG = logging.getLogger(__name__)
+
+ANNOUNCE_RETRY_S = 1.0
+SILENT_AFTER_S = 6.0
+"""A VM that was not heard for this long gets hints only now and then."""
+
+TRY_AGAIN_S = 5.0
+
+
+class MemberRecord(msgspec.Struct):
+    """A VM's entry: where its peers reach it."""
+
+    host: str
+
+
+@dataclass(slots=True)
+class Member:
+    """Another VM.
+
+    Attributes:
+        vm: its name.
+        host: its IP address.
+        heard_at: the loop's time of its last message, or of its entry.
+        tried_at: the loop's time at which it was last sent something.
+    """
+
+    vm: str
+    host: str
+    heard_at: float
+    tried_at: float = float("-inf")
+
+
+class FleetMembers:
+    """The other VMs.
+
+    Args:
+        vm: this VM's name.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._members: dict[str, Member] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def take_record(self, record: Record, now: float) -> None:
+        """Take a VM's entry."""
+        if record.key == self._vm:
+            return
+        if record.value is None:
+            self._members.pop(record.key, None)
+            return
+        try:
+            entry = msgspec.json.decode(record.value, type=MemberRecord)
+        except msgspec.MsgspecError as error:
+            LOG.warning("unreadable entry: %s", error, extra={"peer": record.key})
+            return
+        self._members[record.key] = Member(record.key, entry.host, now)
+
+    def note_heard(self, vm: str, host: str, now: float) -> bool:
+        """Note a message; return whether the sender is a known VM."""
+        member = self._members.get(vm)
+        if member is None or member.host != host:
+            return False
+        member.heard_at = now
+        return True
+
+    def list_hosts(self, now: float) -> list[str]:
+        """Return the addresses to send hints to: VMs that were heard of late."""
+        chosen = []
+        for member in self._members.values():
+            silent = now - member.heard_at > SILENT_AFTER_S
+            if silent and now - member.tried_at < TRY_AGAIN_S:
+                continue
+            member.tried_at = now
+            chosen.append(member.host)
+        return chosen
+
+    def list_heard_first(self) -> list[Member]:
+        """Return all members, those heard last first."""
+        return sorted(self._members.values(), key=lambda m: m.heard_at, reverse=True)
+
+
+async def announce(log: RecordLog, vm: str, host: str) -> None:
+    """Write this VM's entry into the shared log; try until it is there."""
+    value = msgspec.json.encode(MemberRecord(host))
+    while True:
+        try:
+            await log.append(vm, value)
+        except LogUnavailableError as error:
+            LOG.warning("not announced: %s", error, extra={"step": "announce"})
+            await asyncio.sleep(ANNOUNCE_RETRY_S)
+        else:
+            return
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from ramppin.connection.callerwire import CallerConnection, ListenerState
+from ramppin.connection.datagrams import DatagramLink, PeerHints
 from ramppin.connection.httpwire import HeaderNames
 from ramppin.connection.upstream import ConnectionPool
 from ramppin.errors import SettingsError
@@ -21,16 +22,21 @@
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
 from ramppin.process.drain import Drain, DrainTimes
+from ramppin.process.fleet import FleetMembers, announce
 from ramppin.process.follower import Follower
+from ramppin.process.hints import HintExchange
+from ramppin.process.prefixhomes import PrefixHomes
 from ramppin.process.readiness import ReadinessResponder
 from ramppin.process.replica import Record, Replica
 from ramppin.process.selection import NearestSelection, PrefixSelection
-from ramppin.process.sources import RecordDecoder, RecordSource
+from ramppin.process.sources import RecordDecoder, RecordLog, RecordSource
 from ramppin.request.exchange import ExchangeResponder
 
 LOG = logging.getLogger(__name__)
 
 SWEEP_S = 0.25
+MEMBER_PACE_S = 1.0
+MEMBER_WAIT_S = 20.0
 LISTEN_BACKLOG = 1024
 
 
@@ -51,6 +57,7 @@
         failure_domain: where it stands.
         callers: address for callers.
         readiness: address where the balancer asks whether it is ready.
+        peers: address for hints from other VMs; the same port on every VM.
         names: names of headers.
         ready_path: path of the readiness question.
         settings_key: key of the record that holds the routing settings.
@@ -65,6 +72,7 @@
     failure_domain: str
     callers: Address
     readiness: Address
+    peers: Address
     names: HeaderNames = field(default_factory=HeaderNames)
     ready_path: bytes = b"/ready"
     settings_key: str = "settings"
@@ -82,6 +90,7 @@
         config: the process's own settings.
         settings_source: table that holds the routing settings.
         server_source: table of the backend servers.
+        member_log: table of the fleet's own VMs.
         decoder: turns records into models.
         decisions: where decision lines go.
 
@@ -94,18 +103,22 @@
         *,
         settings_source: RecordSource,
         server_source: RecordSource,
+        member_log: RecordLog,
         decoder: RecordDecoder,
         decisions: DecisionLog,
     ) -> None:
         self.config = config
         self.stopped = asyncio.Event()
         generator = random.Random(config.seed)
+        directory = ServerDirectory()
+        self.homes = PrefixHomes(directory.is_open)
+        self.members = FleetMembers(config.vm)
         self.context = GatewayContext(
             names=config.names,
             decisions=decisions,
-            directory=ServerDirectory(),
+            directory=directory,
             pool=ConnectionPool(),
-            prefix_selection=PrefixSelection(),
+            prefix_selection=PrefixSelection(self.homes),
             plain_selection=NearestSelection(
                 config.failure_domain, generator=generator
             ),
@@ -129,6 +142,15 @@
             wait_s=1.0,
             generator=generator,
         )
+        self._member_log = member_log
+        self._member_follower = Follower(
+            Replica("members", self._take_member),
+            member_log,
+            pace_s=MEMBER_PACE_S,
+            wait_s=MEMBER_WAIT_S,
+            generator=generator,
+        )
+        self._hints: HintExchange | None = None
         self.listener_state = ListenerState()
         self._readiness_state = ListenerState()
         self._servers: list[asyncio.Server] = []
@@ -169,9 +191,18 @@
                 ),
             ),
         )
+        link = await DatagramLink.open(
+            self.config.peers.host, self.config.peers.port, self._take_hints
+        )
+        self._hints = HintExchange(
+            self.config.vm, link, self.config.peers.port, self.members, self.homes
+        )
         for work in (
             self._settings_follower.run(),
             self._server_follower.run(),
+            self._member_follower.run(),
+            announce(self._member_log, self.config.vm, self.config.peers.host),
+            self._hints.run(),
             self._sweep(),
         ):
             self._background.append(asyncio.create_task(work))
@@ -257,6 +288,13 @@
             routes=len(table.routes),
         )
 
+    def _take_member(self, record: Record) -> None:
+        self.members.take_record(record, asyncio.get_running_loop().time())
+
+    def _take_hints(self, hints: PeerHints, host: str) -> None:
+        if self._hints is not None:
+            self._hints.take(hints, host)
+
     def _take_server(self, record: Record) -> None:
         now = asyncio.get_running_loop().time()
         directory = self.context.directory
--- /dev/null
+++ b/src/ramppin/process/hints.py
@@ -0,0 +1,80 @@
+"""Tells other VMs where prefixes are, and takes what they tell."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ramppin.connection.datagrams import DatagramLink, HomeHint, PeerHints
+from ramppin.process.fleet import FleetMembers
+from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
+
+SHORTEST_PERIOD_S = 0.08
+DATAGRAMS_PER_S = 100
+"""Datagrams that one VM sends; with many VMs the period grows instead."""
+
+HINTS_PER_DATAGRAM = 24
+HEARTBEAT_S = 2.5
+"""A VM with nothing to tell sends an empty message after this long."""
+
+
+class HintExchange:
+    """Sends and takes hints.
+
+    Args:
+        vm: this VM's name.
+        link: carries them.
+        port: the port of every VM's link.
+        members: the other VMs.
+        homes: where prefixes are.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        link: DatagramLink,
+        port: int,
+        members: FleetMembers,
+        homes: PrefixHomes,
+    ) -> None:
+        self._vm = vm
+        self._link = link
+        self._port = port
+        self._members = members
+        self._homes = homes
+        self._sent_at = float("-inf")
+
+    async def run(self) -> None:
+        """Send hints until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(self._choose_period())
+                self._send()
+        finally:
+            self._link.close()
+
+    def take(self, hints: PeerHints, host: str) -> None:
+        """Take a message of another VM."""
+        now = asyncio.get_running_loop().time()
+        if not self._members.note_heard(hints.vm, host, now):
+            return
+        for hint in hints.homes:
+            notice = HomeNotice(hint.key, hint.server, hint.age_ms / 1000)
+            self._homes.take_notice(notice, now)
+
+    def _choose_period(self) -> float:
+        return max(SHORTEST_PERIOD_S, len(self._members) / DATAGRAMS_PER_S)
+
+    def _send(self) -> None:
+        now = asyncio.get_running_loop().time()
+        notices = self._homes.collect_notices(now, HINTS_PER_DATAGRAM)
+        if not notices and now - self._sent_at < HEARTBEAT_S:
+            return
+        self._sent_at = now
+        homes = [
+            HomeHint(notice.key, notice.server, int(notice.age_s * 1000))
+            for notice in notices
+        ]
+        hosts = self._members.list_hosts(now)
+        self._link.send(PeerHints(self._vm, homes), hosts, self._port)
--- /dev/null
+++ b/src/ramppin/process/prefixhomes.py
@@ -0,0 +1,140 @@
+"""Which backend server holds the prefix of which prompts, as VMs tell each other.
+
+Rendezvous hashing alone moves prefixes to every server that joins, and they are
+read there again. So the first placement of a prefix makes a home that stays
+until its server leaves. VMs tell each other their homes; where two differ, the
+older one wins, and of two made at about the same time the one that ranks higher
+for the prefix: all VMs come to the same answer in whatever order they hear.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ramppin.request.ranking import hash_name, mix
+
+SAME_TIME_S = 0.5
+"""Homes made within this time of each other count as made at the same time."""
+
+TELL_AGAIN_S = 4.0
+"""A home in use is told again after this long, for VMs that have not heard."""
+
+
+@dataclass(slots=True)
+class Home:
+    """Where a prefix is.
+
+    Attributes:
+        server: the backend server's id.
+        made_at: the loop's time at which it was placed there.
+        told_at: the loop's time at which peers were last told, by anyone.
+    """
+
+    server: str
+    made_at: float
+    told_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class HomeNotice:
+    """What one VM tells others about a home.
+
+    Attributes:
+        key: the prefix's key.
+        server: the backend server's id.
+        age_s: how long ago the prefix was placed there.
+    """
+
+    key: int
+    server: str
+    age_s: float
+
+
+class PrefixHomes:
+    """Homes of prefixes, bounded by two generations.
+
+    Args:
+        is_usable: tells whether a backend server still takes work.
+        keep: homes that a generation holds.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, is_usable: Callable[[str], bool], *, keep: int = 20_000) -> None:
+        self._is_usable = is_usable
+        self._keep = keep
+        self._young: dict[int, Home] = {}
+        self._old: dict[int, Home] = {}
+        self._notices: dict[int, Home] = {}
+
+    def __len__(self) -> int:
+        return len(self._young) + len(self._old)
+
+    def find(self, key: int) -> str | None:
+        """Return the usable backend server that has a prefix, or None."""
+        home = self._find(key)
+        if home is None or not self._is_usable(home.server):
+            return None
+        return home.server
+
+    def note_placed(self, key: int, server: str, now: float) -> None:
+        """Note where a prompt without a usable home was placed."""
+        home = Home(server, now, now)
+        self._put(key, home)
+        self._notices[key] = home
+
+    def note_used(self, key: int, now: float) -> None:
+        """Note that a home was used; tell it again in time."""
+        home = self._find(key)
+        if home is not None and now - home.told_at > TELL_AGAIN_S:
+            home.told_at = now
+            self._notices[key] = home
+
+    def take_notice(self, notice: HomeNotice, now: float) -> None:
+        """Take what another VM told."""
+        if not self._is_usable(notice.server):
+            return
+        theirs = Home(notice.server, now - notice.age_s, now)
+        ours = self._find(notice.key)
+        if ours is None or not self._is_usable(ours.server):
+            self._put(notice.key, theirs)
+        elif ours.server == theirs.server:
+            ours.made_at = min(ours.made_at, theirs.made_at)
+            ours.told_at = now
+            self._notices.pop(notice.key, None)
+        elif _wins(notice.key, theirs, ours):
+            self._put(notice.key, theirs)
+            self._notices.pop(notice.key, None)
+        else:
+            self._notices[notice.key] = ours
+
+    def collect_notices(self, now: float, limit: int) -> list[HomeNotice]:
+        """Return what peers should be told now, at most ``limit`` notices."""
+        keys = list(self._notices)[:limit]
+        return [
+            HomeNotice(key, home.server, max(0.0, now - home.made_at))
+            for key in keys
+            if (home := self._notices.pop(key))
+        ]
+
+    def _find(self, key: int) -> Home | None:
+        home = self._young.get(key)
+        if home is None and key in self._old:
+            home = self._old.pop(key)
+            self._put(key, home)
+        return home
+
+    def _put(self, key: int, home: Home) -> None:
+        self._old.pop(key, None)
+        self._young[key] = home
+        if len(self._young) >= self._keep:
+            self._old = self._young
+            self._young = {}
+
+
+def _wins(key: int, theirs: Home, ours: Home) -> bool:
+    difference = theirs.made_at - ours.made_at
+    if abs(difference) > SAME_TIME_S:
+        return difference < 0
+    return mix(key, hash_name(theirs.server)) > mix(key, hash_name(ours.server))
--- a/src/ramppin/process/selection.py
+++ b/src/ramppin/process/selection.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from ramppin.process.directory import ServerState
+from ramppin.process.prefixhomes import PrefixHomes
 from ramppin.request.ranking import RendezvousRanking
 
 
@@ -35,7 +36,8 @@
 
     Attributes:
         state: the chosen server.
-        rank: its place in the preference of the prompt's prefix, from 0.
+        rank: 0 for the home of the prompt's prefix, else its place in the
+            prefix's order, from 1.
         load: its estimated load, this request not counted.
         bound: the load that it must stay below.
         report_age_s: age of its load report.
@@ -90,17 +92,23 @@
 class PrefixSelection(SelectionStrategy):
     """Returns prompts to the server that has their prefix, below a bound.
 
-    Rendezvous hashing over the servers, so that one that leaves moves only its
-    own prefixes; a server at or above the bound is passed over.
+    A prompt goes to the home of its prefix. One without a home goes to the lesser
+    of its first two servers by rendezvous hashing, which becomes the home. A
+    server at or above the bound is passed over for the next in the prefix's
+    order; the home stays, for the next prompt.
 
     Args:
+        homes: where prefixes are.
         bound: multiple of the mean load that a server may hold.
         slack: requests that it may hold beyond that.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, *, bound: float = 1.6, slack: float = 2.0) -> None:
+    def __init__(
+        self, homes: PrefixHomes, *, bound: float = 1.8, slack: float = 2.0
+    ) -> None:
+        self._homes = homes
         self._bound = bound
         self._slack = slack
         self._ranking = RendezvousRanking()
@@ -108,7 +116,7 @@
     def choose(
         self, request: SelectionRequest, states: Sequence[ServerState], now: float
     ) -> Selection | None:
-        """Return the first server in the prefix's order that is below the bound."""
+        """Return the prefix's home, or the next server that is below the bound."""
         usable = list_usable(states, request.exclude, now)
         if not usable:
             return None
@@ -116,12 +124,21 @@
         bound = self._bound * view.mean + self._slack
         by_id = {state.id: state for state in usable}
         key = request.prefix_key if request.prefix_key is not None else 0
+        home = self._homes.find(key)
+        if home in by_id and view.loads[home] < bound:
+            self._homes.note_used(key, now)
+            return self._select(by_id[home], 0, view, bound, now)
         ranked = self._ranking.rank(key, list(by_id))
-        for rank, server_id in enumerate(ranked):
-            if view.loads[server_id] < bound:
-                return self._select(by_id[server_id], rank, view, bound, now)
-        least = min(ranked, key=lambda server_id: view.loads[server_id])
-        return self._select(by_id[least], ranked.index(least), view, bound, now)
+        below = [server_id for server_id in ranked if view.loads[server_id] < bound]
+        if not below:
+            chosen = min(ranked, key=lambda server_id: view.loads[server_id])
+        elif home is None:
+            chosen = min(below[:2], key=lambda server_id: view.loads[server_id])
+            self._homes.note_placed(key, chosen, now)
+        else:
+            chosen = below[0]
+        rank = 1 + ranked.index(chosen)
+        return self._select(by_id[chosen], rank, view, bound, now)
 
     def _select(
         self, state: ServerState, rank: int, view: LoadView, bound: float, now: float
--- a/src/ramppin/process/sources.py
+++ b/src/ramppin/process/sources.py
@@ -13,7 +13,13 @@
 from ramppin.process.replica import Record
 from ramppin.version.routing import RoutingTable
 
-__all__ = ["LogTrimmedError", "LogUnavailableError", "RecordBatch", "RecordSource"]
+__all__ = [
+    "LogTrimmedError",
+    "LogUnavailableError",
+    "RecordBatch",
+    "RecordLog",
+    "RecordSource",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +59,21 @@
         """
 
 
+class RecordLog(RecordSource):
+    """A keyed table that VMs may write to.
+
+    .. versionadded:: 0.2
+    """
+
+    @abstractmethod
+    async def append(self, key: str, value: bytes) -> None:
+        """Write the newest record of a key.
+
+        Raises:
+            LogUnavailableError: there was no answer; it may have been written.
+        """
+
+
 class RecordDecoder(ABC):
     """Turns records into ramppin's own models.
 
