Records from peers while the log turns a VM away; own routing tree; stand-ins

Cause: a VM that the store refuses for 9 s may not stay on old settings longer than the stretched bound (7 s), and a VM that starts meanwhile has none at all. Change: PeerReader asks two peers for what follows a stale replica's position; entries that vanish around an outage are held 2.5 s; the first read after an outage does not wait. RoutingTree: fleet, service, host, route inherit in ramppin's words.

--- a/src/ramppin/process/directory.py
+++ b/src/ramppin/process/directory.py
@@ -48,6 +48,7 @@
         self.in_flight = 0
         self.health = ServerHealth()
         self.missing_since: float | None = None
+        self.held_until: float | None = None
         self._reported = 0
         self._reported_at = float("-inf")
         self._in_flight_at_report = 0
@@ -113,9 +114,16 @@
             self._by_service[state.server.service].pop(server.id, None)
         state.server = server
         state.missing_since = None
+        state.held_until = None
         self._by_service.setdefault(server.service, {})[server.id] = state
         return state
 
+    def hold(self, server_id: str, until: float) -> None:
+        """Go on using a server whose entry vanished with the log, for a while."""
+        state = self._states.get(server_id)
+        if state is not None and state.held_until is None:
+            state.held_until = until
+
     def mark_missing(self, server_id: str, now: float) -> None:
         """Note that a backend server's entry vanished."""
         state = self._states.get(server_id)
@@ -124,6 +132,10 @@
 
     def remove_missing(self, now: float) -> list[str]:
         """Remove servers that have been missing too long; return their ids."""
+        for state in self._states.values():
+            if state.held_until is not None and now >= state.held_until:
+                state.held_until = None
+                state.missing_since = now
         gone = [
             state.id
             for state in self._states.values()
--- a/src/ramppin/process/follower.py
+++ b/src/ramppin/process/follower.py
@@ -54,6 +54,10 @@
         """Whether the last read succeeded."""
         return self._reachable
 
+    def was_lost(self, now: float, within_s: float) -> bool:
+        """Return whether the source is away or came back a short while ago."""
+        return not self._reachable or now - self.regained_at < within_s
+
     async def run(self) -> None:
         """Follow the source until cancelled."""
         while True:
@@ -76,9 +80,9 @@
             self._replica.replace(batch.records, batch.position, asked_at)
             self._complete = True
             return
-        batch = await self._source.read_after(
-            self._replica.position, wait_s=self._wait_s
-        )
+        # After an outage the first answer must come at once, not after a wait.
+        wait_s = self._wait_s if self._reachable else 0.0
+        batch = await self._source.read_after(self._replica.position, wait_s=wait_s)
         self._replica.apply(batch.records, batch.position, asked_at)
 
     async def _back_off(self) -> None:
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -25,6 +25,7 @@
 from ramppin.process.fleet import FleetMembers, announce
 from ramppin.process.follower import Follower
 from ramppin.process.hints import HintExchange
+from ramppin.process.peerrecords import FollowedTable, PeerReader, RecordsResponder
 from ramppin.process.prefixhomes import PrefixHomes
 from ramppin.process.readiness import ReadinessResponder
 from ramppin.process.replica import Record, Replica
@@ -35,9 +36,13 @@
 LOG = logging.getLogger(__name__)
 
 SWEEP_S = 0.25
+SERVER_WAIT_S = 1.0
 MEMBER_PACE_S = 1.0
 MEMBER_WAIT_S = 20.0
 LISTEN_BACKLOG = 1024
+PEERS_CONSIDERED = 6
+LAPSE_HOLD_S = 2.5
+"""Entries that vanish around an outage of the log may come back for so long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +63,8 @@
         callers: address for callers.
         readiness: address where the balancer asks whether it is ready.
         peers: address for hints from other VMs; the same port on every VM.
+        records: address where peers ask for records; the same port on every VM.
+        seeds: addresses of some VMs of the fleet, which may be stale.
         names: names of headers.
         ready_path: path of the readiness question.
         settings_key: key of the record that holds the routing settings.
@@ -73,6 +80,8 @@
     callers: Address
     readiness: Address
     peers: Address
+    records: Address
+    seeds: tuple[str, ...] = ()
     names: HeaderNames = field(default_factory=HeaderNames)
     ready_path: bytes = b"/ready"
     settings_key: str = "settings"
@@ -139,17 +148,34 @@
             self.servers,
             server_source,
             pace_s=config.server_pace_s,
-            wait_s=1.0,
+            wait_s=SERVER_WAIT_S,
             generator=generator,
         )
         self._member_log = member_log
+        members = Replica("members", self._take_member)
         self._member_follower = Follower(
-            Replica("members", self._take_member),
+            members,
             member_log,
             pace_s=MEMBER_PACE_S,
             wait_s=MEMBER_WAIT_S,
             generator=generator,
         )
+        self._tables = (
+            FollowedTable(
+                self.settings, self._settings_follower, config.settings_wait_s
+            ),
+            FollowedTable(
+                self.servers,
+                self._server_follower,
+                config.server_pace_s + SERVER_WAIT_S,
+            ),
+            FollowedTable(
+                members, self._member_follower, MEMBER_PACE_S + MEMBER_WAIT_S
+            ),
+        )
+        self._peer_reader = PeerReader(
+            config.vm, config.records.port, self._tables, self._list_peers, generator
+        )
         self._hints: HintExchange | None = None
         self.listener_state = ListenerState()
         self._readiness_state = ListenerState()
@@ -191,6 +217,14 @@
                 ),
             ),
         )
+        replicas = {table.replica.name: table.replica for table in self._tables}
+        await self._listen(
+            self.config.records,
+            lambda: CallerConnection(
+                self._readiness_state,
+                lambda connection: RecordsResponder(connection, replicas),
+            ),
+        )
         link = await DatagramLink.open(
             self.config.peers.host, self.config.peers.port, self._take_hints
         )
@@ -203,6 +237,7 @@
             self._member_follower.run(),
             announce(self._member_log, self.config.vm, self.config.peers.host),
             self._hints.run(),
+            self._peer_reader.run(),
             self._sweep(),
         ):
             self._background.append(asyncio.create_task(work))
@@ -264,6 +299,12 @@
             self.context.pool.drop_peer(server_id)
             self.context.decisions.note("server_gone", server=server_id)
 
+    def _list_peers(self) -> list[str]:
+        heard = [member.host for member in self.members.list_heard_first()]
+        hosts = heard[:PEERS_CONSIDERED] + list(self.config.seeds)
+        own = self.config.peers.host
+        return sorted({host for host in hosts if host != own})
+
     # records
 
     def _take_settings(self, record: Record) -> None:
@@ -299,7 +340,10 @@
         now = asyncio.get_running_loop().time()
         directory = self.context.directory
         if record.value is None:
-            directory.mark_missing(record.key, now)
+            if self._server_follower.was_lost(now, LAPSE_HOLD_S):
+                directory.hold(record.key, now + LAPSE_HOLD_S)
+            else:
+                directory.mark_missing(record.key, now)
             return
         try:
             server = self._decoder.decode_server(record)
--- /dev/null
+++ b/src/ramppin/version/routingfile.py
@@ -0,0 +1,207 @@
+"""Routing settings in ramppin's own words, as a tree that inherits.
+
+Levels from the root down: the fleet, the service, the host, the route. Each
+overrides only what it must; the lowest level that sets a rule supplies it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ramppin.errors import SettingsError
+from ramppin.process.directory import BackendServer
+from ramppin.process.replica import Record
+from ramppin.process.sources import RecordDecoder
+from ramppin.version.routing import (
+    CallerLimits,
+    Customer,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceSpec,
+    WeightedService,
+)
+
+
+class RouteRules(msgspec.Struct, forbid_unknown_fields=True):
+    """Rules that every level may set; None inherits. Times in seconds."""
+
+    kind: RouteKind | None = None
+    resumable: bool | None = None
+    time_limit_s: float | None = None
+    max_attempts: int | None = None
+    target_latency_s: float | None = None
+    priority: int | None = None
+    public: bool | None = None
+    keeps_prefix: bool | None = None
+
+
+class RouteNode(msgspec.Struct, forbid_unknown_fields=True):
+    """A route: one service, or a weighted split, and its rules."""
+
+    service: str = ""
+    split: dict[str, float] = {}
+    rules: RouteRules = msgspec.field(default_factory=RouteRules)
+
+
+class HostNode(msgspec.Struct, forbid_unknown_fields=True):
+    """A host with its routes by path prefix."""
+
+    routes: dict[str, RouteNode]
+    rules: RouteRules = msgspec.field(default_factory=RouteRules)
+
+
+class ServiceNode(msgspec.Struct, forbid_unknown_fields=True):
+    """A service and the rules that its routes inherit."""
+
+    max_connections: int = 0
+    slots: int = 0
+    cache_tokens: int = 0
+    rules: RouteRules = msgspec.field(default_factory=RouteRules)
+
+
+class CustomerNode(msgspec.Struct, forbid_unknown_fields=True):
+    """A customer with its keys; priority 0 is the most urgent."""
+
+    keys: list[str]
+    priority: int = 0
+
+
+class LimitsNode(msgspec.Struct, forbid_unknown_fields=True):
+    """Limits on callers."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+class RoutingTree(msgspec.Struct, forbid_unknown_fields=True):
+    """A whole tree of routing settings."""
+
+    version: int
+    hosts: dict[str, HostNode]
+    services: dict[str, ServiceNode]
+    customers: dict[str, CustomerNode] = {}
+    limits: LimitsNode = msgspec.field(default_factory=LimitsNode)
+    rules: RouteRules = msgspec.field(default_factory=RouteRules)
+
+
+class ServerNode(msgspec.Struct, forbid_unknown_fields=True):
+    """A backend server."""
+
+    service: str
+    address: str
+    failure_domain: str = ""
+    slots: int = 0
+    draining: bool = False
+
+
+class TreeDecoder(RecordDecoder):
+    """Decodes records in ramppin's own words.
+
+    .. versionadded:: 0.2
+    """
+
+    def decode_table(self, record: Record) -> RoutingTable | None:
+        """Return the routing settings of a record."""
+        if record.value is None:
+            return None
+        return build_table(_decode(record, RoutingTree))
+
+    def decode_server(self, record: Record) -> BackendServer:
+        """Return the backend server of a record."""
+        node = _decode(record, ServerNode)
+        host, _, port = node.address.rpartition(":")
+        if not host or not port.isdigit():
+            raise SettingsError(
+                f"{node.address!r} is no address",
+                source=record.key,
+                path="address",
+                hint="IP:PORT",
+            )
+        return BackendServer(
+            id=record.key,
+            service=node.service,
+            host=host,
+            port=int(port),
+            failure_domain=node.failure_domain,
+            slots=node.slots,
+            draining=node.draining,
+        )
+
+
+def build_table(tree: RoutingTree) -> RoutingTable:
+    """Return the table of a tree, each route with the rules that it inherits.
+
+    Raises:
+        SettingsError: a route names a service that the tree lacks, or a path
+            prefix does not begin and end with a slash.
+    """
+    routes = [
+        _build_route(tree, host, prefix, node)
+        for host, host_node in tree.hosts.items()
+        for prefix, node in host_node.routes.items()
+    ]
+    return RoutingTable(
+        version=tree.version,
+        routes=tuple(routes),
+        services={
+            name: ServiceSpec(name, node.max_connections, node.slots, node.cache_tokens)
+            for name, node in tree.services.items()
+        },
+        customers={
+            key: Customer(name, node.priority)
+            for name, node in tree.customers.items()
+            for key in node.keys
+        },
+        limits=CallerLimits(**msgspec.structs.asdict(tree.limits)),
+    )
+
+
+def _build_route(tree: RoutingTree, host: str, prefix: str, node: RouteNode) -> Route:
+    path = f"hosts.{host}.routes.{prefix}"
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        raise SettingsError(
+            "a path prefix begins and ends with a slash",
+            path=path,
+            hint=f"/{prefix.strip('/')}/",
+        )
+    split = node.split or {node.service: 1.0}
+    for service in split:
+        if service not in tree.services:
+            raise SettingsError(
+                f"no service {service!r}",
+                path=path,
+                hint=f"one of {', '.join(sorted(tree.services))}",
+            )
+    first_service = tree.services[next(iter(split))]
+    levels = [tree.rules, first_service.rules, tree.hosts[host].rules, node.rules]
+    return Route(
+        name=f"{host}{prefix}",
+        host=host.lower(),
+        path_prefix=prefix,
+        services=tuple(WeightedService(name, weight) for name, weight in split.items()),
+        **_inherit(levels),
+    )
+
+
+def _inherit(levels: list[RouteRules]) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    for rules in levels:
+        for name, value in msgspec.structs.asdict(rules).items():
+            if value is not None:
+                found[name] = value
+    return found
+
+
+def _decode(record: Record, model: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(record.value or b"", type=model)
+    except msgspec.MsgspecError as error:
+        message, _, place = str(error).partition(" - at ")
+        raise SettingsError(
+            message, source=record.key, path=place.strip("`$.") if place else ""
+        ) from error
