Features of the gateway: wire, streams, decisions, records, stops

Four of these failed at first: three by faults of the stand-ins (a reset that was a plain close, a wait that outlived a trim) or of the expectation, none by a fault of the gateway.

--- /dev/null
+++ b/features/gateway/decisions.feature
@@ -0,0 +1,81 @@
+Feature: decisions without I/O
+
+  Scenario Outline: the route of <host> <path>
+    Then the route of "<host>" "<path>" is "<route>"
+
+    Examples:
+      | host           | path       | route        |
+      | a.example      | /x/1       | a.example/x/ |
+      | A.EXAMPLE:8080 | /x/1       | a.example/x/ |
+      | a.example      | /x/y/1     | a.example/x/y/ |
+      | a.example      | /x/y       | a.example/x/ |
+      | a.example      | /x/y/?q=/z/ | a.example/x/y/ |
+      | a.example      | /xy/       | a.example/   |
+      | b.example      | /x/        |              |
+      | [::1]          | /x/        |              |
+
+  Scenario Outline: retries of a window: <requests> requests
+    Then <requests> requests and <asked> retries allow <allowed>
+
+    Examples:
+      | requests | asked | allowed |
+      | 0        | 5     | 2       |
+      | 10       | 10    | 4       |
+      | 100      | 50    | 22      |
+
+  Scenario Outline: a rule is inherited from the <level>
+    Then the time limit set at "<levels>" is <value>
+
+    Examples:
+      | level   | levels                    | value |
+      | fleet   | fleet                     | 1.0   |
+      | service | fleet service             | 2.0   |
+      | host    | fleet service host        | 3.0   |
+      | route   | fleet service host route  | 4.0   |
+
+  Scenario Outline: bad settings name their place: <what>
+    Then settings with "<what>" are refused at "<place>"
+
+    Examples:
+      | what           | place                            |
+      | no service     | hosts.a.example.routes./x/       |
+      | no slash       | hosts.a.example.routes./x        |
+      | unknown field  | services[...]                    |
+      | wrong type     | limits.max_body_bytes            |
+
+  Scenario Outline: homes of prefixes agree in any order: <case>
+    Then homes told in any order end as "<end>" for "<case>"
+
+    Examples:
+      | case                             | end     |
+      | one makes, others hear           | first   |
+      | two at the same time             | higher  |
+      | an older and a younger           | first   |
+      | the older has left               | second  |
+
+  Scenario: a server that joins moves no home
+    Then 200 prefixes placed on 4 servers stay when 2 more join
+
+  Scenario: a server that leaves moves only its own homes
+    Then 200 prefixes on 4 servers move only from the one that leaves
+
+  Scenario: no server gets a request while it is at the bound
+    Then 2000 generated placements leave no server above the bound
+
+  Scenario Outline: evidence against a server: <outcomes>
+    Then after "<outcomes>" a server is <state>
+
+    Examples:
+      | outcomes                              | state |
+      | answered                              | in    |
+      | failed                                | in    |
+      | failed failed failed                  | aside |
+      | failed answered failed answered       | in    |
+      | unreachable                           | aside |
+      | rejected                              | aside |
+      | unreachable wait                      | in    |
+      | sent silence                          | aside |
+      | sent heard silence                    | in    |
+
+  Scenario: a replica never goes back
+    Then a replica fed with generated batches keeps the newest of each key
--- /dev/null
+++ b/features/gateway/stops.feature
@@ -0,0 +1,23 @@
+Feature: a planned stop cuts nothing
+
+  Background:
+    Given a gateway with short drain times before two plain servers
+
+  Scenario: not ready at once, requests in flight end, the process ends
+    Given backend servers that answer by "on demand"
+    When a caller has a request in flight and the gateway is told to stop
+    Then it is not ready
+    And the request in flight is answered whole with a request to close
+    And the gateway stops
+
+  Scenario: a request that can't end in time is refused with when to come back
+    Given backend servers that answer by "on demand"
+    When a caller has a request in flight and the gateway was told to stop long ago
+    Then a new request to "/once/" is refused with when to come back
+    And a new request to "/brief/" is taken
+
+  Scenario: idle connections are closed, not cut
+    Given a caller with an open connection
+    When the gateway is told to stop
+    Then the open connection is closed by the gateway
+    And the gateway stops
--- /dev/null
+++ b/features/gateway/wire.feature
@@ -0,0 +1,102 @@
+Feature: the gateway passes requests and answers through unchanged
+
+  Background:
+    Given a gateway before two plain servers
+
+  Scenario Outline: requests arrive unchanged: <what>
+    When through the gateway a caller sends "<method>" to "<path>" with a body of <size> bytes framed by <framing>
+    Then the answer is 200 and whole
+    And one backend server got "<method> <path>" with the same body
+    And it got the customer "choir", the server's id, and no key
+
+    Examples:
+      | what          | method | path                  | size | framing |
+      | no body       | GET    | /once/a               | 0    | nothing |
+      | empty body    | POST   | /once/a?b=c%20d       | 0    | length  |
+      | a length      | POST   | /once/a/../b//c?x=/.. | 900  | length  |
+      | chunks        | PUT    | /once/%7Efoo          | 900  | chunks  |
+      | other method  | DELETE | /once/                | 10   | length  |
+
+  Scenario Outline: what can't be served is refused at once: <what>
+    When through the gateway a caller sends the bytes of "<request>"
+    Then the answer is <status>
+    And no backend server got anything
+
+    Examples:
+      | what                   | request        | status |
+      | unknown host           | other host     | 404    |
+      | unknown path           | no route       | 404    |
+      | no key                 | no key         | 401    |
+      | wrong key              | wrong key      | 401    |
+      | header too large       | large header   | 431    |
+      | body too large         | large body     | 413    |
+      | body too large, chunks | large chunks   | 413    |
+      | length and chunks      | smuggled       | 400    |
+      | two lengths            | two lengths    | 400    |
+      | no HTTP                | noise          | 400    |
+
+  Scenario: a public route needs no key
+    When through the gateway a caller sends the bytes of "public"
+    Then the answer is 200
+
+  Scenario Outline: a backend server's misbehaviour reaches no caller: <script>
+    Given backend servers that answer by "<script>"
+    When through the gateway a caller sends a request to "<route>"
+    Then the answer is <status> and <whole>
+    And the body is "<body>"
+    And at most <runs> requests were received
+
+    Examples:
+      | script                 | route    | status | whole  | body   | runs |
+      | unframed               | /once/   | 200    | whole  | answer | 1    |
+      | unframed reset         | /once/   | 502    | whole  |        | 1    |
+      | broken off             | /once/   | 502    | whole  |        | 1    |
+      | reset                  | /once/   | 502    | whole  |        | 1    |
+      | reset                  | /again/  | 502    | whole  |        | 2    |
+      | reset then well        | /again/  | 200    | whole  | answer | 2    |
+      | noise                  | /once/   | 502    | whole  |        | 1    |
+      | unsigned               | /once/   | 502    | whole  |        | 1    |
+      | encoded                | /once/   | 502    | whole  |        | 1    |
+      | another's answer first | /once/   | 200    | whole  | answer | 1    |
+      | interim first          | /once/   | 200    | whole  | answer | 1    |
+      | own error              | /once/   | 500    | whole  | wrong  | 1    |
+      | own error              | /again/  | 500    | whole  | wrong  | 2    |
+      | error then well        | /again/  | 200    | whole  | answer | 2    |
+      | rejected               | /once/   | 503    | whole  |        | 4    |
+      | rejected then well     | /once/   | 200    | whole  | answer | 2    |
+      | misdirected then well  | /once/   | 200    | whole  | answer | 2    |
+      | silent                 | /brief/  | 504    | whole  |        | 1    |
+
+  Scenario: a surplus answer never reaches the next request
+    Given backend servers that answer by "twice"
+    When through the gateway a caller sends 6 requests to "/again/" on one connection
+    Then each answer is 200 with its own id
+
+  Scenario: an answer before the whole body ends the connection's use
+    Given backend servers that answer by "well"
+    When through the gateway a caller sends 4 requests to "/again/" on one connection
+    Then at most 2 connections reached backend servers
+
+  Scenario: requests sent ahead are answered in order
+    When through the gateway a caller sends 3 requests to "/again/" at once on one connection
+    Then each answer is 200 with its own id
+
+  Scenario Outline: a refusal tells when to come back only where nothing ran: <script>
+    Given backend servers that answer by "<script>"
+    When through the gateway a caller sends a request to "/once/"
+    Then the answer <tells> when to come back
+
+    Examples:
+      | script   | tells         |
+      | rejected | tells         |
+      | reset    | does not tell |
+
+  Scenario: a caller that leaves ends the work of its backend server
+    Given backend servers that answer by "silent"
+    When through the gateway a caller sends a request to "/once/" and leaves
+    Then a backend server sees its connection close
+
+  Scenario: an unreachable server is passed over without a run
+    Given a third plain server that is announced and does not listen
+    When through the gateway a caller sends 12 requests to "/once/" on one connection
+    Then each answer is 200 with its own id
--- /dev/null
+++ b/features/steps/gateway_decision_steps.py
@@ -0,0 +1,242 @@
+"""Steps: the gateway's synchronous parts, driven without I/O."""
+
+from __future__ import annotations
+
+import itertools
+import json
+
+from behave import then
+from hypothesis import given as generated
+from hypothesis import settings as generation
+from hypothesis import strategies as st
+
+from features.gateway_support import build_tree
+from ramppin.errors import SettingsError
+from ramppin.process.directory import BackendServer, ServerDirectory
+from ramppin.process.health import SILENCE_S, Outcome, ServerHealth
+from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
+from ramppin.process.replica import Record, Replica
+from ramppin.process.retries import RetryWindow
+from ramppin.process.selection import PrefixSelection, SelectionRequest
+from ramppin.request.ranking import hash_name, mix
+from ramppin.version.routingfile import TreeDecoder
+
+GENERATION = generation(max_examples=60, deadline=None, derandomize=True)
+
+
+def decode(tree):
+    return TreeDecoder().decode_table(Record("settings", json.dumps(tree).encode(), 0))
+
+
+@then('the route of "{host}" "{path}" is "{name}"')
+def step_route(context, host, path, name):
+    routes = {prefix: {"service": "plain"} for prefix in ("/", "/x/", "/x/y/")}
+    table = decode(build_tree(hosts={"a.example": {"routes": routes}}))
+    found = table.find_route(host, path)
+    assert found is not None
+    assert found.name == name, found.name
+
+
+@then('the route of "{host}" "{path}" is ""')
+def step_no_route(context, host, path):
+    routes = {prefix: {"service": "plain"} for prefix in ("/", "/x/", "/x/y/")}
+    table = decode(build_tree(hosts={"a.example": {"routes": routes}}))
+    assert table.find_route(host, path) is None
+
+
+@then("{requests:d} requests and {asked:d} retries allow {allowed:d}")
+def step_retries(context, requests, asked, allowed):
+    window = RetryWindow(ratio=0.2, window_s=10.0, extra=2)
+    for _ in range(requests):
+        window.note_request(5.0)
+    assert sum(window.take(6.0) for _ in range(asked)) == allowed
+    if requests:
+        assert not window.take(14.9)
+    assert window.take(16.5)
+
+
+@then('the time limit set at "{levels}" is {value:f}')
+def step_inherit(context, levels, value):
+    chosen = levels.split()
+
+    def rules(level, limit):
+        return {"time_limit_s": limit} if level in chosen else {}
+
+    tree = {
+        "version": 1,
+        "rules": rules("fleet", 1.0),
+        "services": {"plain": {"rules": rules("service", 2.0)}},
+        "hosts": {
+            "a.example": {
+                "rules": rules("host", 3.0),
+                "routes": {"/x/": {"service": "plain", "rules": rules("route", 4.0)}},
+            }
+        },
+    }
+    assert decode(tree).routes[0].time_limit_s == value
+
+
+BAD_SETTINGS = {
+    "no service": {"hosts": {"a.example": {"routes": {"/x/": {"service": "none"}}}}},
+    "no slash": {"hosts": {"a.example": {"routes": {"/x": {"service": "plain"}}}}},
+    "unknown field": {"services": {"plain": {"slot": 1}}},
+    "wrong type": {"limits": {"max_body_bytes": "many"}},
+}
+
+
+@then('settings with "{what}" are refused at "{place}"')
+def step_bad(context, what, place):
+    found = None
+    try:
+        decode(build_tree(**BAD_SETTINGS[what]))
+    except SettingsError as error:
+        found = error
+    assert found is not None, "accepted"
+    assert found.path == place, found.show()
+    assert place in found.show()
+
+
+# homes
+
+
+def build_homes(usable):
+    return PrefixHomes(lambda server: server in usable)
+
+
+HOME_CASES = {
+    "one makes, others hear": [("first", 0.2)],
+    "two at the same time": [("first", 1.0), ("second", 1.2)],
+    "an older and a younger": [("first", 9.0), ("second", 1.0)],
+    "the older has left": [("gone", 9.0), ("second", 1.0)],
+}
+
+
+@then('homes told in any order end as "{end}" for "{case}"')
+def step_homes(context, end, case):
+    key = 12345
+    told = HOME_CASES[case]
+    if end == "higher":
+        names = [server for server, _ in told]
+        end = max(names, key=lambda server: mix(key, hash_name(server)))
+    for order in itertools.permutations(told):
+        homes = build_homes({"first", "second"})
+        for server, age_s in order:
+            homes.take_notice(HomeNotice(key, server, age_s), 100.0)
+        assert homes.find(key) == end, order
+
+
+def build_states(count):
+    directory = ServerDirectory()
+    for number in range(count):
+        directory.put(BackendServer(f"s{number}", "m", "127.0.0.1", number))
+    return directory
+
+
+def place_all(strategy, directory, keys, now):
+    places = {}
+    for key in keys:
+        selection = strategy.choose(
+            SelectionRequest(key), directory.list_open("m"), now
+        )
+        places[key] = selection.state.id
+    return places
+
+
+@then("{count:d} prefixes placed on {servers:d} servers stay when {more:d} more join")
+def step_join(context, count, servers, more):
+    directory = build_states(servers)
+    strategy = PrefixSelection(PrefixHomes(directory.is_open))
+    keys = range(1, count + 1)
+    before = place_all(strategy, directory, keys, 1.0)
+    for number in range(servers, servers + more):
+        directory.put(BackendServer(f"s{number}", "m", "127.0.0.1", number))
+    assert place_all(strategy, directory, keys, 2.0) == before
+
+
+@then("{count:d} prefixes on {servers:d} servers move only from the one that leaves")
+def step_leave(context, count, servers):
+    directory = build_states(servers)
+    strategy = PrefixSelection(PrefixHomes(directory.is_open))
+    keys = range(1, count + 1)
+    before = place_all(strategy, directory, keys, 1.0)
+    directory.put(BackendServer("s0", "m", "127.0.0.1", 0, draining=True))
+    after = place_all(strategy, directory, keys, 2.0)
+    moved = {key for key in keys if before[key] != after[key]}
+    assert moved == {key for key in keys if before[key] == "s0"}
+    assert "s0" not in after.values()
+
+
+@then("{count:d} generated placements leave no server above the bound")
+def step_bound(context, count):
+    directory = build_states(6)
+    strategy = PrefixSelection(PrefixHomes(directory.is_open), bound=1.8, slack=2.0)
+
+    @GENERATION
+    @generated(st.lists(st.integers(0, 9), min_size=30, max_size=80))
+    def check(keys):
+        for state in directory:
+            state.in_flight = 0
+        for key in keys:
+            states = directory.list_open("m")
+            mean = sum(state.in_flight for state in states) / len(states)
+            chosen = strategy.choose(SelectionRequest(key), states, 1.0).state
+            assert chosen.in_flight < 1.8 * mean + 2.0
+            chosen.in_flight += 1
+
+    check()
+
+
+# health
+
+
+@then('after "{outcomes}" a server is {state:w}')
+def step_health(context, outcomes, state):
+    health, now = ServerHealth(), 100.0
+    for outcome in outcomes.split():
+        now += 0.01
+        if outcome == "wait":
+            now += 10.0
+        elif outcome == "sent":
+            health.note_sent(now)
+        elif outcome == "heard":
+            health.note_heard(now, awaited=False)
+        elif outcome == "silence":
+            now += SILENCE_S + 0.1
+        else:
+            health.note_outcome(Outcome(outcome), now)
+    assert health.is_aside(now) == (state == "aside")
+
+
+# replica
+
+
+@then("a replica fed with generated batches keeps the newest of each key")
+def step_replica(context):
+    @GENERATION
+    @generated(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.sampled_from([None, b"1", b"2"])),
+            max_size=12,
+        ),
+        st.lists(st.tuples(st.integers(0, 12), st.integers(0, 12)), max_size=12),
+    )
+    def check(values, reads):
+        log = [Record(key, value, at) for at, (key, value) in enumerate(values)]
+        seen = {}
+
+        def take(record):
+            assert seen.get(record.key, -1) < record.offset
+            seen[record.key] = record.offset
+
+        replica = Replica("t", take)
+        known = 0
+        for start, end in reads:
+            low, high = sorted((min(start, len(log)), min(end, len(log))))
+            if low <= replica.position:
+                replica.apply(log[low:high], high, float(high))
+                known = max(known, high)
+        newest = {record.key: record.offset for record in log[:known]}
+        assert seen == newest
+        assert replica.position == known
+
+    check()
--- /dev/null
+++ b/features/steps/gateway_record_steps.py
@@ -0,0 +1,232 @@
+"""Steps: settings and backend servers as they change."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.gateway_support import (
+    ROUTES,
+    GatewayFixture,
+    build_tree,
+    encode_request,
+)
+from standins.common import wait_for
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+@when('version {version:d} moves "{prefix}" to the service "{service}"')
+def step_move(context, version, prefix, service):
+    async def move():
+        fixture = context.fixture
+        await fixture.add_backend("o1", service)
+        routes = ROUTES | {prefix: {"service": service}}
+        tree = build_tree(version)
+        tree["hosts"] = {"assist.example": {"routes": routes}}
+        fixture.publish(tree)
+
+    run(context, move())
+
+
+@then('a request to "{route}" reaches only the service "{service}" soon')
+def step_reaches_service(context, route, service):
+    async def reach():
+        fixture = context.fixture
+        other = fixture.backends["o1"]
+        await wait_for(lambda: fixture.gateway.context.version == 2, "in force")
+        await fixture.wait_until_ready(3)
+        before = len(fixture.list_received())
+        for _ in range(5):
+            answer = await fixture.ask(route)
+            assert answer.status == 200, answer.data
+        assert len(other.received) == len(fixture.list_received()) - before == 5
+
+    run(context, reach())
+
+
+@when("version {first:d} is published and then version {second:d}")
+def step_versions(context, first, second):
+    context.fixture.publish(build_tree(first))
+    context.fixture.publish(build_tree(second))
+
+
+@when("version {version:d} is published")
+def step_version(context, version):
+    context.fixture.publish(build_tree(version))
+
+
+@when("unreadable settings are published and then version {version:d}")
+def step_unreadable(context, version):
+    context.fixture.settings.put("settings", b'{"version": "x"}')
+    context.fixture.settings.put("settings", b"\x00")
+    context.fixture.settings.put("other", b"{}")
+    context.fixture.publish(build_tree(version))
+
+
+@then("the version in force is {version:d}")
+def step_in_force(context, version):
+    async def check():
+        fixture = context.fixture
+        end = fixture.settings.end
+        await wait_for(lambda: fixture.gateway.settings.position == end, "all read")
+        assert fixture.gateway.context.version == version
+
+    run(context, check())
+
+
+@when("its key is taken away")
+def step_revoke(context):
+    context.fixture.publish(build_tree(2, customers={"choir": {"keys": ["new"]}}))
+
+
+@then("its next request on that connection gets 401 soon")
+def step_denied(context):
+    async def ask():
+        await wait_for(lambda: context.fixture.gateway.context.version == 2, "in force")
+        await context.caller.send(encode_request("/once/"))
+        answer = await context.caller.read()
+        assert answer.status == 401, answer.data
+
+    run(context, ask())
+
+
+@when("one server says that it is draining")
+def step_drain(context):
+    context.fixture.announce("p1", "plain", draining=True)
+
+
+@when("the entry of one server vanishes")
+def step_vanish(context):
+    context.fixture.servers.put("p1", None)
+
+
+@when("the log forgets its history and one entry is gone from it")
+def step_forget(context):
+    fixture = context.fixture
+    fixture.servers.put("p1", None)
+    fixture.servers.forget_history()
+    fixture.servers.put("unknown", None)
+
+
+@then('requests to "{route}" reach only the other soon')
+def step_reach_other(context, route):
+    async def check():
+        fixture = context.fixture
+        directory = fixture.gateway.context.directory
+        await wait_for(lambda: not directory.is_open("p1"), "the server is closed")
+        before = len(fixture.backends["p1"].received)
+        for _ in range(8):
+            answer = await fixture.ask(route)
+            assert answer.status == 200, answer.data
+        assert len(fixture.backends["p1"].received) == before
+
+    run(context, check())
+
+
+@when("the log goes away, and one entry vanishes before it is back")
+def step_lapse(context):
+    async def lapse():
+        fixture = context.fixture
+        for table in (fixture.servers, fixture.settings):
+            table.away = True
+        follower = fixture.gateway._server_follower
+        await wait_for(lambda: not follower.reachable, "the log is away")
+        fixture.servers.put("p1", None)
+        fixture.servers.away = False
+        end = fixture.servers.end
+        await wait_for(lambda: fixture.gateway.servers.position == end, "it was read")
+
+    run(context, lapse())
+
+
+@then("that server is still used at first, and gone in the end")
+def step_held(context):
+    async def check():
+        directory = context.fixture.gateway.context.directory
+        assert directory.is_open("p1")
+        await wait_for(lambda: not directory.is_open("p1"), "the hold has ended")
+
+    run(context, check())
+
+
+@when("the log goes away")
+def step_away(context):
+    async def away():
+        fixture = context.fixture
+        fixture.servers.away = fixture.settings.away = True
+        follower = fixture.gateway._server_follower
+        await wait_for(lambda: not follower.reachable, "the log is away")
+
+    run(context, away())
+
+
+@then('requests to "{route}" are still answered')
+def step_still(context, route):
+    for _ in range(4):
+        assert run(context, context.fixture.ask(route)).status == 200
+
+
+async def start_second(context, **options) -> GatewayFixture:
+    second = GatewayFixture(vm="vm-2", host="127.0.0.2", **options)
+    for table in (second.settings, second.servers, second.members):
+        table.away = True
+    context.cleanups.append(second.stop)
+    await second.start()
+    return second
+
+
+@given("a second gateway whose log is away")
+def step_second(context):
+    context.second = run(context, start_second(context))
+
+
+@then("it is not ready, and refuses with when to come back")
+def step_second_refuses(context):
+    async def check():
+        second = context.second
+        assert not second.gateway.ready
+        reader, writer = await asyncio.open_connection(
+            second.host, second.gateway.caller_port
+        )
+        writer.write(encode_request("/once/"))
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        writer.close()
+        assert b" 503 " in head, head
+        assert b"retry-after:" in head, head
+
+    run(context, check())
+
+
+@given("a second gateway whose log is away and that knows the first")
+def step_second_knows(context):
+    records_port = context.fixture.gateway.records_port
+    context.second = run(
+        context,
+        start_second(context, seeds=("127.0.0.1",), records_port=records_port),
+    )
+
+
+@then("it becomes ready and serves")
+def step_second_serves(context):
+    async def check():
+        second = context.second
+        await second.wait_until_ready(2)
+        reader, writer = await asyncio.open_connection(
+            second.host, second.gateway.caller_port
+        )
+        writer.write(encode_request("/once/"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert b" 200 " in head, head
+
+    run(context, check())
+
+
+@then("the second gateway has version {version:d} in force soon")
+def step_second_version(context, version):
+    gateway = context.second.gateway
+    run(context, wait_for(lambda: gateway.context.version == version, "in force"))
--- /dev/null
+++ b/features/steps/gateway_wire_steps.py
@@ -0,0 +1,600 @@
+"""Steps: the gateway before scripted backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.gateway_support import (
+    GatewayFixture,
+    RawAnswer,
+    build_tree,
+    encode_request,
+)
+from ramppin.process.drain import DrainTimes
+from standins.backend import Reply
+from standins.common import wait_for
+
+EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5)]
+ENDLESS_PIECE = b"data: " + b"x" * 60_000 + b"\n\n"
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def build_gateway(context, backends, drain_times=None) -> GatewayFixture:
+    fixture = GatewayFixture(drain_times=drain_times or DrainTimes())
+    context.cleanups.append(fixture.stop)
+    await fixture.start()
+    fixture.publish(build_tree())
+    for server_id, service in backends:
+        await fixture.add_backend(server_id, service)
+    await fixture.wait_until_ready(len(backends))
+    return fixture
+
+
+@given("a gateway before two plain servers")
+def step_plain(context):
+    context.fixture = run(
+        context, build_gateway(context, [("p1", "plain"), ("p2", "plain")])
+    )
+
+
+@given("a gateway with short drain times before two plain servers")
+def step_plain_short(context):
+    times = DrainTimes(settle_s=0.3, take_s=0.5, limit_s=5.0)
+    context.fixture = run(
+        context, build_gateway(context, [("p1", "plain"), ("p2", "plain")], times)
+    )
+
+
+@given("a gateway before two model servers")
+def step_model(context):
+    context.fixture = run(
+        context, build_gateway(context, [("m1", "model"), ("m2", "model")])
+    )
+
+
+@given("a third plain server that is announced and does not listen")
+def step_dead(context):
+    async def add():
+        backend = await context.fixture.add_backend("p3", "plain")
+        await backend.stop()
+        await context.fixture.wait_until_ready(3)
+
+    run(context, add())
+
+
+# scripts of backend servers
+
+
+class Scripts:
+    """Scripts by name; one object counts over all backend servers."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.go_on = asyncio.Event()
+        self.sent = 0
+
+    def find(self, name: str):
+        plain = name.replace(",", "").replace("'", "").replace(" ", "_")
+        return getattr(self, f"do_{plain}")
+
+    async def do_well(self, reply: Reply) -> None:
+        await reply.answer()
+
+    async def do_unframed(self, reply: Reply) -> None:
+        await reply.send(reply.head(200) + b"\r\nanswer")
+        reply.writer.close()
+
+    async def do_unframed_reset(self, reply: Reply) -> None:
+        await reply.send(reply.head(200) + b"\r\nans")
+        reply.reset()
+
+    async def do_broken_off(self, reply: Reply) -> None:
+        await reply.send(reply.head(200) + b"Content-Length: 6\r\n\r\nans")
+        reply.writer.close()
+
+    async def do_reset(self, reply: Reply) -> None:
+        reply.reset()
+
+    async def do_reset_then_well(self, reply: Reply) -> None:
+        await self._first(reply, self.do_reset, self.do_well)
+
+    async def do_noise(self, reply: Reply) -> None:
+        await reply.send(b"\x00\x01noise\r\n\r\n")
+
+    async def do_unsigned(self, reply: Reply) -> None:
+        await reply.answer(signed=False)
+
+    async def do_encoded(self, reply: Reply) -> None:
+        await reply.answer(headers=b"Content-Encoding: gzip\r\n")
+
+    async def do_anothers_answer_first(self, reply: Reply) -> None:
+        await reply.answer(body=b"other", request_id=b"another")
+        await reply.answer()
+
+    async def do_interim_first(self, reply: Reply) -> None:
+        await reply.send(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+        await reply.answer()
+
+    async def do_own_error(self, reply: Reply) -> None:
+        await reply.answer(500, b"wrong")
+
+    async def do_error_then_well(self, reply: Reply) -> None:
+        await self._first(reply, self.do_own_error, self.do_well)
+
+    async def do_rejected(self, reply: Reply) -> None:
+        await reply.answer(503, b"", headers=b"Ramppin-Not-Run: 1\r\n")
+
+    async def do_rejected_then_well(self, reply: Reply) -> None:
+        await self._first(reply, self.do_rejected, self.do_well)
+
+    async def do_misdirected_then_well(self, reply: Reply) -> None:
+        await self._first(reply, self._misdirect, self.do_well)
+
+    async def _misdirect(self, reply: Reply) -> None:
+        await reply.answer(421, b"")
+
+    async def do_silent(self, reply: Reply) -> None:
+        await asyncio.sleep(60)
+
+    async def do_twice(self, reply: Reply) -> None:
+        await reply.answer(body=reply.request_id)
+        await reply.answer(body=b"surplus", request_id=b"surplus")
+
+    async def do_on_demand(self, reply: Reply) -> None:
+        await self.go_on.wait()
+        await reply.answer()
+
+    # streams
+
+    async def do_events(self, reply: Reply) -> None:
+        await self._send_events(reply)
+
+    async def do_pieces(self, reply: Reply) -> None:
+        await reply.start_events()
+        joined = b"".join(EVENTS)
+        for at in range(0, len(joined), 5):
+            await reply.send_chunk(joined[at : at + 5])
+        await reply.send_chunk(b"")
+
+    async def do_two_events_reset(self, reply: Reply) -> None:
+        await self._send_events(reply, stop_after=2)
+        reply.reset()
+
+    async def do_two_events_closed(self, reply: Reply) -> None:
+        await self._send_events(reply, stop_after=2)
+        reply.writer.close()
+
+    async def do_half_event_reset(self, reply: Reply) -> None:
+        await self._send_events(reply, stop_after=2, extra=EVENTS[2][:6])
+        if not self._continues(reply):
+            reply.reset()
+
+    async def do_half_event_ended(self, reply: Reply) -> None:
+        await self._send_events(reply, stop_after=2, extra=EVENTS[2][:6])
+        if not self._continues(reply):
+            await reply.send_chunk(b"")
+
+    async def do_events_on_demand(self, reply: Reply) -> None:
+        await reply.start_events()
+        for event in EVENTS:
+            await reply.send_chunk(event)
+            self.sent += 1
+            await self.go_on.wait()
+            self.go_on.clear()
+        await reply.send_chunk(b"")
+
+    async def do_endless(self, reply: Reply) -> None:
+        await reply.start_events()
+        while True:
+            await reply.send_chunk(ENDLESS_PIECE)
+            self.sent += len(ENDLESS_PIECE)
+
+    async def _send_events(self, reply, *, stop_after=0, extra=b"") -> None:
+        """Send events; a stream that is continued is sent to its end."""
+        after = int(reply.request.headers.get(b"last-event-id", b"0"))
+        await reply.start_events()
+        stop = stop_after if not after and stop_after else len(EVENTS)
+        for event in EVENTS[after:stop]:
+            await reply.send_chunk(event)
+        if stop == len(EVENTS):
+            await reply.send_chunk(b"")
+        elif extra:
+            await reply.send_chunk(extra)
+            await asyncio.sleep(0.02)
+
+    def _continues(self, reply: Reply) -> bool:
+        return b"last-event-id" in reply.request.headers
+
+    async def _first(self, reply, first, following) -> None:
+        self.count += 1
+        await (first if self.count == 1 else following)(reply)
+
+
+@given('backend servers that answer by "{name}"')
+def step_script(context, name):
+    context.scripts = Scripts()
+    script = context.scripts.find(name)
+    for backend in context.fixture.backends.values():
+        backend.script = script
+
+
+# requests
+
+
+def frame(body: bytes, framing: str) -> bytes:
+    if framing == "chunks":
+        half = len(body) // 2
+        parts = [part for part in (body[:half], body[half:]) if part]
+        return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
+    return body
+
+
+@when(
+    'through the gateway a caller sends "{method}" to "{path}" '
+    "with a body of {size:d} bytes framed by {framing}"
+)
+def step_send_framed(context, method, path, size, framing):
+    context.body = bytes(index % 251 for index in range(size))
+    head = f"{method} {path} HTTP/1.1\r\nHost: assist.example\r\n"
+    head += "Ramppin-Request-Id: a1\r\nRamppin-Api-Key: key-choir\r\nX-Own: Yes\r\n"
+    head += "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nRamppin-Customer: forged\r\n"
+    if framing == "length":
+        head += f"Content-Length: {size}\r\n"
+    elif framing == "chunks":
+        head += "Transfer-Encoding: chunked\r\n"
+    data = head.encode() + b"\r\n" + frame(context.body, framing)
+
+    async def send():
+        caller = await context.fixture.connect()
+        await caller.send(data)
+        return await caller.read()
+
+    context.answer = run(context, send())
+
+
+@then('one backend server got "{line}" with the same body')
+def step_got(context, line):
+    [received] = context.fixture.list_received()
+    context.received = received
+    assert received.line == f"{line} HTTP/1.1".encode(), received.line
+    assert received.body == context.body
+    assert received.headers[b"x-own"] == b"Yes"
+    assert b"x-hop" not in received.headers
+    assert b"transfer-encoding" not in received.headers
+
+
+@then('it got the customer "{customer}", the server\'s id, and no key')
+def step_got_headers(context, customer):
+    headers = context.received.headers
+    assert headers[b"ramppin-customer"] == customer.encode()
+    assert headers[b"ramppin-backend-server"].decode() in context.fixture.backends
+    assert b"ramppin-api-key" not in headers
+    assert int(headers[b"ramppin-deadline-ms"]) <= 10_000
+
+
+BYTES = {
+    "other host": encode_request("/once/", host="other.example"),
+    "no route": encode_request("/nowhere/"),
+    "no key": encode_request("/once/", key=None),
+    "wrong key": encode_request("/once/", key="wrong"),
+    "large header": encode_request("/once/", headers={"X-Large": "x" * 3000}),
+    "large body": encode_request("/once/", body=b"x" * 6000),
+    "large chunks": encode_request("/once/", method="PUT")[:-2]
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + frame(b"x" * 6000, "chunks"),
+    "smuggled": encode_request("/once/")[:-2]
+    + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two lengths": encode_request("/once/")[:-2] + b"Content-Length: 5\r\n\r\nabcde",
+    "noise": b"\x00\x01\x02 noise\r\n\r\n",
+    "public": encode_request("/open/", key=None),
+}
+
+
+@when('through the gateway a caller sends the bytes of "{name}"')
+def step_send_bytes(context, name):
+    async def send():
+        caller = await context.fixture.connect()
+        await caller.send(BYTES[name])
+        return await caller.read()
+
+    context.answer = run(context, send())
+
+
+@then("no backend server got anything")
+def step_got_nothing(context):
+    assert not context.fixture.list_received()
+
+
+@when('through the gateway a caller sends a request to "{route}"')
+def step_send(context, route):
+    context.answer = run(context, context.fixture.ask(route))
+
+
+@then("the answer is {status:d}")
+def step_status(context, status):
+    assert context.answer.status == status, context.answer.data
+
+
+@then("the answer is {status:d} and {whole:w}")
+def step_status_whole(context, status, whole):
+    assert context.answer.status == status, context.answer.data
+    assert context.answer.whole == (whole == "whole"), context.answer.data
+
+
+@then('the body is "{body}"')
+def step_body(context, body):
+    assert context.answer.body == body.encode(), context.answer.data
+
+
+@then('the body is ""')
+def step_no_body(context):
+    assert context.answer.body == b"", context.answer.data
+
+
+@then("at most {count:d} requests were received")
+def step_runs(context, count):
+    assert len(context.fixture.list_received()) <= count
+
+
+@then("at most {count:d} connections reached backend servers")
+def step_connections(context, count):
+    backends = context.fixture.backends.values()
+    assert sum(backend.connections for backend in backends) <= count
+
+
+@when(
+    'through the gateway a caller sends {count:d} requests to "{route}" '
+    "on one connection"
+)
+def step_send_many(context, count, route):
+    async def send():
+        answers = []
+        caller = await context.fixture.connect()
+        for number in range(count):
+            await caller.send(encode_request(route, request_id=f"r{number}"))
+            answers.append(await caller.read())
+        return answers
+
+    context.answers = run(context, send())
+
+
+@when(
+    'through the gateway a caller sends {count:d} requests to "{route}" '
+    "at once on one connection"
+)
+def step_send_ahead(context, count, route):
+    async def send():
+        caller = await context.fixture.connect()
+        requests = [
+            encode_request(route, request_id=f"r{number}") for number in range(count)
+        ]
+        await caller.send(b"".join(requests))
+        data = b""
+        while data.count(b"answer") < count:
+            part = await asyncio.wait_for(caller.reader.read(65536), 20)
+            assert part, data
+            data += part
+        return [RawAnswer(b"HTTP/1.1" + p) for p in data.split(b"HTTP/1.1")[1:]]
+
+    context.answers = run(context, send())
+
+
+@then("each answer is 200 with its own id")
+def step_each(context):
+    for number, answer in enumerate(context.answers):
+        assert answer.status == 200, answer.data
+        assert b"ramppin-request-id: r%d" % number in answer.head, answer.data
+        assert b"surplus" not in answer.data
+
+
+@then("the answer {tells} when to come back")
+def step_tells(context, tells):
+    assert (b"retry-after:" in context.answer.head) == (tells == "tells")
+
+
+@when('through the gateway a caller sends a request to "{route}" and leaves')
+def step_leave(context, route):
+    async def leave():
+        caller = await context.fixture.connect()
+        await caller.send(encode_request(route))
+        await wait_for(context.fixture.list_received, "the request arrived")
+        caller.close()
+
+    run(context, leave())
+
+
+@then("a backend server sees its connection close")
+def step_sees_close(context):
+    backends = context.fixture.backends.values()
+    run(
+        context,
+        wait_for(lambda: any(b.closed for b in backends), "the server saw the leave"),
+    )
+
+
+# streams
+
+
+@then('the events are "{numbers}"')
+def step_events(context, numbers):
+    expected = b"".join(EVENTS[int(number) - 1] for number in numbers.split())
+    assert context.answer.body == expected, context.answer.data
+
+
+@then('the events are ""')
+def step_no_events(context):
+    assert context.answer.body == b""
+
+
+@then('the second request asked to continue after "{event_id}"')
+def step_continued(context, event_id):
+    received = sorted(
+        context.fixture.list_received(),
+        key=lambda request: request.headers.get(b"last-event-id", b""),
+    )
+    assert received[1].headers[b"last-event-id"] == event_id.encode()
+    servers = {r.headers[b"ramppin-backend-server"] for r in received}
+    assert len(servers) == 2, servers
+
+
+@when('a caller begins a stream on "{route}"')
+def step_begin(context, route):
+    async def begin():
+        context.caller = await context.fixture.connect()
+        await context.caller.send(encode_request(route))
+
+    run(context, begin())
+
+
+@then("each event arrives before the next is made")
+def step_as_they_come(context):
+    async def follow():
+        data = b""
+        for number, event in enumerate(EVENTS, 1):
+            while event not in data:
+                part = await asyncio.wait_for(context.caller.reader.read(65536), 20)
+                assert part, data
+                data += part
+            assert context.scripts.sent <= number
+            context.scripts.go_on.set()
+        answer = await context.caller.read(RawAnswer(data))
+        assert answer.whole
+
+    run(context, follow())
+
+
+@when('a caller begins a stream on "{route}" and does not read')
+def step_begin_unread(context, route):
+    async def begin():
+        caller = await context.fixture.connect()
+        caller.writer.transport.pause_reading()
+        await caller.send(encode_request(route))
+
+    run(context, begin())
+
+
+@then("the backend server is held up before {limit:d} bytes")
+def step_held_up(context, limit):
+    async def settle():
+        before, same = -1, 0
+        while same < 20:
+            await asyncio.sleep(0.02)
+            same = same + 1 if context.scripts.sent == before else 0
+            before = context.scripts.sent
+            assert before < limit, before
+
+    run(context, settle())
+    assert context.scripts.sent > 0
+
+
+# stops
+
+
+@given("a caller with an open connection")
+def step_open_connection(context):
+    async def open_one():
+        context.caller = await context.fixture.connect()
+        await context.caller.send(encode_request("/once/"))
+        answer = await context.caller.read()
+        assert answer.status == 200, answer.data
+
+    run(context, open_one())
+
+
+async def begin_request(context) -> None:
+    context.caller = await context.fixture.connect()
+    await context.caller.send(encode_request("/once/"))
+    await wait_for(context.fixture.list_received, "the request arrived")
+
+
+@when("a caller has a request in flight and the gateway is told to stop")
+def step_in_flight_stop(context):
+    async def stop():
+        await begin_request(context)
+        context.fixture.gateway.start_drain()
+
+    run(context, stop())
+
+
+@when("a caller has a request in flight and the gateway was told to stop long ago")
+def step_in_flight_long_ago(context):
+    async def stop():
+        await begin_request(context)
+        context.fixture.gateway.start_drain()
+        drain = context.fixture.gateway.context.drain
+        loop = asyncio.get_running_loop()
+        await wait_for(
+            lambda: not drain.may_take(10.0, loop.time()), "late in the stop"
+        )
+
+    run(context, stop())
+
+
+@then("it is not ready")
+def step_not_ready(context):
+    async def ask():
+        port = context.fixture.gateway.readiness_port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return line
+
+    line = run(context, ask())
+    assert b" 503 " in line, line
+
+
+@then("the request in flight is answered whole with a request to close")
+def step_finished(context):
+    context.scripts.go_on.set()
+    answer = run(context, context.caller.read())
+    assert answer.status == 200, answer.data
+    assert answer.whole
+    assert b"connection: close" in answer.head
+
+
+@then("the gateway stops")
+def step_stops(context):
+    run(context, asyncio.wait_for(context.fixture.gateway.stopped.wait(), 20))
+
+
+@then('a new request to "{route}" is refused with when to come back')
+def step_refused(context, route):
+    answer = run(context, context.fixture.ask(route))
+    assert answer.status == 503, answer.data
+    assert b"retry-after:" in answer.head
+
+
+@then('a new request to "{route}" is taken')
+def step_taken(context, route):
+    async def ask():
+        before = len(context.fixture.list_received())
+        caller = await context.fixture.connect()
+        await caller.send(encode_request(route))
+        await wait_for(
+            lambda: len(context.fixture.list_received()) > before, "it was taken"
+        )
+        context.scripts.go_on.set()
+        return await caller.read()
+
+    answer = run(context, ask())
+    assert answer.status == 200, answer.data
+
+
+@when("the gateway is told to stop")
+def step_stop(context):
+    async def stop():
+        context.fixture.gateway.start_drain()
+        await asyncio.sleep(0)
+
+    run(context, stop())
+
+
+@then("the open connection is closed by the gateway")
+def step_closed(context):
+    assert run(context, context.caller.wait_for_end()) == b""
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -199,6 +199,11 @@
         """The port on which readiness is told."""
         return int(self._servers[1].sockets[0].getsockname()[1])
 
+    @property
+    def records_port(self) -> int:
+        """The port on which peers ask for records."""
+        return int(self._servers[2].sockets[0].getsockname()[1])
+
     async def start(self) -> None:
         """Listen, and begin to follow the log."""
         await self._listen(
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -82,10 +84,15 @@
         await self.send(b"%x\r\n%b\r\n" % (len(data), data))
 
     def reset(self) -> None:
-        """Drop the connection."""
+        """Reset the connection, so that the other side sees an error."""
+        raw = self.writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.writer.transport.abort()
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER with no time: closing resets."""
+
 Script = Callable[[Reply], Awaitable[None]]
 
 
@@ -134,7 +141,8 @@
         assert task is not None
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        ended = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ended):
             while (received := await _read_request(reader, number)) is not None:
                 self.received.append(received)
                 await self._work(reader, Reply(received, writer))
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
 from ramppin.process.replica import Record
@@ -24,6 +25,7 @@
         self.reads = 0
         self._records: list[Record] = []
         self._first = 0
+        self._kept: list[Record] = []
         self._changed = asyncio.Event()
 
     @property
@@ -39,7 +41,7 @@
 
     def forget_history(self) -> None:
         """Keep only the newest record of each key, and no offset before now."""
-        newest = {record.key: record for record in self._records}
+        newest = {record.key: record for record in [*self._kept, *self._records]}
         self._kept = [r for r in newest.values() if r.value is not None]
         self._first = self.end
         self._records = []
@@ -53,7 +55,7 @@
     async def read_newest(self) -> RecordBatch:
         """Return the newest record of each key."""
         await self._meet_faults()
-        newest = {record.key: record for record in getattr(self, "_kept", [])}
+        newest = {record.key: record for record in self._kept}
         for record in self._records:
             newest[record.key] = record
         found = tuple(r for r in newest.values() if r.value is not None)
@@ -62,15 +64,13 @@
     async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
         """Return what follows a position."""
         await self._meet_faults()
-        if position < self._first:
-            raise LogTrimmedError(self._first, peer="table")
+        self._check_kept(position)
         if position >= self.end and wait_s:
             changed = self._changed
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_s)
-            except TimeoutError:
-                pass
             self._check()
+            self._check_kept(position)
         found = tuple(r for r in self._records if r.offset >= position)
         return RecordBatch(found, max(position, self.end))
 
@@ -81,6 +81,10 @@
         await asyncio.sleep(0)
         self._check()
 
+    def _check_kept(self, position: int) -> None:
+        if position < self._first:
+            raise LogTrimmedError(self._first, peer="table")
+
     def _check(self) -> None:
         if self.away:
             raise LogUnavailableError("away", step="read", peer="table")
