--- /dev/null
+++ b/features/platform_support.py
@@ -0,0 +1,331 @@
+"""A stand-in for the users' platform: its store, and processes through the adapter.
+
+These files and ``platform/`` alone use the platform's names.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import signal
+import struct
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+from features.gateway_support import RawCaller
+from ramppin_platform.vocabulary import HEADER_NAMES
+from standins.backend import BackendStandIn
+from standins.common import wait_for
+
+MAX_WAIT_S = 30.0
+
+
+@dataclass
+class Topic:
+    """One partition of a topic."""
+
+    first: int = 0
+    records: list[bytes] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, record: bytes) -> int:
+        self.records.append(record)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.end - 1
+
+
+@dataclass
+class StoreStandIn:
+    """Speaks the store's protocol for keyed topics.
+
+    Attributes:
+        refuse: status with which every call is refused; 0 for none.
+        silent: calls get no answer.
+        lose_answers: appends are done and not answered.
+        page: records of one page of newest ones.
+        calls: how many calls arrived, by path.
+    """
+
+    refuse: int = 0
+    silent: bool = False
+    lose_answers: bool = False
+    page: int = 500
+    calls: dict[str, int] = field(default_factory=dict)
+    topics: dict[str, Topic] = field(default_factory=dict)
+    newest: dict[str, dict[str, tuple[int, bytes]]] = field(default_factory=dict)
+    port: int = 0
+    _server: asyncio.Server | None = None
+    _tasks: set = field(default_factory=set)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Write a record as the operator and the backend servers do."""
+        name = key.encode()
+        self._append(topic, bytes([len(name)]) + name + (value or b""))
+
+    def drop_history(self, topic: str) -> None:
+        """Drop all records but the newest of each key."""
+        found = self.topics[topic]
+        found.first, found.records = found.end, []
+
+    def _append(self, topic: str, record: bytes) -> int:
+        offset = self.topics.setdefault(topic, Topic()).append(record)
+        key_end = 1 + record[0]
+        keys = self.newest.setdefault(topic, {})
+        key, value = record[1:key_end].decode(), record[key_end:]
+        if value:
+            keys[key] = (offset, value)
+        else:
+            keys.pop(key, None)
+        return offset
+
+    async def _serve(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        ended = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ended):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                method, target, _ = head.split(b"\r\n")[0].split(b" ")
+                length = 0
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        length = int(line.partition(b":")[2])
+                body = await reader.readexactly(length)
+                status, answer = await self._answer(method, target.decode(), body)
+                writer.write(
+                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
+                    % (status, len(answer), answer)
+                )
+                await writer.drain()
+        writer.close()
+
+    async def _answer(self, method, target, body) -> tuple[int, bytes]:
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.calls[url.path] = self.calls.get(url.path, 0) + 1
+        while self.silent:
+            await asyncio.sleep(0.02)
+        if self.refuse:
+            return self.refuse, b""
+        if url.path == "/log-append":
+            offset = self._append(query["topic"], body[4:])
+            while self.lose_answers:
+                await asyncio.sleep(0.02)
+            return 200, json.dumps({"offset": offset, "end": offset + 1}).encode()
+        if url.path == "/log-newest":
+            return 200, self._page(query)
+        if url.path == "/log-read":
+            return await self._read(query)
+        return 404, b""
+
+    def _page(self, query) -> bytes:
+        topic = query["topic"]
+        found = sorted(self.newest.get(topic, {}).items())
+        after = query.get("after", "")
+        left = [(key, record) for key, record in found if key > after]
+        items = [
+            {"key_file": key, "value": base64.b64encode(value).decode(), "offset": at}
+            for key, (at, value) in left[: self.page]
+        ]
+        end = self.topics.get(topic, Topic()).end
+        more = len(left) > self.page
+        return json.dumps({"items": items, "more": more, "end": end}).encode()
+
+    async def _read(self, query) -> tuple[int, bytes]:
+        topic = self.topics.setdefault(query["topic"], Topic())
+        source = int(query["source"])
+        deadline = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        while source >= topic.end and not self.refuse:
+            left = deadline - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(topic.changed.wait(), min(left, 0.1))
+        if self.refuse:
+            return self.refuse, b""
+        if source < topic.first:
+            return 410, json.dumps({"first": topic.first}).encode()
+        answer = struct.pack(">QQ", topic.end, topic.first)
+        for record in topic.records[source - topic.first :]:
+            answer += struct.pack(">I", len(record)) + record
+        return 200, answer
+
+
+def build_config(version: int = 1, *, keys: tuple[str, ...] = ("k1",)) -> dict:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r1",
+                "host": "h.example",
+                "path_prefix": "/a/",
+                "type": "non_idempotent",
+                "timeout_ms": 5000,
+                "service": "plain",
+                "max_attempts": 1,
+            },
+            {
+                "name": "r2",
+                "host": "h.example",
+                "path_prefix": "/s/",
+                "type": "streaming",
+                "timeout_ms": 5000,
+                "service": "llm",
+                "max_attempts": 2,
+                "session_affinity": True,
+                "stream_resume": True,
+            },
+        ],
+        "services": [
+            {"name": "plain", "health_path": "/h", "max_connections": 9},
+            {"name": "llm", "engine": {"capacity": 8, "kv_capacity_tokens": 9000}},
+        ],
+        "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t1", "api_keys": list(keys), "priority": 1}],
+    }
+
+
+@dataclass
+class PlatformFixture:
+    """A store, backend servers, and gateway processes through the adapter."""
+
+    store: StoreStandIn = field(default_factory=StoreStandIn)
+    backends: dict[str, BackendStandIn] = field(default_factory=dict)
+    processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
+    ports: dict[str, int] = field(default_factory=dict)
+    scratch: tempfile.TemporaryDirectory = field(
+        default_factory=tempfile.TemporaryDirectory
+    )
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.store.put("keyed.op", "config", json.dumps(build_config()).encode())
+
+    async def stop(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for backend in self.backends.values():
+            await backend.stop()
+        await self.store.stop()
+        self.scratch.cleanup()
+
+    async def add_backend(self, server_id: str, service: str) -> BackendStandIn:
+        backend = BackendStandIn(names=HEADER_NAMES)
+        await backend.start()
+        self.backends[server_id] = backend
+        self.announce(server_id, service)
+        return backend
+
+    def announce(self, server_id: str, service: str, state: str = "ready") -> None:
+        entry = {
+            "service": service,
+            "address": f"127.0.0.1:{self.backends[server_id].port}",
+            "zone": "porto",
+            "capacity": 8,
+            "state": state,
+            "sequence": 1,
+        }
+        self.store.put("keyed.servers", server_id, json.dumps(entry).encode())
+
+    async def start_gateway(self, vm: str, host: str) -> None:
+        """Start a gateway process on a loopback address of its own."""
+        frontend, readiness, control, internal = find_free_ports(host, 4)
+        fields = {
+            "node_name": vm,
+            "ip": host,
+            "zone": "porto",
+            "unknown.field": "ignored",
+            "listen.frontend": f"{host}:{frontend}",
+            "listen.readiness": f"{host}:{readiness}",
+            "listen.control_plane": f"{host}:{control}",
+            "internal_port_range": f"{internal},{internal + 3}",
+            "seed_nodes": f"127.0.0.1:{control}",
+            "bounds.grace_s": "6",
+            "platform.address": f"127.0.0.1:{self.store.port}",
+        }
+        path = Path(self.scratch.name) / f"{vm}.conf"
+        path.write_text("".join(f"{name}={v}\n" for name, v in fields.items()))
+        self.ports[vm] = frontend
+        self.processes[vm] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "ramppin_platform",
+            env=os.environ | {"RAMPPIN_SETTINGS": str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        await wait_for(lambda: self.is_ready(host, readiness), f"{vm} is ready")
+
+    async def is_ready(self, host: str, port: int) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await reader.readline()
+            writer.close()
+        except OSError:
+            return False
+        return b" 200 " in line
+
+    async def connect(self, vm: str, host: str) -> RawCaller:
+        reader, writer = await asyncio.open_connection(host, self.ports[vm])
+        return RawCaller(self.ports[vm], reader, writer)
+
+    async def ask(self, path: str, *, vm: str = "vm-1", key: str = "k1", **headers):
+        """Send a request and return its answer."""
+        caller = await self.connect(vm, "127.0.0.1")
+        await caller.send(encode_request(path, key, headers))
+        answer = await caller.read()
+        caller.close()
+        return answer
+
+    async def terminate(self, vm: str) -> int:
+        """Stop a gateway with SIGTERM and return its exit code."""
+        process = self.processes[vm]
+        process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(process.wait(), 20)
+
+
+def encode_request(path: str, key: str, headers: dict[str, str]) -> bytes:
+    """Return a request's bytes in the platform's names."""
+    lines = [f"POST {path} HTTP/1.1", "Host: h.example", "Attempt-Id: a1"]
+    lines += [f"Api-Key: {key}", "Deadline-Ms: 4000", "Content-Length: 2"]
+    lines += [f"{name.replace('_', '-')}: {v}" for name, v in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\nhi"
+
+
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Return ports that are free now; the gateway's settings name them ahead."""
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((host, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -13,6 +13,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from ramppin.connection.httpwire import HeaderNames
+
 
 @dataclass(slots=True)
 class Received:
@@ -31,15 +33,17 @@
     Attributes:
         request: what arrived.
         writer: the connection.
+        names: names of headers.
     """
 
     request: Received
     writer: asyncio.StreamWriter
+    names: HeaderNames
 
     @property
     def request_id(self) -> bytes:
         """The request's id."""
-        return self.request.headers.get(b"ramppin-request-id", b"")
+        return self.request.headers.get(self.names.request_id, b"")
 
     async def send(self, data: bytes) -> None:
         """Send bytes at once."""
@@ -69,9 +73,10 @@
     ) -> bytes:
         """Return a head without its end."""
         found = self.request_id if request_id is None else request_id
-        lines = b"HTTP/1.1 %d X\r\nRamppin-Request-Id: %b\r\n" % (status, found)
+        lines = b"HTTP/1.1 %d X\r\n" % status
+        lines += b"%b: %b\r\n" % (self.names.request_id, found)
         if signed:
-            lines += b"Ramppin-Signature: s\r\n"
+            lines += b"%b: s\r\n" % self.names.signature
         return lines + headers
 
     async def start_events(self) -> None:
@@ -109,6 +114,7 @@
         script: answers each request.
         received: all requests that arrived whole.
         closed: connections that callers closed while a request was at work.
+        names: names of headers.
     """
 
     script: Script = answer_well
@@ -116,6 +122,7 @@
     closed: int = 0
     connections: int = 0
     port: int = 0
+    names: HeaderNames = field(default_factory=HeaderNames)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -145,7 +152,7 @@
         with contextlib.suppress(*ended):
             while (received := await _read_request(reader, number)) is not None:
                 self.received.append(received)
-                await self._work(reader, Reply(received, writer))
+                await self._work(reader, Reply(received, writer, self.names))
         writer.close()
 
     async def _work(self, reader: asyncio.StreamReader, reply: Reply) -> None:
