Metrics, state and explanations of a gateway

Cause: on-call has only logs and metrics; the gateway had decision lines alone. Change: an operators' listener with /metrics, /dump and /explain/ID; decision lines name the age of the list of servers; features that lead from three failed requests to their cause.

--- /dev/null
+++ b/features/gateway/operations.feature
@@ -0,0 +1,35 @@
+Feature: operators see what a gateway does, and why
+
+  Background:
+    Given a gateway before two plain servers
+
+  Scenario Outline: the <target> is told
+    When through the gateway a caller sends 5 requests to "/once/" on one connection
+    Then "<target>" tells "<text>"
+
+    Examples:
+      | target      | text                                                                  |
+      | /metrics    | ramppin_gateway_requests_total{service="plain",status="200"} 5.0      |
+      | /metrics    | ramppin_gateway_attempts_total{end="delivered",service="plain"} 5.0   |
+      | /metrics    | ramppin_gateway_first_byte_seconds_count{service="plain"} 5.0         |
+      | /metrics    | ramppin_gateway_open_servers{service="plain"} 2.0                     |
+      | /metrics    | ramppin_gateway_log_up{table="servers"} 1.0                           |
+      | /dump       | "version": 1                                                          |
+      | /dump       | "failure_domain"                                                      |
+      | /explain/r4 | "end": "delivered"                                                    |
+
+  Scenario: no key of a caller is told
+    When through the gateway a caller sends 5 requests to "/once/" on one connection
+    Then neither "/dump" nor "/metrics" nor "/explain/r4" tells "key-choir"
+
+  Scenario Outline: three kinds of failed request lead to their cause: <script>
+    Given backend servers that answer by "<script>"
+    When through the gateway a caller sends a request to "<route>"
+    Then "/explain/a1" tells "<text>"
+    And the log's lines about "a1" tell "<text>"
+
+    Examples:
+      | script   | route   | text                  |
+      | rejected | /once/  | "end":"rejected"      |
+      | reset    | /once/  | connection lost       |
+      | silent   | /brief/ | "end":"timed out"     |
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import os
+import tempfile
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from ramppin.connection.httpwire import HeaderNames
 from ramppin.process.decisions import DecisionLog
@@ -190,9 +192,13 @@
     peer_port: int = 0
     records_port: int = 0
     seeds: tuple[str, ...] = ()
+    log_path: Path = Path(os.devnull)
+    _log: int = -1
 
     async def start(self) -> GatewayFixture:
         """Start the gateway; it need not be ready yet."""
+        self._log, path = tempfile.mkstemp(prefix="ramppin-", suffix=".log")
+        self.log_path = Path(path)
         config = GatewayConfig(
             vm=self.vm,
             failure_domain="porto",
@@ -200,6 +206,7 @@
             readiness=Address(self.host, 0),
             peers=Address(self.host, self.peer_port),
             records=Address(self.host, self.records_port),
+            operations=Address(self.host, 0),
             seeds=self.seeds,
             names=HeaderNames(),
             server_pace_s=0.01,
@@ -213,7 +220,7 @@
             server_source=self.servers,
             member_log=self.members,
             decoder=TreeDecoder(),
-            decisions=DecisionLog(self.vm, descriptor=os.open(os.devnull, os.O_WRONLY)),
+            decisions=DecisionLog(self.vm, descriptor=self._log),
         )
         await self.gateway.start()
         return self
@@ -226,6 +233,8 @@
             await self.gateway.stop()
         for backend in self.backends.values():
             await backend.stop()
+        os.close(self._log)
+        self.log_path.unlink()
 
     async def add_backend(
         self, server_id: str, service: str, **node: object
--- /dev/null
+++ b/features/steps/gateway_operation_steps.py
@@ -0,0 +1,42 @@
+"""Steps: metrics, state and explanations of a gateway."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import then
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def ask(context, target: str) -> str:
+    port = context.fixture.gateway.operations_port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    request = f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    writer.write(request.encode())
+    data = await asyncio.wait_for(reader.read(), 20)
+    writer.close()
+    return data.decode()
+
+
+@then('"{target}" tells "{text}"')
+def step_tells(context, target, text):
+    answer = run(context, ask(context, target))
+    assert " 200 " in answer.splitlines()[0], answer
+    assert text in answer or text in answer.replace('": "', '":"'), answer
+
+
+@then('neither "{first}" nor "{second}" nor "{third}" tells "{text}"')
+def step_none(context, first, second, third, text):
+    for target in (first, second, third):
+        assert text not in run(context, ask(context, target))
+
+
+@then('the log\'s lines about "{request_id}" tell "{text}"')
+def step_log(context, request_id, text):
+    context.fixture.gateway.context.decisions.flush()
+    lines = context.fixture.log_path.read_text().splitlines()
+    about = [line for line in lines if f'"request_id":"{request_id}"' in line]
+    assert any(text in line for line in about), lines
--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ramppin.connection.httpwire import HeaderNames
@@ -12,6 +13,8 @@
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
 from ramppin.process.drain import Drain
+from ramppin.process.explanations import Explanations
+from ramppin.process.gatewaymetrics import GatewayMetrics
 from ramppin.process.retries import RetryWindow
 from ramppin.process.selection import (
     NearestSelection,
@@ -20,6 +23,8 @@
 )
 from ramppin.version.routing import RoutingTable
 
+OLDEST_S = 999_999.0
+
 LOG = logging.getLogger(__name__)
 
 
@@ -50,10 +55,14 @@
         prefix_selection: for routes whose servers cache prompts.
         plain_selection: for all others.
         generator: random numbers.
+        metrics: of the process.
+        explanations: the decisions of the last requests.
         retry_rules: the budget of retries.
         table: the routing settings in force; None before the first.
         drain: the planned stop that has begun, or None.
         in_flight: exchanges that run.
+        servers_confirmed_at: returns the loop's time at which the list of
+            servers was last known to be current.
         tasks: their tasks.
     """
 
@@ -64,10 +73,13 @@
     prefix_selection: PrefixSelection
     plain_selection: NearestSelection
     generator: random.Random
+    metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
+    explanations: Explanations = field(default_factory=Explanations)
     retry_rules: RetryRules = field(default_factory=RetryRules)
     table: RoutingTable | None = None
     drain: Drain | None = None
     in_flight: int = 0
+    servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     retries: dict[str, RetryWindow] = field(default_factory=dict)
 
@@ -76,6 +88,10 @@
         """The version of the settings in force; -1 before the first."""
         return self.table.version if self.table else -1
 
+    def measure_servers_age(self, now: float) -> float:
+        """Return how long ago the list of servers was known to be current."""
+        return round(min(OLDEST_S, now - self.servers_confirmed_at()), 2)
+
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
         """Return the strategy for a request."""
         return self.prefix_selection if keeps_prefix else self.plain_selection
@@ -86,7 +102,10 @@
 
     def take_retry(self, service: str, now: float) -> bool:
         """Return whether a request of a service may be sent once more."""
-        return self._find_window(service).take(now)
+        allowed = self._find_window(service).take(now)
+        if not allowed:
+            self.metrics.retries_refused.labels(service).inc()
+        return allowed
 
     def finish_task(self, task: asyncio.Task[None]) -> None:
         """Forget an exchange's task; log what it did not catch."""
--- a/src/ramppin/process/directory.py
+++ b/src/ramppin/process/directory.py
@@ -152,6 +152,10 @@
         state = self._states.get(server_id)
         return state is not None and state.open
 
+    def list_services(self) -> list[str]:
+        """Return the services that have, or had, backend servers."""
+        return list(self._by_service)
+
     def find_source(self, server_id: str | None, now: float) -> BackendServer | None:
         """Return a server from which a prefix can be copied, or None.
 
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -25,6 +25,7 @@
 from ramppin.process.fleet import FleetMembers, announce
 from ramppin.process.follower import Follower
 from ramppin.process.hints import HintExchange
+from ramppin.process.operations import GatewayState, OperationsResponder
 from ramppin.process.peerrecords import FollowedTable, PeerReader, RecordsResponder
 from ramppin.process.prefixhomes import PrefixHomes
 from ramppin.process.readiness import ReadinessResponder
@@ -64,6 +65,7 @@
         readiness: address where the balancer asks whether it is ready.
         peers: address for hints from other VMs; the same port on every VM.
         records: address where peers ask for records; the same port on every VM.
+        operations: address for operators; None for no such listener.
         seeds: addresses of some VMs of the fleet, which may be stale.
         names: names of headers.
         ready_path: path of the readiness question.
@@ -81,6 +83,7 @@
     readiness: Address
     peers: Address
     records: Address
+    operations: Address | None = None
     seeds: tuple[str, ...] = ()
     names: HeaderNames = field(default_factory=HeaderNames)
     ready_path: bytes = b"/ready"
@@ -137,6 +140,7 @@
         self._decoder = decoder
         self.settings = Replica("settings", self._take_settings)
         self.servers = Replica("servers", self._take_server)
+        self.context.servers_confirmed_at = lambda: self.servers.confirmed_at
         self._settings_follower = Follower(
             self.settings,
             settings_source,
@@ -204,6 +208,11 @@
         """The port on which peers ask for records."""
         return int(self._servers[2].sockets[0].getsockname()[1])
 
+    @property
+    def operations_port(self) -> int:
+        """The port on which operators are answered."""
+        return int(self._servers[3].sockets[0].getsockname()[1])
+
     async def start(self) -> None:
         """Listen, and begin to follow the log."""
         await self._listen(
@@ -230,6 +239,8 @@
                 lambda connection: RecordsResponder(connection, replicas),
             ),
         )
+        if self.config.operations is not None:
+            await self._listen_for_operators(self.config.operations)
         link = await DatagramLink.open(
             self.config.peers.host, self.config.peers.port, self._take_hints
         )
@@ -274,6 +285,20 @@
         await drain.wait_until_empty(self.listener_state)
         await self.stop()
 
+    async def _listen_for_operators(self, address: Address) -> None:
+        state = GatewayState(
+            self.context, self._tables, self._list_peers, lambda: len(self.homes)
+        )
+        await self._listen(
+            address,
+            lambda: CallerConnection(
+                self._readiness_state,
+                lambda connection: OperationsResponder(
+                    connection, state, self.context.metrics, self.context.explanations
+                ),
+            ),
+        )
+
     async def _listen(
         self, address: Address, build: Callable[[], CallerConnection]
     ) -> None:
--- /dev/null
+++ b/src/ramppin/process/operations.py
@@ -0,0 +1,162 @@
+"""What operators may ask one gateway process: metrics, state, explanations.
+
+No key of a caller is in any answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+from ramppin.process.context import GatewayContext
+from ramppin.process.explanations import Explanations
+from ramppin.process.gatewaymetrics import GatewayMetrics
+from ramppin.process.peerrecords import FollowedTable
+
+METRICS_TARGET = b"/metrics"
+DUMP_TARGET = b"/dump"
+EXPLAIN_PREFIX = b"/explain/"
+FOREVER_S = 999_999.0
+
+
+class GatewayState:
+    """Gathers the state of a process.
+
+    Args:
+        context: what exchanges share.
+        tables: the replicas and what keeps them current.
+        list_peers: returns the addresses of peers.
+        count_homes: returns how many prefixes have a known server.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        tables: tuple[FollowedTable, ...],
+        list_peers: Callable[[], list[str]],
+        count_homes: Callable[[], int],
+    ) -> None:
+        self._context = context
+        self._tables = tables
+        self._list_peers = list_peers
+        self._count_homes = count_homes
+
+    def build_dump(self, now: float) -> dict[str, object]:
+        """Return the state, ready for JSON; times are ages in seconds."""
+        context = self._context
+        return {
+            "version": context.version,
+            "stopping": context.drain is not None,
+            "in_flight": context.in_flight,
+            "tables": {
+                table.replica.name: {
+                    "position": table.replica.position,
+                    "records": len(table.replica),
+                    "age_s": _measure_age(now, table.replica.confirmed_at),
+                    "log_up": table.follower.reachable,
+                }
+                for table in self._tables
+            },
+            "servers": [
+                {
+                    "id": state.id,
+                    "service": state.server.service,
+                    "failure_domain": state.server.failure_domain,
+                    "open": state.open,
+                    "in_flight": state.in_flight,
+                    "load": state.estimate_load(now),
+                    "report_age_s": _shorten(state.measure_report_age(now)),
+                    "failure_rate": round(state.health.failure_rate, 2),
+                    "aside": state.health.is_aside(now),
+                }
+                for state in context.directory
+            ],
+            "peers": self._list_peers(),
+            "prefix_homes": self._count_homes(),
+            "connections_opened": context.pool.opened,
+        }
+
+    def update(self, metrics: GatewayMetrics, now: float) -> None:
+        """Set the gauges."""
+        context = self._context
+        metrics.in_flight.set(context.in_flight)
+        metrics.version.set(context.version)
+        metrics.homes.set(self._count_homes())
+        metrics.connections_opened.set(context.pool.opened)
+        for table in self._tables:
+            name = table.replica.name
+            age = _measure_age(now, table.replica.confirmed_at)
+            metrics.record_age_seconds.labels(name).set(age)
+            metrics.log_up.labels(name).set(table.follower.reachable)
+        for service in context.directory.list_services():
+            states = context.directory.list_open(service)
+            aside = sum(state.health.is_aside(now) for state in states)
+            metrics.open_servers.labels(service).set(len(states))
+            metrics.servers_aside.labels(service).set(aside)
+
+
+class OperationsResponder(Responder):
+    """Answers operators.
+
+    Args:
+        connection: the operator's connection.
+        state: gathers the state.
+        metrics: the process's metrics.
+        explanations: the decisions of the last requests.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        state: GatewayState,
+        metrics: GatewayMetrics,
+        explanations: Explanations,
+    ) -> None:
+        self._connection = connection
+        self._state = state
+        self._metrics = metrics
+        self._explanations = explanations
+
+    def accept_request(self, request: CallerRequest) -> None:
+        """Answer at once."""
+        now = asyncio.get_running_loop().time()
+        if request.target == METRICS_TARGET:
+            self._state.update(self._metrics, now)
+            self._send(generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
+        elif request.target == DUMP_TARGET:
+            self._send_json(self._state.build_dump(now))
+        elif request.target.startswith(EXPLAIN_PREFIX):
+            request_id = request.target[len(EXPLAIN_PREFIX) :].decode("latin-1")
+            found = self._explanations.find(request_id)
+            self._send_json({"request_id": request_id, "decisions": found})
+        else:
+            self._connection.send_whole(404, [], b"")
+
+    def accept_leave(self) -> None:
+        """Nothing is in flight here."""
+
+    def accept_flow(self, *, paused: bool) -> None:
+        """Answers here are small."""
+
+    def _send_json(self, value: object) -> None:
+        self._send(json.dumps(value).encode(), "application/json")
+
+    def _send(self, body: bytes, content_type: str) -> None:
+        headers = [(b"Content-Type", content_type.encode())]
+        self._connection.send_whole(200, headers, body)
+
+
+def _measure_age(now: float, moment: float) -> float:
+    return _shorten(now - moment)
+
+
+def _shorten(seconds: float) -> float:
+    return round(min(FOREVER_S, seconds), 2)
--- a/src/ramppin/request/attempt.py
+++ b/src/ramppin/request/attempt.py
@@ -52,6 +52,7 @@
         answer: a whole answer that was not passed on.
         last_event_id: the last event that the caller got.
         message: what was wrong.
+        first_byte_at: the loop's time at which the caller got the first byte.
     """
 
     end: AttemptEnd
@@ -60,6 +61,7 @@
     answer: tuple[AnswerHead, bytes] | None = None
     last_event_id: bytes | None = None
     message: str = ""
+    first_byte_at: float | None = None
 
 
 class Attempt(AnswerReceiver):
@@ -100,6 +102,7 @@
         self._held: list[bytes] = []
         self._held_size = 0
         self._passing = False
+        self._first_byte_at: float | None = None
         self.started: bool = previous.started if previous else False
         self._events: EventSplitter | None = None
         if resumable:
@@ -201,6 +204,7 @@
         if self._passing:
             self._caller.end_stream()
         else:
+            self._first_byte_at = self._loop.time()
             headers = keep_end_to_end(head.headers, _LENGTH)
             self._caller.send_whole(head.status, headers, b"".join(self._held))
         self._state.health.note_outcome(Outcome.ANSWERED, self._loop.time())
@@ -229,6 +233,7 @@
         self._passing = True
         if not self.started:
             self.started = True
+            self._first_byte_at = self._loop.time()
             headers = keep_end_to_end(head.headers, _LENGTH)
             length = None if self._events is not None else head.length
             self._caller.start_stream(head.status, headers, length)
@@ -294,6 +299,7 @@
                 answer=answer,
                 last_event_id=events.last_id if events else None,
                 message=message,
+                first_byte_at=self._first_byte_at,
             )
         )
 
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -237,6 +237,7 @@
             result = await self._try(admission, selection, builder)
             self._log_attempt(admission, selection, result)
             if result.end is AttemptEnd.DELIVERED or self._left:
+                self._count(admission.service, 0 if self._left else result.status)
                 return
             if result.last_event_id is not None:
                 builder.resume_after(result.last_event_id)
@@ -328,8 +329,10 @@
     def _conclude(self, admission: Admission, result: AttemptResult) -> None:
         """Give the final answer after an attempt that is not followed by another."""
         if result.started:
+            self._count(admission.service, result.status)
             self._connection.break_off()
         elif result.answer is not None and self._runs:
+            self._count(admission.service, result.status)
             head, body = result.answer
             self._answer(head.status, keep_end_to_end(head.headers, _LENGTH), body)
         else:
@@ -339,6 +342,7 @@
         if self._left:
             return
         if last is not None and last.started:
+            self._count(admission.service, last.status)
             self._connection.break_off()
             return
         headers: Headers = []
@@ -349,17 +353,24 @@
             status = 504
         else:
             status = 502
-        self._context.decisions.note(
-            "given_up",
-            request_id=self._request_id.decode("latin-1"),
-            route=admission.route.name,
-            status=status,
-            tries=self._tries,
-            runs=self._runs,
-            open_servers=len(self._context.directory.list_open(admission.service)),
-        )
+        fields: dict[str, object] = {
+            "request_id": self._request_id.decode("latin-1"),
+            "route": admission.route.name,
+            "version": admission.table.version,
+            "status": status,
+            "tries": self._tries,
+            "runs": self._runs,
+            "open_servers": len(self._context.directory.list_open(admission.service)),
+            "servers_age_s": self._context.measure_servers_age(self._loop.time()),
+        }
+        self._context.decisions.note("given_up", **fields)
+        self._context.explanations.add(self._request_id.decode("latin-1"), fields)
+        self._count(admission.service, status)
         self._answer(status, headers)
 
+    def _count(self, service: str, status: int) -> None:
+        self._context.metrics.requests.labels(service, str(status)).inc()
+
     def _answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         names = self._context.names
         if self._request_id and find_header(headers, names.request_id) is None:
@@ -384,7 +395,14 @@
             "message": result.message,
             "took_ms": round((self._loop.time() - self._request.arrived) * 1000),
         }
-        decisions = self._context.decisions
+        context = self._context
+        decisions = context.decisions
+        metrics = context.metrics
+        metrics.attempts.labels(admission.service, result.end.value).inc()
+        if result.first_byte_at is not None:
+            taken = result.first_byte_at - self._request.arrived
+            metrics.first_byte_seconds.labels(admission.service).observe(taken)
+        context.explanations.add(self._request_id.decode("latin-1"), fields)
         if result.end is AttemptEnd.DELIVERED:
             decisions.note_answered(**fields)
         else:
