--- a/features/gateway/records.feature
+++ b/features/gateway/records.feature
@@ -40,6 +40,11 @@
     When the log forgets its history and one entry is gone from it
     Then requests to "/once/" reach only the other soon
 
+  Scenario: homes of prefixes outlast the loss of every VM
+    Given 50 prefixes placed through the gateway, and a snapshot written
+    When every VM is lost and a new one starts
+    Then the new one knows the same 50 homes
+
   Scenario: nothing is served before there are settings
     Given a second gateway whose log is away
     Then it is not ready, and refuses with when to come back
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -186,6 +186,7 @@
     settings: TableStandIn = field(default_factory=TableStandIn)
     servers: TableStandIn = field(default_factory=TableStandIn)
     members: TableStandIn = field(default_factory=TableStandIn)
+    homes: TableStandIn = field(default_factory=TableStandIn)
     gateway: Gateway | None = None
     callers: list[RawCaller] = field(default_factory=list)
     drain_times: DrainTimes = field(default_factory=DrainTimes)
@@ -219,6 +220,7 @@
             settings_source=self.settings,
             server_source=self.servers,
             member_log=self.members,
+            home_log=self.homes,
             decoder=TreeDecoder(),
             decisions=DecisionLog(self.vm, descriptor=self._log),
         )
--- a/features/steps/gateway_record_steps.py
+++ b/features/steps/gateway_record_steps.py
@@ -230,3 +230,40 @@
 def step_second_version(context, version):
     gateway = context.second.gateway
     run(context, wait_for(lambda: gateway.context.version == version, "in force"))
+
+
+@given("{count:d} prefixes placed through the gateway, and a snapshot written")
+def step_place(context, count):
+    async def place():
+        gateway = context.fixture.gateway
+        loop = asyncio.get_running_loop()
+        context.placed = {}
+        for key in range(1, count + 1):
+            server = "p1" if key % 3 else "p2"
+            gateway.homes.note_placed(key, server, loop.time())
+            context.placed[key] = server
+        await gateway._home_snapshots._write()
+        assert context.fixture.homes.end == 1
+
+    run(context, place())
+
+
+@when("every VM is lost and a new one starts")
+def step_lose_all(context):
+    async def lose():
+        first = context.fixture
+        await first.gateway.stop()
+        second = GatewayFixture(vm="vm-2", host="127.0.0.2")
+        second.settings, second.servers = first.settings, first.servers
+        second.members, second.homes = first.members, first.homes
+        context.cleanups.append(second.stop)
+        context.second = await second.start()
+
+    run(context, lose())
+
+
+@then("the new one knows the same {count:d} homes")
+def step_same_homes(context, count):
+    homes = context.second.gateway.homes
+    run(context, wait_for(lambda: len(homes) == count, "the homes were read"))
+    assert {key: homes.find(key) for key in context.placed} == context.placed
--- a/src/ramppin/process/fleet.py
+++ b/src/ramppin/process/fleet.py
@@ -93,6 +93,14 @@
             chosen.append(member.host)
         return chosen
 
+    def list_live(self, now: float) -> list[str]:
+        """Return the names of VMs that were heard of late."""
+        return [
+            member.vm
+            for member in self._members.values()
+            if now - member.heard_at <= SILENT_AFTER_S
+        ]
+
     def list_heard_first(self) -> list[Member]:
         """Return all members, those heard last first."""
         return sorted(self._members.values(), key=lambda m: m.heard_at, reverse=True)
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -25,6 +25,7 @@
 from ramppin.process.fleet import FleetMembers, announce
 from ramppin.process.follower import Follower
 from ramppin.process.hints import HintExchange
+from ramppin.process.homesnapshot import HomeSnapshots
 from ramppin.process.operations import GatewayState, OperationsResponder
 from ramppin.process.peerrecords import FollowedTable, PeerReader, RecordsResponder
 from ramppin.process.prefixhomes import PrefixHomes
@@ -103,6 +104,7 @@
         settings_source: table that holds the routing settings.
         server_source: table of the backend servers.
         member_log: table of the fleet's own VMs.
+        home_log: table of the snapshot of prefixes' homes.
         decoder: turns records into models.
         decisions: where decision lines go.
 
@@ -116,6 +118,7 @@
         settings_source: RecordSource,
         server_source: RecordSource,
         member_log: RecordLog,
+        home_log: RecordLog,
         decoder: RecordDecoder,
         decisions: DecisionLog,
     ) -> None:
@@ -156,6 +159,13 @@
             generator=generator,
         )
         self._member_log = member_log
+        self._home_snapshots = HomeSnapshots(
+            config.vm,
+            home_log,
+            self.members,
+            self.homes,
+            lambda: self.servers.started,
+        )
         members = Replica("members", self._take_member)
         self._member_follower = Follower(
             members,
@@ -253,6 +263,7 @@
             self._member_follower.run(),
             announce(self._member_log, self.config.vm, self.config.peers.host),
             self._hints.run(),
+            self._home_snapshots.run(),
             self._peer_reader.run(),
             self._sweep(),
         ):
--- /dev/null
+++ b/src/ramppin/process/homesnapshot.py
@@ -0,0 +1,123 @@
+"""A snapshot of the homes of prefixes in the shared log.
+
+VMs keep nothing, and all of them may lose power together. One VM of the fleet
+writes what it knows every few seconds; a VM that starts reads it once. A snapshot
+is a hint like any other, so it needs no lease: if two VMs write, the last one
+counts, and what is out of date is put right by the VMs' own hints.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from ramppin.connection.datagrams import HomeHint
+from ramppin.errors import LogUnavailableError
+from ramppin.process.fleet import FleetMembers
+from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
+from ramppin.process.sources import RecordLog
+from ramppin.request.ranking import rank_vms
+
+LOG = logging.getLogger(__name__)
+
+SNAPSHOT_KEY = "homes"
+SNAPSHOT_PERIOD_S = 3.0
+MAX_SNAPSHOT_HOMES = 5_000
+"""Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
+
+LOAD_RETRY_S = 0.2
+LOAD_ATTEMPTS = 10
+
+
+class HomeSnapshot(msgspec.Struct, array_like=True, frozen=True):
+    """What one VM knew when it wrote."""
+
+    vm: str
+    homes: list[HomeHint]
+
+
+class HomeSnapshots:
+    """Writes and reads snapshots.
+
+    Args:
+        vm: this VM's name.
+        log: the table that holds the snapshot.
+        members: the other VMs.
+        homes: where prefixes are.
+        has_servers: tells whether the backend servers are known.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        log: RecordLog,
+        members: FleetMembers,
+        homes: PrefixHomes,
+        has_servers: Callable[[], bool],
+    ) -> None:
+        self._vm = vm
+        self._log = log
+        self._members = members
+        self._homes = homes
+        self._has_servers = has_servers
+        self._written_changes = 0
+
+    async def run(self) -> None:
+        """Load the snapshot, then write it in turn until cancelled."""
+        await self._load()
+        self._written_changes = self._homes.changes
+        while True:
+            await asyncio.sleep(SNAPSHOT_PERIOD_S)
+            if self._homes.changes != self._written_changes and self._is_writer():
+                await self._write()
+
+    async def _load(self) -> None:
+        for _ in range(LOAD_ATTEMPTS):
+            if self._has_servers():
+                try:
+                    batch = await self._log.read_newest()
+                except LogUnavailableError as error:
+                    LOG.warning("no snapshot: %s", error, extra={"step": "homes"})
+                else:
+                    for record in batch.records:
+                        if record.key == SNAPSHOT_KEY and record.value is not None:
+                            self._take(record.value)
+                    return
+            await asyncio.sleep(LOAD_RETRY_S)
+
+    def _take(self, value: bytes) -> None:
+        try:
+            snapshot = msgspec.msgpack.decode(value, type=HomeSnapshot)
+        except msgspec.MsgspecError as error:
+            LOG.warning("unreadable snapshot: %s", error, extra={"step": "homes"})
+            return
+        now = asyncio.get_running_loop().time()
+        for hint in snapshot.homes:
+            # The writer's age is a lower limit; it is older by now.
+            age_s = hint.age_ms / 1000 + SNAPSHOT_PERIOD_S
+            self._homes.take_notice(HomeNotice(hint.key, hint.server, age_s), now)
+
+    def _is_writer(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        live = [self._vm, *self._members.list_live(now)]
+        return rank_vms(SNAPSHOT_KEY, live)[0] == self._vm
+
+    async def _write(self) -> None:
+        now = asyncio.get_running_loop().time()
+        changes = self._homes.changes
+        homes = [
+            HomeHint(notice.key, notice.server, int(notice.age_s * 1000))
+            for notice in self._homes.list_newest(now, MAX_SNAPSHOT_HOMES)
+        ]
+        value = msgspec.msgpack.encode(HomeSnapshot(self._vm, homes))
+        try:
+            await self._log.append(SNAPSHOT_KEY, value)
+        except LogUnavailableError as error:
+            LOG.warning("no snapshot written: %s", error, extra={"step": "homes"})
+        else:
+            self._written_changes = changes
--- a/src/ramppin/process/prefixhomes.py
+++ b/src/ramppin/process/prefixhomes.py
@@ -67,6 +67,7 @@
         self._young: dict[int, Home] = {}
         self._old: dict[int, Home] = {}
         self._notices: dict[int, Home] = {}
+        self.changes = 0
 
     def __len__(self) -> int:
         return len(self._young) + len(self._old)
@@ -123,6 +124,15 @@
             if (home := self._notices.pop(key))
         ]
 
+    def list_newest(self, now: float, limit: int) -> list[HomeNotice]:
+        """Return the usable homes that were placed or told last."""
+        found = [*reversed(self._young.items()), *reversed(self._old.items())]
+        return [
+            HomeNotice(key, home.server, max(0.0, now - home.made_at))
+            for key, home in found[:limit]
+            if self._is_usable(home.server)
+        ]
+
     def _find(self, key: int) -> Home | None:
         home = self._young.get(key)
         if home is None and key in self._old:
@@ -132,6 +142,9 @@
 
     def _put(self, key: int, home: Home) -> None:
         self._old.pop(key, None)
+        known = self._young.get(key)
+        if known is None or known.server != home.server:
+            self.changes += 1
         self._young[key] = home
         if len(self._young) >= self._keep:
             self._old = self._young
