ramppin gateway: the gateway as a program, with tables in a file

Cause: the transparent path could be run through the platform's adapter only. Conclusion: the product's own interface serves without the platform.

--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -20,9 +20,19 @@
 from ramppin.connection.operator import OperatorClient
 from ramppin.errors import RamppinError
 from ramppin.process.config import RouterConfig, load_config
+from ramppin.process.decisions import DecisionLog
+from ramppin.process.filetables import (
+    ROUTING_PART,
+    SERVERS_PART,
+    FileTable,
+    LocalTable,
+)
+from ramppin.process.gateway import Gateway
+from ramppin.process.gatewayconfig import GatewayFile, load_gateway_file
 from ramppin.process.logs import start_logging
 from ramppin.process.router import Router
 from ramppin.version.document import read_document, validate_document
+from ramppin.version.routingfile import TreeDecoder
 from ramppin.version.schema import SettingsTree
 
 EXIT_CODES = (
@@ -79,6 +89,23 @@
             _exit(error)
 
 
+@app.command()
+def gateway(
+    settings: Annotated[Path, typer.Option(help="The gateway's own settings file.")],
+    caller_port: Annotated[int | None, typer.Option(help="Port for callers.")] = None,
+    log_level: Annotated[str, typer.Option(help="DEBUG to ERROR.")] = "INFO",
+) -> None:
+    """Run one gateway, which passes HTTP through, until SIGTERM."""
+    match load_gateway_file(settings):
+        case Success(found):
+            if caller_port is not None:
+                found = found.model_copy(update={"caller_port": caller_port})
+            start_logging(found.vm, log_level)
+            asyncio.run(_run_gateway(found))
+        case Failure(error):
+            _exit(error)
+
+
 @app.command()
 def demo(
     port: Annotated[
@@ -228,6 +255,30 @@
     await process.stopped.wait()
 
 
+async def _run_gateway(found: GatewayFile) -> None:
+    process = Gateway(
+        found.build_config(),
+        settings_source=FileTable(found.tables, ROUTING_PART),
+        server_source=FileTable(found.tables, SERVERS_PART),
+        member_log=LocalTable(),
+        home_log=LocalTable(),
+        decoder=TreeDecoder(),
+        decisions=DecisionLog(found.vm),
+    )
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, process.start_drain)
+    loop.add_signal_handler(
+        signal.SIGINT, lambda: asyncio.ensure_future(process.stop())
+    )
+    await process.start()
+    typer.echo(
+        f"listening callers={process.caller_port} "
+        f"readiness={process.readiness_port} operations={process.operations_port}",
+        err=True,
+    )
+    await process.stopped.wait()
+
+
 def _ask(work: Coroutine[Any, Any, dict[str, Any]]) -> dict[str, Any]:
     try:
         return asyncio.run(work)
--- /dev/null
+++ b/src/ramppin/process/filetables.py
@@ -0,0 +1,133 @@
+"""Tables in a file of JSON with comments, for a gateway without a shared log.
+
+The file is read again when it changes. Its parts::
+
+    {
+      "routing": {...},           // see ramppin.version.routingfile
+      "backend_servers": {"id": {"service": ..., "address": "IP:PORT"}}
+    }
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from ramppin.errors import LogUnavailableError
+from ramppin.process.replica import Record
+from ramppin.process.sources import RecordBatch, RecordLog, RecordSource
+from ramppin.version.document import read_document
+
+POLL_S = 0.2
+ROUTING_PART = "routing"
+SERVERS_PART = "backend_servers"
+SETTINGS_KEY = "settings"
+
+
+class FileTable(RecordSource):
+    """One part of a file, as a table.
+
+    Offsets count the changes that this process has seen.
+
+    Args:
+        path: the file.
+        part: ``"routing"`` for one record, ``"backend_servers"`` for one a server.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, path: Path, part: str) -> None:
+        self._path = path
+        self._part = part
+        self._changed_at = -1
+        self._known: dict[str, bytes] = {}
+        self._position = 0
+
+    async def read_newest(self) -> RecordBatch:
+        """Return all entries."""
+        await asyncio.sleep(0)
+        self._changed_at = self._measure_change()
+        self._known = self._read()
+        return self._number({**self._known})
+
+    async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
+        """Return the entries that changed; wait for a change."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while True:
+            changed_at = self._measure_change()
+            if changed_at != self._changed_at:
+                self._changed_at = changed_at
+                return self._compare(self._read())
+            if loop.time() >= deadline:
+                return RecordBatch((), self._position)
+            await asyncio.sleep(POLL_S)
+
+    def _compare(self, found: dict[str, bytes]) -> RecordBatch:
+        changes: dict[str, bytes | None] = {
+            key: value for key, value in found.items() if self._known.get(key) != value
+        }
+        changes |= dict.fromkeys(self._known.keys() - found.keys())
+        self._known = found
+        return self._number(changes)
+
+    def _number(self, changes: Mapping[str, bytes | None]) -> RecordBatch:
+        records = []
+        for key, value in changes.items():
+            records.append(Record(key, value, self._position))
+            self._position += 1
+        return RecordBatch(tuple(records), self._position)
+
+    def _measure_change(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError as error:
+            raise LogUnavailableError(
+                str(error), step="read", peer=str(self._path)
+            ) from error
+
+    def _read(self) -> dict[str, bytes]:
+        match read_document(self._path):
+            case Success(document):
+                part = document.get(self._part, {})
+            case Failure(error):
+                raise LogUnavailableError(
+                    error.show(), step="read", peer=str(self._path)
+                )
+        if self._part == ROUTING_PART:
+            return {SETTINGS_KEY: json.dumps(part).encode()}
+        if not isinstance(part, dict):
+            raise LogUnavailableError(
+                f"{self._part}: an object is needed", step="read", peer=str(self._path)
+            )
+        return {key: json.dumps(value).encode() for key, value in part.items()}
+
+
+class LocalTable(RecordLog):
+    """A table that only this process sees.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self) -> None:
+        self._records: list[Record] = []
+
+    async def append(self, key: str, value: bytes) -> None:
+        """Write a record."""
+        await asyncio.sleep(0)
+        self._records.append(Record(key, value, len(self._records)))
+
+    async def read_newest(self) -> RecordBatch:
+        """Return the newest record of each key."""
+        await asyncio.sleep(0)
+        newest = {record.key: record for record in self._records}
+        return RecordBatch(tuple(newest.values()), len(self._records))
+
+    async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
+        """Return what follows a position after the wait."""
+        await asyncio.sleep(wait_s)
+        return RecordBatch(tuple(self._records[position:]), len(self._records))
