Relays: few VMs read the shared log, and pass records on compressed

Ruled out: the machine's processor (a few ms a version); loss of the record (it came 3 s late); reading the newest only (base64 makes it a third larger). Change: with five or more live VMs in a failure domain the two strongest read the log; the others wait at one of them, which sends the newest of each key, compressed. An answer older than 1.6 s, or none, sends a VM to the log for 5 s.

--- /dev/null
+++ b/features/gateway/relays.feature
@@ -0,0 +1,37 @@
+Feature: few VMs read the log and pass on what they read
+
+  Scenario Outline: relays of a failure domain: <vms>
+    Then with the VMs "<vms>" the relays of "a1" are "<relays>"
+
+    Examples:
+      | vms                           | relays |
+      | a1 a2 a3 a4                   |        |
+      | a1 a2 a3 a4 b1 b2             |        |
+      | a1 a2 a3 a4*9 a5*5            | a4 a5  |
+      | a1*7 a2 a3*8 a4 a5            | a3 a1  |
+      | a1 a2 a3 a4 a5*9:silent       |        |
+      | a1 a2 a3 a4*4 a5*3 a6:silent  | a4 a5  |
+
+  Scenario: a VM reads from a relay, and not from the log
+    Given a gateway before two plain servers
+    And a table read through that gateway as its relay
+    When version 7 is published
+    Then the table soon gives version 7 without a read of the log
+
+  Scenario: only the newest of many versions crosses the link, compressed
+    Given a gateway before two plain servers
+    And a table read through that gateway as its relay
+    When 40 large versions are published
+    Then one read of the table gives the last one alone in under 6000 bytes
+
+  Scenario Outline: a relay that can't be trusted is passed over: <trouble>
+    Given a gateway before two plain servers
+    And a table read through that gateway as its relay
+    When the relay is "<trouble>"
+    Then a read of the table comes from the log
+
+    Examples:
+      | trouble |
+      | gone    |
+      | old     |
+      | behind  |
--- /dev/null
+++ b/features/steps/gateway_relay_steps.py
@@ -0,0 +1,140 @@
+"""Steps: VMs that read the log for others."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import given, then, when
+
+from features.gateway_support import build_tree
+from ramppin.process.fleet import Member
+from ramppin.process.relays import RelayedSource, choose_relays
+from standins.common import wait_for
+from standins.tables import TableStandIn
+
+NOW = 100.0
+LIVE_S = 6.0
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def read_vm(text: str) -> Member:
+    """Read ``NAME[*WEIGHT][:silent]``; the letter is the failure domain."""
+    name, _, silent = text.partition(":")
+    name, _, weight = name.partition("*")
+    heard_at = NOW - 60 if silent else NOW
+    return Member(name, name, heard_at, name[0], float(weight or 1))
+
+
+def check_relays(vms: str, name: str, relays: list[str]) -> None:
+    members = {member.vm: member for member in map(read_vm, vms.split())}
+    own = members.pop(name)
+    found = choose_relays(own, list(members.values()), NOW, LIVE_S)
+    assert [member.vm for member in found] == relays, found
+
+
+@then('with the VMs "{vms}" the relays of "{name}" are "{relays}"')
+def step_relays(context, vms, name, relays):
+    check_relays(vms, name, relays.split())
+
+
+@then('with the VMs "{vms}" the relays of "{name}" are ""')
+def step_no_relays(context, vms, name):
+    check_relays(vms, name, [])
+
+
+@given("a table read through that gateway as its relay")
+def step_table(context):
+    relay = Member("vm-1", "127.0.0.1", 0.0)
+    context.direct = TableStandIn()
+    context.relayed = RelayedSource(
+        "settings",
+        "vm-2",
+        context.direct,
+        context.fixture.gateway.records_port,
+        lambda: [relay],
+    )
+
+    def close():
+        if context.relayed._fetcher is not None:
+            context.relayed._fetcher.close()
+        return asyncio.sleep(0)
+
+    context.cleanups.append(close)
+
+
+@then("the table soon gives version {version:d} without a read of the log")
+def step_gives(context, version):
+    async def read():
+        batch = await context.relayed.read_after(0, wait_s=0.5)
+        found = [json.loads(record.value)["version"] for record in batch.records]
+        return found == [version]
+
+    run(context, wait_for(read, "the version came"))
+    assert context.direct.reads == 0
+
+
+@when("{count:d} large versions are published")
+def step_large(context, count):
+    hosts = {
+        f"h{number}.example": {"routes": {"/a/": {"service": "plain"}}}
+        for number in range(300)
+    }
+    for version in range(10, 10 + count):
+        context.fixture.publish(build_tree(version, hosts=hosts))
+    end = context.fixture.settings.end
+    gateway = context.fixture.gateway
+    run(context, wait_for(lambda: gateway.settings.position == end, "all read"))
+    context.last_version = 10 + count - 1
+
+
+@then("one read of the table gives the last one alone in under {limit:d} bytes")
+def step_last_alone(context, limit):
+    async def read():
+        fetcher = context.relayed._open(Member("vm-1", "127.0.0.1", 0.0))
+        sizes = []
+        post = fetcher.post
+
+        async def measure(*arguments, **options):
+            answer = await post(*arguments, **options)
+            sizes.append(len(answer.body))
+            return answer
+
+        fetcher.post = measure
+        batch = await context.relayed.read_after(0, wait_s=0.1)
+        return batch, sizes
+
+    batch, sizes = run(context, read())
+    [record] = batch.records
+    assert json.loads(record.value)["version"] == context.last_version
+    assert len(sizes) == 1
+    assert sizes[0] < limit, sizes
+
+
+@when('the relay is "{trouble}"')
+def step_trouble(context, trouble):
+    async def make():
+        gateway = context.fixture.gateway
+        if trouble == "gone":
+            await gateway.stop()
+        elif trouble == "old":
+            context.fixture.settings.away = True
+            follower = gateway._settings_follower
+            await wait_for(lambda: not follower.reachable, "the relay lost the log")
+            gateway.settings.confirmed_at -= 10.0
+
+    run(context, make())
+    context.position = 1_000 if trouble == "behind" else 0
+    for number in range(context.position + 1):
+        context.direct.put("settings", json.dumps(build_tree(number + 1)).encode())
+
+
+@then("a read of the table comes from the log")
+def step_from_log(context):
+    batch = run(context, context.relayed.read_after(context.position, wait_s=0.1))
+    assert context.direct.reads == 1
+    assert batch.position == context.direct.end
+    assert batch.age_s == 0.0
--- a/features/steps/planned_steps.py
+++ b/features/steps/planned_steps.py
@@ -54,9 +54,11 @@
     context.codes = []
 
     async def replace(name: str, new: str) -> None:
-        # The balancer sees that the VM is not ready and sends nothing more.
+        # The balancer sends nothing to a VM that is not ready, at either end.
+        context.load.avoid = context.load.avoid | {new}
         await deployment.start_router(new)
         await wait_for(lambda: is_ready(deployment, new), "the new VM ready")
+        context.load.avoid = context.load.avoid - {new}
         deployment.terminate(name)
         context.load.avoid = context.load.avoid | {name}
         context.codes.append(await deployment.wait_for_exit(name))
--- a/src/ramppin/process/fleet.py
+++ b/src/ramppin/process/fleet.py
@@ -22,9 +22,11 @@
 
 
 class MemberRecord(msgspec.Struct):
-    """A VM's entry: where its peers reach it."""
+    """A VM's entry: where its peers reach it, and how strong it is."""
 
     host: str
+    failure_domain: str = ""
+    weight: float = 1.0
 
 
 @dataclass(slots=True)
@@ -35,12 +37,16 @@
         vm: its name.
         host: its IP address.
         heard_at: the loop's time of its last message, or of its entry.
+        failure_domain: where it stands.
+        weight: how strong it is; the strongest read the log for others.
         tried_at: the loop's time at which it was last sent something.
     """
 
     vm: str
     host: str
     heard_at: float
+    failure_domain: str = ""
+    weight: float = 1.0
     tried_at: float = float("-inf")
 
 
@@ -72,7 +78,9 @@
         except msgspec.MsgspecError as error:
             LOG.warning("unreadable entry: %s", error, extra={"peer": record.key})
             return
-        self._members[record.key] = Member(record.key, entry.host, now)
+        self._members[record.key] = Member(
+            record.key, entry.host, now, entry.failure_domain, entry.weight
+        )
 
     def note_heard(self, vm: str, host: str, now: float) -> bool:
         """Note a message; return whether the sender is a known VM."""
@@ -106,12 +114,13 @@
         return sorted(self._members.values(), key=lambda m: m.heard_at, reverse=True)
 
 
-async def announce(log: RecordLog, vm: str, host: str) -> None:
+async def announce(log: RecordLog, own: Member) -> None:
     """Write this VM's entry into the shared log; try until it is there."""
-    value = msgspec.json.encode(MemberRecord(host))
+    entry = MemberRecord(own.host, own.failure_domain, own.weight)
+    value = msgspec.json.encode(entry)
     while True:
         try:
-            await log.append(vm, value)
+            await log.append(own.vm, value)
         except LogUnavailableError as error:
             LOG.warning("not announced: %s", error, extra={"step": "announce"})
             await asyncio.sleep(ANNOUNCE_RETRY_S)
--- a/src/ramppin/process/follower.py
+++ b/src/ramppin/process/follower.py
@@ -83,7 +83,8 @@
         # After an outage the first answer must come at once, not after a wait.
         wait_s = self._wait_s if self._reachable else 0.0
         batch = await self._source.read_after(self._replica.position, wait_s=wait_s)
-        self._replica.apply(batch.records, batch.position, asked_at)
+        as_of = asked_at - batch.age_s
+        self._replica.apply(batch.records, batch.position, as_of)
 
     async def _back_off(self) -> None:
         await asyncio.sleep(self._backoff_s * self._generator.uniform(0.7, 1.3))
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -22,7 +22,12 @@
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
 from ramppin.process.drain import Drain, DrainTimes
-from ramppin.process.fleet import FleetMembers, announce
+from ramppin.process.fleet import (
+    SILENT_AFTER_S,
+    FleetMembers,
+    Member,
+    announce,
+)
 from ramppin.process.follower import Follower
 from ramppin.process.hints import HintExchange
 from ramppin.process.homesnapshot import HomeSnapshots
@@ -30,6 +35,7 @@
 from ramppin.process.peerrecords import FollowedTable, PeerReader, RecordsResponder
 from ramppin.process.prefixhomes import PrefixHomes
 from ramppin.process.readiness import ReadinessResponder
+from ramppin.process.relays import RelayChoice, RelayedSource
 from ramppin.process.replica import Record, Replica
 from ramppin.process.selection import NearestSelection, PrefixSelection
 from ramppin.process.sources import RecordDecoder, RecordLog, RecordSource
@@ -71,6 +77,7 @@
         names: names of headers.
         ready_path: path of the readiness question.
         settings_key: key of the record that holds the routing settings.
+        weight: how strong this VM is among those of the fleet.
         server_pace_s: time between two reads of the backend servers' table.
         settings_wait_s: longest wait of one read of the settings' table.
         retry_rules: the fleet's budget of retries, and this VM's part.
@@ -89,6 +96,7 @@
     names: HeaderNames = field(default_factory=HeaderNames)
     ready_path: bytes = b"/ready"
     settings_key: str = "settings"
+    weight: float = 1.0
     server_pace_s: float = 0.5
     settings_wait_s: float = 2.0
     retry_rules: RetryRules = field(default_factory=RetryRules)
@@ -144,16 +152,27 @@
         self.settings = Replica("settings", self._take_settings)
         self.servers = Replica("servers", self._take_server)
         self.context.servers_confirmed_at = lambda: self.servers.confirmed_at
+        self._own = Member(
+            config.vm, config.peers.host, 0.0, config.failure_domain, config.weight
+        )
+        relays = RelayChoice(self._own, self.members, SILENT_AFTER_S)
+
+        def relay(replica: Replica, source: RecordSource) -> RelayedSource:
+            port = config.records.port
+            return RelayedSource(
+                replica.name, config.vm, source, port, relays.list_relays
+            )
+
         self._settings_follower = Follower(
             self.settings,
-            settings_source,
+            relay(self.settings, settings_source),
             pace_s=0.05,
             wait_s=config.settings_wait_s,
             generator=generator,
         )
         self._server_follower = Follower(
             self.servers,
-            server_source,
+            relay(self.servers, server_source),
             pace_s=config.server_pace_s,
             wait_s=SERVER_WAIT_S,
             generator=generator,
@@ -261,7 +280,7 @@
             self._settings_follower.run(),
             self._server_follower.run(),
             self._member_follower.run(),
-            announce(self._member_log, self.config.vm, self.config.peers.host),
+            announce(self._member_log, self._own),
             self._hints.run(),
             self._home_snapshots.run(),
             self._peer_reader.run(),
--- a/src/ramppin/process/peerrecords.py
+++ b/src/ramppin/process/peerrecords.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import random
+import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -61,10 +62,12 @@
     Attributes:
         vm: who asks.
         positions: by table, the offset from which records are wanted.
+        wait_ms: how long to wait while there are none.
     """
 
     vm: str
     positions: dict[str, int]
+    wait_ms: int = 0
 
 
 class PeerAnswer(msgspec.Struct, array_like=True, frozen=True):
@@ -76,6 +79,42 @@
 _QUESTION = msgspec.msgpack.Decoder(PeerQuestion)
 _ANSWER = msgspec.msgpack.Decoder(PeerAnswer)
 
+MAX_WAIT_MS = 2_000
+COMPRESS_ABOVE_BYTES = 2_000
+COMPRESSION_LEVEL = 1
+PLAIN_MARK = b"p"
+COMPRESSED_MARK = b"z"
+
+
+def encode_question(question: PeerQuestion) -> bytes:
+    """Return a question's bytes."""
+    return msgspec.msgpack.encode(question)
+
+
+def encode_answer(answer: PeerAnswer) -> bytes:
+    """Return an answer's bytes; a large one is compressed."""
+    data = msgspec.msgpack.encode(answer)
+    if len(data) <= COMPRESS_ABOVE_BYTES:
+        return PLAIN_MARK + data
+    return COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def decode_answer(data: bytes, peer: str) -> PeerAnswer:
+    """Return an answer.
+
+    Raises:
+        LogUnavailableError: the bytes are none.
+    """
+    try:
+        packed = data[1:]
+        if data[:1] == COMPRESSED_MARK:
+            packed = zlib.decompress(packed)
+        return _ANSWER.decode(packed)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise LogUnavailableError(
+            f"unreadable answer: {error}", step="records", peer=peer
+        ) from error
+
 
 class RecordsResponder(Responder):
     """Answers peers' questions.
@@ -103,7 +142,40 @@
         except msgspec.MsgspecError:
             self._connection.send_whole(400, [], b"")
             return
-        self._connection.send_whole(200, [], self._build_answer(question))
+        if question.wait_ms > 0 and not self._has_news(question):
+            self._wait(question)
+        else:
+            self._connection.send_whole(200, [], self._build_answer(question))
+
+    def _has_news(self, question: PeerQuestion) -> bool:
+        for name, position in question.positions.items():
+            replica = self._replicas.get(name)
+            if replica is not None and replica.position > position:
+                return True
+        return False
+
+    def _wait(self, question: PeerQuestion) -> None:
+        """Answer once a table has moved, or the wait is over."""
+        loop = asyncio.get_running_loop()
+        answered = False
+
+        def answer() -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                timer.cancel()
+                self._connection.send_whole(200, [], self._build_answer(question))
+
+        def answer_soon() -> None:
+            # Later in the loop: the records are applied by then.
+            loop.call_soon(answer)
+
+        wait_s = min(question.wait_ms, MAX_WAIT_MS) / 1000
+        timer = loop.call_later(wait_s, answer)
+        for name in question.positions:
+            replica = self._replicas.get(name)
+            if replica is not None:
+                replica.call_when_advanced(answer_soon)
 
     def accept_leave(self) -> None:
         """Nothing is in flight here."""
@@ -124,7 +196,7 @@
                 for record in replica.list_since(position)
             ]
             tables[name] = TableState(replica.position, age_ms, records)
-        return msgspec.msgpack.encode(PeerAnswer(tables))
+        return encode_answer(PeerAnswer(tables))
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,15 +260,15 @@
     async def _ask(self, host: str, stale: list[FollowedTable]) -> None:
         loop = asyncio.get_running_loop()
         positions = {table.replica.name: table.replica.position for table in stale}
-        question = msgspec.msgpack.encode(PeerQuestion(self._vm, positions))
+        question = encode_question(PeerQuestion(self._vm, positions))
         asked_at = loop.time()
         fetcher = Fetcher(host, self._port, host)
         try:
             answer = await fetcher.post(
                 RECORDS_TARGET, question, timeout_s=ASK_TIMEOUT_S
             )
-            tables = _ANSWER.decode(answer.body).tables
-        except (LogUnavailableError, msgspec.MsgspecError) as error:
+            tables = decode_answer(answer.body, host).tables
+        except LogUnavailableError as error:
             LOG.debug("no records: %s", error, extra={"peer": host})
             return
         finally:
--- /dev/null
+++ b/src/ramppin/process/relays.py
@@ -0,0 +1,175 @@
+"""Few VMs read the shared log, and pass what they read on to the others.
+
+Each call to the log has a price, and a large record is slow over a small link. In
+a failure domain with many VMs the two strongest read the log; the others wait for
+records at one of these, which sends only the newest of each key, compressed. An
+answer that is too old, or none, sends a VM to the log itself for a while: a VM
+never depends on another to learn what the log would tell it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ramppin.connection.fetch import Fetcher
+from ramppin.errors import LogUnavailableError
+from ramppin.process.fleet import FleetMembers, Member
+from ramppin.process.peerrecords import (
+    RECORDS_TARGET,
+    PeerQuestion,
+    TableState,
+    decode_answer,
+    encode_question,
+)
+from ramppin.process.replica import Record
+from ramppin.process.sources import RecordBatch, RecordSource
+from ramppin.request.ranking import hash_name, mix
+
+MIN_VMS = 5
+"""VMs of a failure domain from which on relays are used."""
+
+RELAYS = 2
+RELAY_WAIT_S = 0.4
+"""A relay's own reads wait at most this long, so that it knows its age."""
+
+MAX_AGE_S = 1.6
+"""Age past which a relay's answer is not taken."""
+
+AVOID_S = 5.0
+"""Time for which the log is read directly after a relay failed."""
+
+CALL_TIMEOUT_S = 0.8
+
+
+def choose_relays(
+    own: Member, members: list[Member], now: float, live_s: float
+) -> list[Member]:
+    """Return the VMs of the own failure domain that read the log for the others.
+
+    Args:
+        own: this VM.
+        members: the other VMs.
+        now: the loop's time.
+        live_s: time since its last message for which a VM counts as live.
+
+    Returns:
+        The relays, or an empty list where every VM reads for itself.
+    """
+    near = [own] + [
+        member
+        for member in members
+        if member.failure_domain == own.failure_domain
+        and now - member.heard_at <= live_s
+    ]
+    if len(near) < MIN_VMS:
+        return []
+    key = hash_name(f"relay of {own.failure_domain}")
+    near.sort(key=lambda vm: (-vm.weight, mix(key, hash_name(vm.vm))))
+    return near[:RELAYS]
+
+
+class RelayedSource(RecordSource):
+    """A table that is read through relays where there are any.
+
+    Args:
+        name: the table's name.
+        vm: this VM's name.
+        direct: the table in the shared log.
+        port: the port on which relays answer.
+        list_relays: returns the relays of this VM.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        name: str,
+        vm: str,
+        direct: RecordSource,
+        port: int,
+        list_relays: Callable[[], list[Member]],
+    ) -> None:
+        self._name = name
+        self._vm = vm
+        self._direct = direct
+        self._port = port
+        self._list_relays = list_relays
+        self._avoid_until = float("-inf")
+        self._fetcher: Fetcher | None = None
+        self._fetcher_vm = ""
+
+    async def read_newest(self) -> RecordBatch:
+        """Return the newest record of each key, from the log itself."""
+        return await self._direct.read_newest()
+
+    async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
+        """Return what follows a position, from a relay if there is one."""
+        relays = self._list_relays()
+        if any(relay.vm == self._vm for relay in relays):
+            wait_s = min(wait_s, RELAY_WAIT_S)
+            return await self._direct.read_after(position, wait_s=wait_s)
+        now = asyncio.get_running_loop().time()
+        if not relays or now < self._avoid_until:
+            return await self._direct.read_after(position, wait_s=wait_s)
+        relay = relays[hash_name(self._vm) % len(relays)]
+        try:
+            return await self._ask(relay, position, wait_s)
+        except LogUnavailableError:
+            self._avoid_until = now + AVOID_S
+            return await self._direct.read_after(position, wait_s=0.0)
+
+    async def _ask(self, relay: Member, position: int, wait_s: float) -> RecordBatch:
+        fetcher = self._open(relay)
+        question = PeerQuestion(self._vm, {self._name: position}, int(wait_s * 1000))
+        answer = await fetcher.post(
+            RECORDS_TARGET,
+            encode_question(question),
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+        state = decode_answer(answer.body, relay.host).tables.get(self._name)
+        self._check(state, position, relay)
+        assert state is not None
+        records = tuple(Record(r.key, r.value, r.offset) for r in state.records)
+        return RecordBatch(records, state.position, state.age_ms / 1000)
+
+    def _check(self, state: TableState | None, position: int, relay: Member) -> None:
+        if state is None or state.position < position:
+            problem = "the relay is behind"
+        elif state.age_ms / 1000 > MAX_AGE_S:
+            problem = f"the relay's knowledge is {state.age_ms / 1000:.1f} s old"
+        else:
+            return
+        raise LogUnavailableError(problem, step="relay", peer=relay.vm)
+
+    def _open(self, relay: Member) -> Fetcher:
+        if self._fetcher is None or self._fetcher_vm != relay.vm:
+            if self._fetcher is not None:
+                self._fetcher.close()
+            self._fetcher = Fetcher(relay.host, self._port, relay.vm)
+            self._fetcher_vm = relay.vm
+        return self._fetcher
+
+
+class RelayChoice:
+    """The relays of this VM, as its list of members tells.
+
+    Args:
+        own: this VM.
+        members: the other VMs.
+        live_s: time since its last message for which a VM counts as live.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, own: Member, members: FleetMembers, live_s: float) -> None:
+        self._own = own
+        self._members = members
+        self._live_s = live_s
+
+    def list_relays(self) -> list[Member]:
+        """Return the relays now."""
+        now = asyncio.get_running_loop().time()
+        return choose_relays(
+            self._own, self._members.list_heard_first(), now, self._live_s
+        )
--- a/src/ramppin/process/replica.py
+++ b/src/ramppin/process/replica.py
@@ -42,6 +42,7 @@
         self.confirmed_at = float("-inf")
         self._on_change = on_change
         self._records: dict[str, Record] = {}
+        self._waiting: list[Callable[[], None]] = []
 
     def __len__(self) -> int:
         return sum(record.value is not None for record in self._records.values())
@@ -61,7 +62,9 @@
         """
         for record in records:
             self._put(record)
-        self.position = max(self.position, position)
+        if position > self.position:
+            self.position = position
+            self._wake()
         self.confirmed_at = max(self.confirmed_at, as_of)
 
     def replace(self, records: Iterable[Record], position: int, as_of: float) -> None:
@@ -77,6 +80,15 @@
         found = [r for r in self._records.values() if r.offset >= offset]
         return sorted(found, key=lambda record: record.offset)
 
+    def call_when_advanced(self, callback: Callable[[], None]) -> None:
+        """Call back once when the position next moves."""
+        self._waiting.append(callback)
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for callback in waiting:
+            callback()
+
     def _put(self, record: Record) -> None:
         known = self._records.get(record.key)
         if known is not None and known.offset >= record.offset:
--- a/src/ramppin/process/sources.py
+++ b/src/ramppin/process/sources.py
@@ -29,10 +29,12 @@
     Attributes:
         records: in the log's order.
         position: offset after the last record that the read covers.
+        age_s: how long ago that was the log's end; 0 if read from the log itself.
     """
 
     records: tuple[Record, ...]
     position: int
+    age_s: float = 0.0
 
 
 class RecordSource(ABC):
