Split the gateway into tables, admission and listeners; heed a changed settings file

Change: GatewayTables, GatewaySources, GatewayConfig, admission in modules of their own; FileWatch and Gateway.reload for budgets and drain times; the adapter is type checked. Conclusion: behaviour unchanged but for the reload.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	mkdir -p build/types && ln -sfn ../../platform build/types/ramppin_platform
+	MYPYPATH=src:build/types $(BIN)/mypy --package ramppin_platform
 
 suite: $(STAMP)
 	$(BIN)/python -m features.suite
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -12,7 +12,9 @@
 from ramppin.connection.httpwire import HeaderNames
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.drain import DrainTimes
-from ramppin.process.gateway import Address, Gateway, GatewayConfig
+from ramppin.process.gateway import Gateway
+from ramppin.process.gatewayconfig import Address, GatewayConfig
+from ramppin.process.tables import GatewaySources
 from ramppin.version.routingfile import TreeDecoder
 from standins.backend import BackendStandIn
 from standins.common import wait_for
@@ -215,15 +217,15 @@
             drain_times=self.drain_times,
             seed=1,
         )
-        self.gateway = Gateway(
-            config,
-            settings_source=self.settings,
-            server_source=self.servers,
-            member_log=self.members,
-            home_log=self.homes,
+        sources = GatewaySources(
+            settings=self.settings,
+            servers=self.servers,
+            members=self.members,
+            homes=self.homes,
             decoder=TreeDecoder(),
-            decisions=DecisionLog(self.vm, descriptor=self._log),
         )
+        decisions = DecisionLog(self.vm, descriptor=self._log)
+        self.gateway = Gateway(config, sources, decisions)
         await self.gateway.start()
         return self
 
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -80,3 +80,19 @@
 
   Scenario: the platform's names stand in the adapter alone
     Then no file of the product, its stand-ins or its bench holds a name of the platform
+
+  Scenario Outline: a changed settings file is heeded <how>
+    Given the platform with a plain server and a gateway process
+    When the settings file says grace_s 3 and the process <how>
+    Then the log soon tells "drain_limit_s":2.5
+
+    Examples:
+      | how            |
+      | gets SIGHUP    |
+      | gets no signal |
+
+  Scenario: a settings file that became unusable changes nothing
+    Given the platform with a plain server and a gateway process
+    When the settings file says grace_s soon and the process gets SIGHUP
+    Then the log soon tells bounds.grace_s
+    And requests with the key "k1" are still answered 200
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -272,15 +272,29 @@
         path = Path(self.scratch.name) / f"{vm}.conf"
         path.write_text("".join(f"{name}={v}\n" for name, v in fields.items()))
         self.ports[vm] = frontend
+        log = os.open(self.find_log(vm), os.O_WRONLY | os.O_CREAT)
         self.processes[vm] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "ramppin_platform",
             env=os.environ | {"RAMPPIN_SETTINGS": str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
         )
+        os.close(log)
         await wait_for(lambda: self.is_ready(host, readiness), f"{vm} is ready")
 
+    def find_log(self, vm: str) -> Path:
+        """Return the file that holds what a gateway writes."""
+        return Path(self.scratch.name) / f"{vm}.log"
+
+    def change_settings(self, vm: str, name: str, value: str) -> None:
+        """Change one field of a gateway's settings file."""
+        path = Path(self.scratch.name) / f"{vm}.conf"
+        lines = path.read_text().splitlines()
+        kept = [line for line in lines if not line.startswith(f"{name}=")]
+        path.write_text("\n".join([*kept, f"{name}={value}"]) + "\n")
+
     async def is_ready(self, host: str, port: int) -> bool:
         try:
             reader, writer = await asyncio.open_connection(host, port)
--- a/features/steps/gateway_record_steps.py
+++ b/features/steps/gateway_record_steps.py
@@ -72,7 +72,9 @@
     async def check():
         fixture = context.fixture
         end = fixture.settings.end
-        await wait_for(lambda: fixture.gateway.settings.position == end, "all read")
+        await wait_for(
+            lambda: fixture.gateway.tables.settings.position == end, "all read"
+        )
         assert fixture.gateway.context.version == version
 
     run(context, check())
@@ -133,12 +135,14 @@
         fixture = context.fixture
         for table in (fixture.servers, fixture.settings):
             table.away = True
-        follower = fixture.gateway._server_follower
+        follower = fixture.gateway.tables.server_follower
         await wait_for(lambda: not follower.reachable, "the log is away")
         fixture.servers.put("p1", None)
         fixture.servers.away = False
         end = fixture.servers.end
-        await wait_for(lambda: fixture.gateway.servers.position == end, "it was read")
+        await wait_for(
+            lambda: fixture.gateway.tables.servers.position == end, "it was read"
+        )
 
     run(context, lapse())
 
@@ -158,7 +162,7 @@
     async def away():
         fixture = context.fixture
         fixture.servers.away = fixture.settings.away = True
-        follower = fixture.gateway._server_follower
+        follower = fixture.gateway.tables.server_follower
         await wait_for(lambda: not follower.reachable, "the log is away")
 
     run(context, away())
@@ -242,7 +246,7 @@
             server = "p1" if key % 3 else "p2"
             gateway.homes.note_placed(key, server, loop.time())
             context.placed[key] = server
-        await gateway._home_snapshots._write()
+        await gateway.tables.snapshots._write()
         assert context.fixture.homes.end == 1
 
     run(context, place())
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -87,7 +87,7 @@
         context.fixture.publish(build_tree(version, hosts=hosts))
     end = context.fixture.settings.end
     gateway = context.fixture.gateway
-    run(context, wait_for(lambda: gateway.settings.position == end, "all read"))
+    run(context, wait_for(lambda: gateway.tables.settings.position == end, "all read"))
     context.last_version = 10 + count - 1
 
 
@@ -122,9 +122,9 @@
             await gateway.stop()
         elif trouble == "old":
             context.fixture.settings.away = True
-            follower = gateway._settings_follower
+            follower = gateway.tables.settings_follower
             await wait_for(lambda: not follower.reachable, "the relay lost the log")
-            gateway.settings.confirmed_at -= 10.0
+            gateway.tables.settings.confirmed_at -= 10.0
 
     run(context, make())
     context.position = 1_000 if trouble == "behind" else 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -208,6 +208,19 @@
     context.platform.processes["vm-1"].send_signal(signal.SIGHUP)
 
 
+@when("the settings file says grace_s {value:w} and the process gets {signals}")
+def step_change_settings(context, value, signals):
+    context.platform.change_settings("vm-1", "bounds.grace_s", value)
+    if signals == "SIGHUP":
+        context.platform.processes["vm-1"].send_signal(signal.SIGHUP)
+
+
+@then("the log soon tells {text}")
+def step_log(context, text):
+    path = context.platform.find_log("vm-1")
+    run(context, wait_for(lambda: text in path.read_text(), f"{text} in the log"))
+
+
 GOOD_FIELDS = {
     "node_name": "vm",
     "ip": "127.0.0.1",
--- a/src/ramppin/__init__.py
+++ b/src/ramppin/__init__.py
@@ -28,7 +28,8 @@
     from ramppin.process.claims import ClaimTable, HeldClaims
     from ramppin.process.config import RouterConfig, load_config
     from ramppin.process.directory import ServerDirectory
-    from ramppin.process.gateway import Gateway, GatewayConfig
+    from ramppin.process.gateway import Gateway
+    from ramppin.process.gatewayconfig import GatewayConfig
     from ramppin.process.homes import Homes
     from ramppin.process.leases import LeaseHolder, LeaseTable
     from ramppin.process.load import Member, compute_cap
@@ -37,6 +38,7 @@
     from ramppin.process.retries import RetryWindow
     from ramppin.process.router import Router
     from ramppin.process.selection import PrefixSelection
+    from ramppin.process.tables import GatewaySources
     from ramppin.request.identity import hash_chat, hash_opening
     from ramppin.request.outcome import Outcome
     from ramppin.request.placement import Grant, PlaceId, PlaceRequest, Reason, Refusal
@@ -54,7 +56,8 @@
     "ConflictError": "ramppin.errors",
     "FairQueue": "ramppin.process.queue",
     "Gateway": "ramppin.process.gateway",
-    "GatewayConfig": "ramppin.process.gateway",
+    "GatewayConfig": "ramppin.process.gatewayconfig",
+    "GatewaySources": "ramppin.process.tables",
     "Grant": "ramppin.request.placement",
     "HeldClaims": "ramppin.process.claims",
     "Homes": "ramppin.process.homes",
@@ -101,6 +104,7 @@
     "FairQueue",
     "Gateway",
     "GatewayConfig",
+    "GatewaySources",
     "Grant",
     "HeldClaims",
     "Homes",
--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -28,9 +28,10 @@
     LocalTable,
 )
 from ramppin.process.gateway import Gateway
-from ramppin.process.gatewayconfig import GatewayFile, load_gateway_file
+from ramppin.process.gatewayfile import GatewayFile, load_gateway_file
 from ramppin.process.logs import start_logging
 from ramppin.process.router import Router
+from ramppin.process.tables import GatewaySources
 from ramppin.version.document import read_document, validate_document
 from ramppin.version.routingfile import TreeDecoder
 from ramppin.version.schema import SettingsTree
@@ -256,15 +257,14 @@
 
 
 async def _run_gateway(found: GatewayFile) -> None:
-    process = Gateway(
-        found.build_config(),
-        settings_source=FileTable(found.tables, ROUTING_PART),
-        server_source=FileTable(found.tables, SERVERS_PART),
-        member_log=LocalTable(),
-        home_log=LocalTable(),
+    sources = GatewaySources(
+        settings=FileTable(found.tables, ROUTING_PART),
+        servers=FileTable(found.tables, SERVERS_PART),
+        members=LocalTable(),
+        homes=LocalTable(),
         decoder=TreeDecoder(),
-        decisions=DecisionLog(found.vm),
     )
+    process = Gateway(found.build_config(), sources, DecisionLog(found.vm))
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, process.start_drain)
     loop.add_signal_handler(
--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ramppin.connection.callerwire import ListenerState
 from ramppin.connection.httpwire import HeaderNames
 from ramppin.connection.upstream import ConnectionPool
 from ramppin.process.decisions import DecisionLog
@@ -55,6 +56,7 @@
         prefix_selection: for routes whose servers cache prompts.
         plain_selection: for all others.
         generator: random numbers.
+        listener: what callers' connections share.
         metrics: of the process.
         explanations: the decisions of the last requests.
         retry_rules: the budget of retries.
@@ -73,6 +75,7 @@
     prefix_selection: PrefixSelection
     plain_selection: NearestSelection
     generator: random.Random
+    listener: ListenerState = field(default_factory=ListenerState)
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     explanations: Explanations = field(default_factory=Explanations)
     retry_rules: RetryRules = field(default_factory=RetryRules)
--- a/src/ramppin/process/gatewayconfig.py
+++ b/src/ramppin/process/gatewayconfig.py
@@ -1,73 +1,60 @@
-"""The settings of one gateway process in ramppin's own words.
-
-Read from a file of JSON with comments; see examples/gateway.jsonc.
-"""
+"""What one gateway VM must know to start, checked by whoever read it."""
 
 from __future__ import annotations
 
-from pathlib import Path
-from typing import Annotated
+from dataclasses import dataclass, field
+
+from ramppin.connection.httpwire import HeaderNames
+from ramppin.process.context import RetryRules
+from ramppin.process.drain import DrainTimes
 
-from pydantic import BaseModel, ConfigDict, Field
-from returns.result import Result
 
-from ramppin.errors import SettingsError
-from ramppin.process.gateway import Address, GatewayConfig
-from ramppin.version.document import read_document, validate_document
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and port to listen on; port 0 picks a free one."""
 
-Port = Annotated[int, Field(ge=0, le=65_535)]
+    host: str
+    port: int
 
 
-class GatewayFile(BaseModel):
-    """What a gateway must know to start.
+@dataclass(frozen=True, slots=True)
+class GatewayConfig:
+    """What one gateway VM must know to start.
 
     Attributes:
-        vm: the VM's name.
+        vm: its name.
         failure_domain: where it stands.
-        host: address of its listeners.
-        caller_port: for callers; 0 picks a free one.
-        readiness_port: for the balancer's question, ``GET /ready``.
-        operations_port: for metrics, state and explanations.
-        peer_port: for hints from other VMs.
-        records_port: for peers that lack the log.
-        tables: file that holds routing settings and backend servers, from the
-            folder of this file.
+        callers: address for callers.
+        readiness: address where the balancer asks whether it is ready.
+        peers: address for hints from other VMs; the same port on every VM.
+        records: address where peers ask for records; the same port on every VM.
+        operations: address for operators; None for no such listener.
+        seeds: addresses of some VMs of the fleet, which may be stale.
+        names: names of headers.
+        ready_path: path of the readiness question.
+        settings_key: key of the record that holds the routing settings.
+        weight: how strong this VM is among those of the fleet.
+        server_pace_s: time between two reads of the backend servers' table.
+        settings_wait_s: longest wait of one read of the settings' table.
+        retry_rules: the fleet's budget of retries, and this VM's part.
+        drain_times: how long a planned stop may take.
+        seed: of the random numbers.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
     vm: str
-    failure_domain: str = ""
-    host: str = "127.0.0.1"
-    caller_port: Port = 8080
-    readiness_port: Port = 0
-    operations_port: Port = 0
-    peer_port: Port = 0
-    records_port: Port = 0
-    tables: Path
-
-    def build_config(self) -> GatewayConfig:
-        """Return the gateway's configuration."""
-        return GatewayConfig(
-            vm=self.vm,
-            failure_domain=self.failure_domain,
-            callers=Address(self.host, self.caller_port),
-            readiness=Address(self.host, self.readiness_port),
-            peers=Address(self.host, self.peer_port),
-            records=Address(self.host, self.records_port),
-            operations=Address(self.host, self.operations_port),
-        )
-
-
-def load_gateway_file(path: Path) -> Result[GatewayFile, SettingsError]:
-    """Read a gateway's settings; a relative ``tables`` starts at their folder."""
-
-    def place(found: GatewayFile) -> GatewayFile:
-        tables = path.parent / found.tables
-        return found.model_copy(update={"tables": tables})
-
-    return (
-        read_document(path)
-        .bind(lambda document: validate_document(GatewayFile, document, str(path)))
-        .map(place)
-    )
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    records: Address
+    operations: Address | None = None
+    seeds: tuple[str, ...] = ()
+    names: HeaderNames = field(default_factory=HeaderNames)
+    ready_path: bytes = b"/ready"
+    settings_key: str = "settings"
+    weight: float = 1.0
+    server_pace_s: float = 0.5
+    settings_wait_s: float = 2.0
+    retry_rules: RetryRules = field(default_factory=RetryRules)
+    drain_times: DrainTimes = field(default_factory=DrainTimes)
+    seed: int | None = None
--- /dev/null
+++ b/src/ramppin/process/gatewayfile.py
@@ -0,0 +1,73 @@
+"""The settings of one gateway process in ramppin's own words.
+
+Read from a file of JSON with comments; see examples/gateway.jsonc.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+from returns.result import Result
+
+from ramppin.errors import SettingsError
+from ramppin.process.gatewayconfig import Address, GatewayConfig
+from ramppin.version.document import read_document, validate_document
+
+Port = Annotated[int, Field(ge=0, le=65_535)]
+
+
+class GatewayFile(BaseModel):
+    """What a gateway must know to start.
+
+    Attributes:
+        vm: the VM's name.
+        failure_domain: where it stands.
+        host: address of its listeners.
+        caller_port: for callers; 0 picks a free one.
+        readiness_port: for the balancer's question, ``GET /ready``.
+        operations_port: for metrics, state and explanations.
+        peer_port: for hints from other VMs.
+        records_port: for peers that lack the log.
+        tables: file that holds routing settings and backend servers, from the
+            folder of this file.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    vm: str
+    failure_domain: str = ""
+    host: str = "127.0.0.1"
+    caller_port: Port = 8080
+    readiness_port: Port = 0
+    operations_port: Port = 0
+    peer_port: Port = 0
+    records_port: Port = 0
+    tables: Path
+
+    def build_config(self) -> GatewayConfig:
+        """Return the gateway's configuration."""
+        return GatewayConfig(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            callers=Address(self.host, self.caller_port),
+            readiness=Address(self.host, self.readiness_port),
+            peers=Address(self.host, self.peer_port),
+            records=Address(self.host, self.records_port),
+            operations=Address(self.host, self.operations_port),
+        )
+
+
+def load_gateway_file(path: Path) -> Result[GatewayFile, SettingsError]:
+    """Read a gateway's settings; a relative ``tables`` starts at their folder."""
+
+    def place(found: GatewayFile) -> GatewayFile:
+        tables = path.parent / found.tables
+        return found.model_copy(update={"tables": tables})
+
+    return (
+        read_document(path)
+        .bind(lambda document: validate_document(GatewayFile, document, str(path)))
+        .map(place)
+    )
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -9,8 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from enum import Enum
 
 from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
 from ramppin.connection.httpwire import Headers, find_header, keep_end_to_end
@@ -19,10 +17,9 @@
 from ramppin.process.context import GatewayContext
 from ramppin.process.health import Outcome
 from ramppin.process.selection import Selection, SelectionRequest
+from ramppin.request.admission import Admission, Denial, admit
 from ramppin.request.attempt import Attempt, AttemptEnd, AttemptResult
-from ramppin.request.promptkey import hash_prefix
 from ramppin.request.upstreamhead import RequestHeadBuilder
-from ramppin.version.routing import Customer, Route, RoutingTable, choose_service
 
 MAX_TRIES = 4
 """Servers that one request may try, connections that failed included."""
@@ -37,37 +34,6 @@
 """Longest rest of a connection that carries what can't be repeated."""
 
 
-class Denial(Enum):
-    """Why a request is refused before any server is chosen."""
-
-    NO_SETTINGS = (503, "no settings yet")
-    NO_HOST = (400, "no host")
-    NO_ROUTE = (404, "no such route")
-    UNKNOWN_KEY = (401, "unknown key")
-    STOPPING = (503, "stopping")
-
-    @property
-    def status(self) -> int:
-        """The HTTP status."""
-        return int(self.value[0])
-
-    @property
-    def reason(self) -> str:
-        """A short text for the log."""
-        return str(self.value[1])
-
-
-@dataclass(frozen=True, slots=True)
-class Admission:
-    """What the settings say about an admitted request."""
-
-    table: RoutingTable
-    route: Route
-    customer: Customer | None
-    service: str
-    prefix_key: int | None
-
-
 class ExchangeResponder(Responder):
     """Runs the exchanges of one caller's connection, one after the other.
 
@@ -153,51 +119,16 @@
         context = self._context
         context.in_flight += 1
         try:
-            admitted = self._admit()
+            admitted = admit(context, self._request, self._loop.time())
             if isinstance(admitted, Denial):
                 self._deny(admitted)
                 return
-            self._ends_at = self._request.arrived + self._read_time_limit(
-                admitted.route
-            )
+            self._ends_at = self._request.arrived + admitted.time_limit_s
             context.note_request(admitted.service, self._loop.time())
             await self._serve(admitted)
         finally:
             context.in_flight -= 1
 
-    def _admit(self) -> Admission | Denial:
-        context, request = self._context, self._request
-        table = context.table
-        if table is None:
-            return Denial.NO_SETTINGS
-        host = request.find(b"host")
-        if host is None:
-            return Denial.NO_HOST
-        route = table.find_route(
-            host.decode("latin-1"), request.target.decode("latin-1")
-        )
-        if route is None:
-            return Denial.NO_ROUTE
-        drain = context.drain
-        if drain and not drain.may_take(
-            self._read_time_limit(route), self._loop.time()
-        ):
-            return Denial.STOPPING
-        customer = None
-        if table.customers:
-            key = request.find(context.names.api_key)
-            if key is not None:
-                customer = table.customers.get(key.decode("latin-1"))
-            if customer is None and not route.public:
-                return Denial.UNKNOWN_KEY
-        parts = request.find(context.names.prompt_parts)
-        prefix_key = hash_prefix(parts) if parts and route.keeps_prefix else None
-        point = context.generator.random()
-        if prefix_key is not None:
-            point = (prefix_key & 0xFFFFFFFF) / 2.0**32
-        service = choose_service(route.services, point)
-        return Admission(table, route, customer, service, prefix_key)
-
     def _deny(self, denial: Denial) -> None:
         headers: Headers = []
         if denial is Denial.NO_SETTINGS:
@@ -213,16 +144,6 @@
         )
         self._answer(denial.status, headers)
 
-    def _read_time_limit(self, route: Route) -> float:
-        limit = route.time_limit_s
-        told = self._request.find(self._context.names.deadline_ms)
-        if told is not None:
-            try:
-                limit = min(limit, float(told) / 1000)
-            except ValueError:
-                return limit
-        return limit
-
     async def _serve(self, admission: Admission) -> None:
         context = self._context
         builder = RequestHeadBuilder(
