--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -64,6 +64,7 @@
       | error then well        | /again/  | 200    | whole  | answer | 2    |
       | rejected               | /once/   | 503    | whole  |        | 4    |
       | rejected then well     | /once/   | 200    | whole  | answer | 2    |
+      | reset then rejected    | /again/  | 502    | whole  |        | 4    |
       | misdirected then well  | /once/   | 200    | whole  | answer | 2    |
       | silent                 | /brief/  | 504    | whole  |        | 1    |
 
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -132,6 +132,9 @@
     async def do_rejected_then_well(self, reply: Reply) -> None:
         await self._first(reply, self.do_rejected, self.do_well)
 
+    async def do_reset_then_rejected(self, reply: Reply) -> None:
+        await self._first(reply, self.do_reset, self.do_rejected)
+
     async def do_misdirected_then_well(self, reply: Reply) -> None:
         await self._first(reply, self._misdirect, self.do_well)
 
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -252,7 +252,7 @@
         if result.started:
             self._count(admission.service, result.status)
             self._connection.break_off()
-        elif result.answer is not None and self._runs:
+        elif result.answer is not None and result.end is AttemptEnd.FAILED:
             self._count(admission.service, result.status)
             head, body = result.answer
             self._answer(head.status, keep_end_to_end(head.headers, _LENGTH), body)
