A fault of the gateway's own ends its request at once

Cause: an exception in an exchange would have left its caller waiting (found by reading; no run showed one).

--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -92,6 +92,13 @@
       | rejected | tells         |
       | reset    | does not tell |
 
+  Scenario: a rejection after a run is no promise that nothing ran
+    Given backend servers that answer by "reset then rejected"
+    And a budget of 1 retry
+    When through the gateway a caller sends a request to "/again/"
+    Then the answer is 502
+    And the answer does not tell when to come back
+
   Scenario: a caller that leaves ends the work of its backend server
     Given backend servers that answer by "silent"
     When through the gateway a caller sends a request to "/once/" and leaves
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -12,6 +12,7 @@
     build_tree,
     encode_request,
 )
+from ramppin.process.context import RetryRules
 from ramppin.process.drain import DrainTimes
 from standins.backend import Reply
 from standins.common import wait_for
@@ -226,6 +227,12 @@
         backend.script = script
 
 
+@given("a budget of {count:d} retry")
+def step_budget(context, count):
+    rules = RetryRules(ratio=0.0, extra=count)
+    context.fixture.gateway.context.retry_rules = rules
+
+
 # requests
 
 
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -126,6 +126,10 @@
             self._ends_at = self._request.arrived + admitted.time_limit_s
             context.note_request(admitted.service, self._loop.time())
             await self._serve(admitted)
+        except Exception:
+            # Whatever went wrong here, the caller must not wait for an answer.
+            self._connection.break_off()
+            raise
         finally:
             context.in_flight -= 1
 
