--- a/src/ramppin/process/gatewayconfig.py
+++ b/src/ramppin/process/gatewayconfig.py
@@ -53,7 +53,7 @@
     ready_path: bytes = b"/ready"
     settings_key: str = "settings"
     weight: float = 1.0
-    server_pace_s: float = 0.5
+    server_pace_s: float = 0.8
     settings_wait_s: float = 2.0
     retry_rules: RetryRules = field(default_factory=RetryRules)
     drain_times: DrainTimes = field(default_factory=DrainTimes)
--- a/src/ramppin/process/homesnapshot.py
+++ b/src/ramppin/process/homesnapshot.py
@@ -24,12 +24,14 @@
 LOG = logging.getLogger(__name__)
 
 SNAPSHOT_KEY = "homes"
-SNAPSHOT_PERIOD_S = 3.0
+SNAPSHOT_PERIOD_S = 2.0
 MAX_SNAPSHOT_HOMES = 5_000
 """Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
 
 LOAD_RETRY_S = 0.2
 LOAD_ATTEMPTS = 10
+SERVER_CHECK_S = 0.03
+SERVER_CHECKS = 100
 
 
 class HomeSnapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -77,18 +79,28 @@
                 await self._write()
 
     async def _load(self) -> None:
-        for _ in range(LOAD_ATTEMPTS):
+        """Read the snapshot while the servers are read, and take it after them."""
+        value = await self._read()
+        for _ in range(SERVER_CHECKS):
             if self._has_servers():
-                try:
-                    batch = await self._log.read_newest()
-                except LogUnavailableError as error:
-                    LOG.warning("no snapshot: %s", error, extra={"step": "homes"})
-                else:
-                    for record in batch.records:
-                        if record.key == SNAPSHOT_KEY and record.value is not None:
-                            self._take(record.value)
-                    return
-            await asyncio.sleep(LOAD_RETRY_S)
+                break
+            await asyncio.sleep(SERVER_CHECK_S)
+        if value is not None:
+            self._take(value)
+
+    async def _read(self) -> bytes | None:
+        for _ in range(LOAD_ATTEMPTS):
+            try:
+                batch = await self._log.read_newest()
+            except LogUnavailableError as error:
+                LOG.warning("no snapshot: %s", error, extra={"step": "homes"})
+                await asyncio.sleep(LOAD_RETRY_S)
+                continue
+            for record in batch.records:
+                if record.key == SNAPSHOT_KEY:
+                    return record.value
+            return None
+        return None
 
     def _take(self, value: bytes) -> None:
         try:
