Holds of vanished servers end a fixed time after the log's return

Ruled out: late reads (the entry was read within 0.5 s), peers (the VM read the store). Change: a hold ends 2.2 s after the log's return, or after the entry vanished while the log is away. Also: gateways in tests take free ports and tell them in their first line. Three scenarios failed once: they and a soak beside them both used port 9464 on 127.0.0.1, and a gateway ended when it could not listen there; now it serves on without that listener. Stand-ins share one base (StreamServer); strategies share the choice of usable servers.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -77,5 +77,16 @@
       | sent silence                          | aside |
       | sent heard silence                    | in    |
 
+  Scenario Outline: an entry that vanishes <when>
+    Then an entry that vanishes at <now> after "<course>" is held until "<end>"
+
+    Examples:
+      | when                         | course                | now  | end   |
+      | without any outage           | up                    | 10.0 |       |
+      | while the log is away        | lost 8.0              | 10.0 | 12.2  |
+      | as the log comes back        | lost 8.0 regained 9.9 | 10.0 | 12.1  |
+      | long after it came back      | lost 2.0 regained 3.0 | 10.0 |       |
+      | just before the hold's end   | lost 2.0 regained 8.0 | 10.0 | 10.2  |
+
   Scenario: a replica never goes back
     Then a replica fed with generated batches keeps the newest of each key
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -22,6 +22,7 @@
 from ramppin_platform.vocabulary import HEADER_NAMES
 from standins.backend import BackendStandIn
 from standins.common import wait_for
+from standins.streams import StreamServer
 
 MAX_WAIT_S = 30.0
 
@@ -46,7 +47,7 @@
 
 
 @dataclass
-class StoreStandIn:
+class StoreStandIn(StreamServer):
     """Speaks the store's protocol for keyed topics.
 
     Attributes:
@@ -64,20 +65,6 @@
     calls: dict[str, int] = field(default_factory=dict)
     topics: dict[str, Topic] = field(default_factory=dict)
     newest: dict[str, dict[str, tuple[int, bytes]]] = field(default_factory=dict)
-    port: int = 0
-    _server: asyncio.Server | None = None
-    _tasks: set = field(default_factory=set)
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def put(self, topic: str, key: str, value: bytes | None) -> None:
         """Write a record as the operator and the backend servers do."""
@@ -100,27 +87,22 @@
             keys.pop(key, None)
         return offset
 
-    async def _serve(self, reader, writer) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        ended = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
-        with contextlib.suppress(*ended):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                method, target, _ = head.split(b"\r\n")[0].split(b" ")
-                length = 0
-                for line in head.lower().split(b"\r\n"):
-                    if line.startswith(b"content-length:"):
-                        length = int(line.partition(b":")[2])
-                body = await reader.readexactly(length)
-                status, answer = await self._answer(method, target.decode(), body)
-                writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
-                    % (status, len(answer), answer)
-                )
-                await writer.drain()
-        writer.close()
+    async def serve(self, reader, writer) -> None:
+        """Answer the calls of one connection."""
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            method, target, _ = head.split(b"\r\n")[0].split(b" ")
+            length = 0
+            for line in head.lower().split(b"\r\n"):
+                if line.startswith(b"content-length:"):
+                    length = int(line.partition(b":")[2])
+            body = await reader.readexactly(length)
+            status, answer = await self._answer(method, target.decode(), body)
+            writer.write(
+                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
+                % (status, len(answer), answer)
+            )
+            await writer.drain()
 
     async def _answer(self, method, target, body) -> tuple[int, bytes]:
         url = urlsplit(target)
@@ -217,6 +199,7 @@
     backends: dict[str, BackendStandIn] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
+    shared_ports: tuple[int, int] | None = None
     scratch: tempfile.TemporaryDirectory = field(
         default_factory=tempfile.TemporaryDirectory
     )
@@ -255,23 +238,25 @@
 
     async def start_gateway(self, vm: str, host: str) -> None:
         """Start a gateway process on a loopback address of its own."""
-        frontend, readiness, control, internal = find_free_ports(host, 4)
+        # Peers reach each other at the ports of the first; the rest are free ones.
+        records, peers = self.shared_ports or (0, 0)
         fields = {
             "node_name": vm,
             "ip": host,
             "zone": "porto",
             "unknown.field": "ignored",
-            "listen.frontend": f"{host}:{frontend}",
-            "listen.readiness": f"{host}:{readiness}",
-            "listen.control_plane": f"{host}:{control}",
-            "internal_port_range": f"{internal},{internal + 3}",
-            "seed_nodes": f"127.0.0.1:{control}",
+            "listen.frontend": f"{host}:0",
+            "listen.readiness": f"{host}:0",
+            "listen.control_plane": f"{host}:{records}",
+            "internal_port_range": f"{peers},{peers + 3}",
+            "operations_port": "0",
+            "seed_nodes": f"127.0.0.1:{records}",
             "bounds.grace_s": "6",
             "platform.address": f"127.0.0.1:{self.store.port}",
         }
         path = Path(self.scratch.name) / f"{vm}.conf"
         path.write_text("".join(f"{name}={v}\n" for name, v in fields.items()))
-        self.ports[vm] = frontend
+        self.find_log(vm).unlink(missing_ok=True)
         log = os.open(self.find_log(vm), os.O_WRONLY | os.O_CREAT)
         self.processes[vm] = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -282,8 +267,19 @@
             stderr=log,
         )
         os.close(log)
+        started = await wait_for(lambda: self.find_started(vm), f"{vm} has started")
+        self.ports[vm] = started["callers"]
+        self.shared_ports = started["records"], started["peers"]
+        readiness = started["readiness"]
         await wait_for(lambda: self.is_ready(host, readiness), f"{vm} is ready")
 
+    def find_started(self, vm: str) -> dict | None:
+        """Return the line that tells a gateway's ports, or None."""
+        for line in self.find_log(vm).read_text().splitlines():
+            if '"event":"started"' in line and line.endswith("}"):
+                return json.loads(line)
+        return None
+
     def find_log(self, vm: str) -> Path:
         """Return the file that holds what a gateway writes."""
         return Path(self.scratch.name) / f"{vm}.log"
@@ -330,16 +326,3 @@
     lines += [f"Api-Key: {key}", "Deadline-Ms: 4000", "Content-Length: 2"]
     lines += [f"{name.replace('_', '-')}: {v}" for name, v in headers.items()]
     return "\r\n".join(lines).encode() + b"\r\n\r\nhi"
-
-
-def find_free_ports(host: str, count: int) -> list[int]:
-    """Return ports that are free now; the gateway's settings name them ahead."""
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((host, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
--- a/features/proxy.py
+++ b/features/proxy.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from dataclasses import dataclass, field
 from enum import Enum
 
+from standins.streams import StreamServer
+
 DELAY_S = 0.15
 
 
@@ -21,7 +22,7 @@
 
 
 @dataclass
-class Proxy:
+class Proxy(StreamServer):
     """Passes connections on to a port.
 
     Attributes:
@@ -31,47 +32,27 @@
 
     target: int
     harm: Harm = Harm.NONE
-    port: int = 0
-    _server: asyncio.Server | None = None
-    _tasks: set = field(default_factory=set)
     _writers: set = field(default_factory=set)
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def reset_all(self) -> None:
         """Drop every connection."""
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def _serve(self, reader, writer) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        ended = (OSError, asyncio.CancelledError)
-        with contextlib.suppress(*ended):
-            far_reader, far_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target
+    async def serve(self, reader, writer) -> None:
+        """Pass one connection on."""
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        both = (writer, far_writer)
+        self._writers.update(both)
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, answers=False),
+                self._pump(far_reader, writer, answers=True),
             )
-            both = (writer, far_writer)
-            self._writers.update(both)
-            try:
-                await asyncio.gather(
-                    self._pump(reader, far_writer, answers=False),
-                    self._pump(far_reader, writer, answers=True),
-                )
-            finally:
-                self._writers.difference_update(both)
-                for one in both:
-                    one.transport.abort()
+        finally:
+            self._writers.difference_update(both)
+            for one in both:
+                one.transport.abort()
 
     async def _pump(self, reader, writer, *, answers: bool) -> None:
         while data := await reader.read(65536):
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import random
 
 from behave import then
 from hypothesis import given as generated
@@ -13,6 +14,7 @@
 from features.gateway_support import build_tree
 from ramppin.errors import SettingsError
 from ramppin.process.directory import BackendServer, ServerDirectory
+from ramppin.process.follower import Follower
 from ramppin.process.health import SILENCE_S, Outcome, ServerHealth
 from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
 from ramppin.process.replica import Record, Replica
@@ -20,6 +22,7 @@
 from ramppin.process.selection import PrefixSelection, SelectionRequest
 from ramppin.request.ranking import hash_name, mix
 from ramppin.version.routingfile import TreeDecoder
+from standins.tables import TableStandIn
 
 GENERATION = generation(max_examples=60, deadline=None, derandomize=True)
 
@@ -207,6 +210,39 @@
     assert health.is_aside(now) == (state == "aside")
 
 
+# outages
+
+
+def follow_course(course: str) -> Follower:
+    """Build a follower that lost and regained its source at the times named."""
+    replica = Replica("servers", lambda record: None)
+    follower = Follower(
+        replica, TableStandIn(), pace_s=0, wait_s=0, generator=random.Random(1)
+    )
+    words = course.split()
+    if "lost" in words:
+        follower._reachable = "regained" in words
+        follower.lost_at = float(words[words.index("lost") + 1])
+    if "regained" in words:
+        follower.regained_at = float(words[words.index("regained") + 1])
+    return follower
+
+
+def check_hold(course: str, now: float, end: float | None) -> None:
+    found = follow_course(course).find_hold_end(now, 2.2)
+    assert found == end or abs(found - end) < 1e-9, found
+
+
+@then('an entry that vanishes at {now:f} after "{course}" is held until "{end:f}"')
+def step_hold(context, now, course, end):
+    check_hold(course, now, end)
+
+
+@then('an entry that vanishes at {now:f} after "{course}" is held until ""')
+def step_no_hold(context, now, course):
+    check_hold(course, now, None)
+
+
 # replica
 
 
--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -243,11 +243,7 @@
 
 async def _run_router(config: RouterConfig) -> None:
     process = Router(config)
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, process.start_drain)
-    loop.add_signal_handler(
-        signal.SIGINT, lambda: asyncio.ensure_future(process.stop())
-    )
+    _handle_signals(process)
     await process.start()
     typer.echo(
         f"listening callers={process.callers.port} "
@@ -265,11 +261,7 @@
         decoder=TreeDecoder(),
     )
     process = Gateway(found.build_config(), sources, DecisionLog(found.vm))
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, process.start_drain)
-    loop.add_signal_handler(
-        signal.SIGINT, lambda: asyncio.ensure_future(process.stop())
-    )
+    _handle_signals(process)
     await process.start()
     typer.echo(
         f"listening callers={process.caller_port} "
@@ -279,6 +271,15 @@
     await process.stopped.wait()
 
 
+def _handle_signals(process: Router | Gateway) -> None:
+    """Let SIGTERM begin a planned stop, and SIGINT stop at once."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, process.start_drain)
+    loop.add_signal_handler(
+        signal.SIGINT, lambda: asyncio.ensure_future(process.stop())
+    )
+
+
 def _ask(work: Coroutine[Any, Any, dict[str, Any]]) -> dict[str, Any]:
     try:
         return asyncio.run(work)
--- a/src/ramppin/connection/datagrams.py
+++ b/src/ramppin/connection/datagrams.py
@@ -57,6 +57,12 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.sent = 0
 
+    @property
+    def port(self) -> int:
+        """The port of the link."""
+        assert self._transport is not None
+        return int(self._transport.get_extra_info("sockname")[1])
+
     @classmethod
     async def open(
         cls, host: str, port: int, take: Callable[[PeerHints, str], None]
--- a/src/ramppin/process/follower.py
+++ b/src/ramppin/process/follower.py
@@ -54,9 +54,24 @@
         """Whether the last read succeeded."""
         return self._reachable
 
-    def was_lost(self, now: float, within_s: float) -> bool:
-        """Return whether the source is away or came back a short while ago."""
-        return not self._reachable or now - self.regained_at < within_s
+    def find_hold_end(self, now: float, hold_s: float) -> float | None:
+        """Return until when an entry that vanishes now may only have lapsed.
+
+        Entries that lapsed while the source was away are back soon after its
+        return, so a hold ends a fixed time after the return, not after the entry
+        vanished: by then this VM is bound again by what the source says.
+
+        Args:
+            now: the loop's time.
+            hold_s: time after the return in which entries come back.
+
+        Returns:
+            The loop's time, or None if the source was not away of late.
+        """
+        if not self._reachable:
+            return now + hold_s
+        end = self.regained_at + hold_s
+        return end if now < end else None
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -107,17 +107,17 @@
         await self._listen("callers", config.callers, self._build_exchanges)
         await self._listen("readiness", config.readiness, self._build_readiness)
         await self._listen("records", config.records, self._build_records)
-        if config.operations is not None:
-            await self._listen("operations", config.operations, self._build_operations)
+        await self._listen_for_operators()
         link = await DatagramLink.open(
             config.peers.host, config.peers.port, self._take_hints
         )
         self._hints = HintExchange(
-            config.vm, link, config.peers.port, self.tables.members, self.homes
+            config.vm, link, link.port, self.tables.members, self.homes
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
             self._background.append(asyncio.create_task(work))
-        self.context.decisions.note("started", version=self.context.version)
+        ports = {name: self._find_port(name) for name in self._servers}
+        self.context.decisions.note("started", peers=link.port, **ports)
 
     def reload(self, config: GatewayConfig) -> None:
         """Take what may change while a gateway runs: budgets and drain times.
@@ -177,6 +177,16 @@
             backlog=LISTEN_BACKLOG,
         )
 
+    async def _listen_for_operators(self) -> None:
+        """Listen for operators; a gateway serves callers without them as well."""
+        address = self.config.operations
+        if address is None:
+            return
+        try:
+            await self._listen("operations", address, self._build_operations)
+        except OSError as error:
+            self.context.decisions.note("operations_unavailable", reason=str(error))
+
     def _find_port(self, name: str) -> int:
         return int(self._servers[name].sockets[0].getsockname()[1])
 
--- a/src/ramppin/process/selection.py
+++ b/src/ramppin/process/selection.py
@@ -78,7 +78,6 @@
 class SelectionStrategy(ABC):
     """Chooses a backend server for a request."""
 
-    @abstractmethod
     def choose(
         self, request: SelectionRequest, states: Sequence[ServerState], now: float
     ) -> Selection | None:
@@ -89,6 +88,27 @@
             states: the open servers of its service.
             now: the loop's time.
         """
+        usable = list_usable(states, request.exclude, now)
+        if not usable:
+            return None
+        return self._choose_among(request, usable, measure_loads(states, now), now)
+
+    @abstractmethod
+    def _choose_among(
+        self,
+        request: SelectionRequest,
+        usable: list[ServerState],
+        view: LoadView,
+        now: float,
+    ) -> Selection:
+        """Return the choice among usable servers; there is at least one.
+
+        Args:
+            request: what is known about the request.
+            usable: the servers to choose from.
+            view: the loads of all open servers.
+            now: the loop's time.
+        """
 
 
 class PrefixSelection(SelectionStrategy):
@@ -115,14 +135,14 @@
         self._slack = slack
         self._ranking = RendezvousRanking()
 
-    def choose(
-        self, request: SelectionRequest, states: Sequence[ServerState], now: float
-    ) -> Selection | None:
+    def _choose_among(
+        self,
+        request: SelectionRequest,
+        usable: list[ServerState],
+        view: LoadView,
+        now: float,
+    ) -> Selection:
         """Return the prefix's home, or the next server that is below the bound."""
-        usable = list_usable(states, request.exclude, now)
-        if not usable:
-            return None
-        view = measure_loads(states, now)
         bound = self._bound * view.mean + self._slack
         by_id = {state.id: state for state in usable}
         key = request.prefix_key if request.prefix_key is not None else 0
@@ -171,14 +191,14 @@
         self._margin = margin
         self._generator = generator
 
-    def choose(
-        self, request: SelectionRequest, states: Sequence[ServerState], now: float
-    ) -> Selection | None:
+    def _choose_among(
+        self,
+        request: SelectionRequest,
+        usable: list[ServerState],
+        view: LoadView,
+        now: float,
+    ) -> Selection:
         """Return the least loaded server, near ones before far ones."""
-        usable = list_usable(states, request.exclude, now)
-        if not usable:
-            return None
-        view = measure_loads(states, now)
         chosen = min(usable, key=lambda state: self._weigh(state, view))
         age = chosen.measure_report_age(now)
         return Selection(chosen, 0, view.loads[chosen.id], math.inf, age)
--- a/src/ramppin/process/tables.py
+++ b/src/ramppin/process/tables.py
@@ -29,8 +29,8 @@
 MEMBER_PACE_S = 1.0
 MEMBER_WAIT_S = 20.0
 PEERS_CONSIDERED = 6
-LAPSE_HOLD_S = 2.5
-"""Entries that vanish around an outage of the log may come back for so long."""
+LAPSE_HOLD_S = 2.2
+"""Entries that lapsed in an outage of the log are back this long after it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,7 +210,8 @@
     def _take_vanished(self, server_id: str) -> None:
         now = asyncio.get_running_loop().time()
         directory = self._context.directory
-        if self.server_follower.was_lost(now, LAPSE_HOLD_S):
-            directory.hold(server_id, now + LAPSE_HOLD_S)
+        hold_end = self.server_follower.find_hold_end(now, LAPSE_HOLD_S)
+        if hold_end is not None:
+            directory.hold(server_id, hold_end)
         else:
             directory.mark_missing(server_id, now)
