A stream that no other server can take up is cut, never answered anew

Cause: found by reading: after a stream broke and the next server could not be reached, the last result told nothing of what the caller had got, and a 502 was written into the middle of the stream. Ruled out: a rejection by the next server (it carries what was sent). Change: the exchange asks its last attempt whether an answer has begun; a connection that is amid an answer cuts it when it is given another.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -26,6 +26,12 @@
     Then the answer is 502 and whole
     And at most 2 requests were received
 
+  Scenario: a stream that no other server can take up is cut, never answered anew
+    Given backend servers that answer by "two events, reset"
+    And a server "m2" that is announced and does not listen
+    When through the gateway a caller sends 12 requests to "/resume/", one by one
+    Then each that began is cut after the events "1 2", whichever server came first
+
   Scenario: events go on as they come
     Given backend servers that answer by "events on demand"
     When a caller begins a stream on "/stream/"
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -233,6 +233,38 @@
     context.fixture.gateway.context.retry_rules = rules
 
 
+@given('a server "{server_id}" that is announced and does not listen')
+def step_not_listening(context, server_id):
+    run(context, context.fixture.backends[server_id].stop())
+
+
+@when('through the gateway a caller sends {count:d} requests to "{route}", one by one')
+def step_send_one_by_one(context, count, route):
+    async def send():
+        directory = context.fixture.gateway.context.directory
+        answers = []
+        for _ in range(count):
+            for state in directory:
+                state.health.aside_until = float("-inf")
+            answers.append(await context.fixture.ask(route))
+        return answers
+
+    context.answers = run(context, send())
+
+
+@then(
+    'each that began is cut after the events "{numbers}", whichever server came first'
+)
+def step_each_cut(context, numbers):
+    expected = b"".join(EVENTS[int(number) - 1] for number in numbers.split())
+    begun = [answer for answer in context.answers if answer.status == 200]
+    assert len(begun) > 4, context.answers
+    for answer in begun:
+        assert answer.data.count(b"HTTP/1.1") == 1, answer.data
+        assert not answer.whole
+        assert answer.body == expected, answer.data
+
+
 # requests
 
 
--- a/src/ramppin/connection/callerwire.py
+++ b/src/ramppin/connection/callerwire.py
@@ -233,10 +233,16 @@
     # the responder's side
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer and go on to the next request."""
+        """Send a whole answer and go on to the next request.
+
+        In the middle of another answer it would be garbage: that one is cut.
+        """
         request = self._current
         if request is None or self.gone or self._transport is None:
             return
+        if self._answer_started:
+            self.break_off()
+            return
         sent = [*headers, (b"Content-Length", b"%d" % len(body))]
         sent += self._build_connection_headers(request)
         shown = b"" if request.method == b"HEAD" else body
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -99,6 +99,11 @@
         found = request.find(names.request_id)
         self._request_id = found or b""
 
+    @property
+    def _started(self) -> bool:
+        """Whether the caller has got a part of an answer, from any attempt."""
+        return self._attempt is not None and self._attempt.started
+
     # what the connection tells
 
     def leave(self) -> None:
@@ -247,13 +252,13 @@
         if result.end is not AttemptEnd.REJECTED:
             if not route.repeatable or self._runs >= route.max_attempts:
                 return False
-            if result.started and not route.resumable:
+            if self._started and not route.resumable:
                 return False
         return self._context.take_retry(admission.service, now)
 
     def _conclude(self, admission: Admission, result: AttemptResult) -> None:
         """Give the final answer after an attempt that is not followed by another."""
-        if result.started:
+        if self._started:
             self._count(admission.service, result.status)
             self._connection.break_off()
         elif result.answer is not None and result.end is AttemptEnd.FAILED:
@@ -266,8 +271,8 @@
     def _give_up(self, admission: Admission, last: AttemptResult | None) -> None:
         if self._left:
             return
-        if last is not None and last.started:
-            self._count(admission.service, last.status)
+        if self._started:
+            self._count(admission.service, last.status if last else 0)
             self._connection.break_off()
             return
         headers: Headers = []
