--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -73,6 +73,16 @@
     When through the gateway a caller sends 6 requests to "/again/" on one connection
     Then each answer is 200 with its own id
 
+  Scenario Outline: a connection that carried a surplus answer is closed: <script>
+    Given backend servers that answer by "<script>"
+    When through the gateway a caller sends 3 requests to "/again/" on one connection
+    Then every connection to backend servers ends
+
+    Examples:
+      | script        |
+      | twice         |
+      | twice at once |
+
   Scenario: an answer before the whole body ends the connection's use
     Given backend servers that answer by "well"
     When through the gateway a caller sends 4 requests to "/again/" on one connection
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -145,6 +145,12 @@
     async def do_silent(self, reply: Reply) -> None:
         await asyncio.sleep(60)
 
+    async def do_twice_at_once(self, reply: Reply) -> None:
+        length = b"Content-Length: 6\r\n\r\n"
+        good = reply.head(200) + length + b"answer"
+        surplus = reply.head(200, request_id=b"surplus") + length + b"beyond"
+        await reply.send(good + surplus)
+
     async def do_twice(self, reply: Reply) -> None:
         await reply.answer(body=reply.request_id)
         await reply.answer(body=b"surplus", request_id=b"surplus")
@@ -383,6 +389,18 @@
     assert len(context.fixture.list_received()) <= count
 
 
+@then("every connection to backend servers ends")
+def step_connections_end(context):
+    backends = context.fixture.backends.values()
+    run(
+        context,
+        wait_for(
+            lambda: all(b.ended == b.connections for b in backends),
+            "all connections ended",
+        ),
+    )
+
+
 @then("at most {count:d} connections reached backend servers")
 def step_connections(context, count):
     backends = context.fixture.backends.values()
--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -10,7 +10,7 @@
 
 from ramppin.connection.callerwire import ListenerState
 from ramppin.connection.httpwire import HeaderNames
-from ramppin.connection.upstream import ConnectionPool
+from ramppin.connection.pool import ConnectionPool
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
 from ramppin.process.drain import Drain
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -14,7 +14,7 @@
 
 from ramppin.connection.callerwire import CallerConnection, ListenerState, Responder
 from ramppin.connection.datagrams import DatagramLink, PeerHints
-from ramppin.connection.upstream import ConnectionPool
+from ramppin.connection.pool import ConnectionPool
 from ramppin.process.context import GatewayContext
 from ramppin.process.decisions import DecisionLog
 from ramppin.process.directory import ServerDirectory
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -114,6 +114,8 @@
         script: answers each request.
         received: all requests that arrived whole.
         closed: connections that callers closed while a request was at work.
+        connections: connections that were opened.
+        ended: those of them that ended.
         names: names of headers.
     """
 
@@ -121,6 +123,7 @@
     received: list[Received] = field(default_factory=list)
     closed: int = 0
     connections: int = 0
+    ended: int = 0
     names: HeaderNames = field(default_factory=HeaderNames)
 
     async def serve(
@@ -129,9 +132,12 @@
         """Answer the requests of one connection."""
         self.connections += 1
         number = self.connections
-        while (received := await _read_request(reader, number)) is not None:
-            self.received.append(received)
-            await self._work(reader, Reply(received, writer, self.names))
+        try:
+            while (received := await _read_request(reader, number)) is not None:
+                self.received.append(received)
+                await self._work(reader, Reply(received, writer, self.names))
+        finally:
+            self.ended += 1
 
     async def _work(self, reader: asyncio.StreamReader, reply: Reply) -> None:
         """Run the script, and note if the caller leaves meanwhile."""
