--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,7 +31,7 @@
 from ramppin.connection.links import Meter, PeerLinks, Send
 from ramppin.connection.messages import Ask, Free, Granted, Message
 from ramppin.connection.peerserver import PeerHandler, PeerServer
-from ramppin.process.claims import StoredAnswer
+from ramppin.process.claims.claims import StoredAnswer
 from ramppin.request.trace import Trace, TraceStore
 
 PAGE = Path("docs/CAPACITY.md")
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -10,11 +10,11 @@
 from pathlib import Path
 
 from ramppin.connection.httpwire import HeaderNames
-from ramppin.process.decisions import DecisionLog
-from ramppin.process.drain import DrainTimes
 from ramppin.process.gateway import Gateway
 from ramppin.process.gatewayconfig import Address, GatewayConfig
-from ramppin.process.tables import GatewaySources
+from ramppin.process.limits.drain import DrainTimes
+from ramppin.process.recovery.tables import GatewaySources
+from ramppin.process.reporting.decisions import DecisionLog
 from ramppin.version.routingfile import TreeDecoder
 from standins.backend import BackendStandIn
 from standins.common import wait_for
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -13,13 +13,13 @@
 
 from features.gateway_support import build_tree
 from ramppin.errors import SettingsError
-from ramppin.process.directory import BackendServer, ServerDirectory
-from ramppin.process.follower import Follower
-from ramppin.process.health import SILENCE_S, Outcome, ServerHealth
-from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
-from ramppin.process.replica import Record, Replica
-from ramppin.process.retries import RetryWindow
-from ramppin.process.selection import PrefixSelection, SelectionRequest
+from ramppin.process.limits.retries import RetryWindow
+from ramppin.process.membership.health import SILENCE_S, Outcome, ServerHealth
+from ramppin.process.recovery.follower import Follower
+from ramppin.process.recovery.replica import Record, Replica
+from ramppin.process.routing.directory import BackendServer, ServerDirectory
+from ramppin.process.routing.prefixhomes import HomeNotice, PrefixHomes
+from ramppin.process.routing.selection import PrefixSelection, SelectionRequest
 from ramppin.request.ranking import hash_name, mix
 from ramppin.version.routingfile import TreeDecoder
 from standins.tables import TableStandIn
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -8,8 +8,8 @@
 from behave import given, then, when
 
 from features.gateway_support import build_tree
-from ramppin.process.fleet import Member
-from ramppin.process.relays import RelayedSource, RelayTimes, choose_relays
+from ramppin.process.membership.fleet import Member
+from ramppin.process.recovery.relays import RelayedSource, RelayTimes, choose_relays
 from standins.common import wait_for
 from standins.tables import TableStandIn
 
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -13,7 +13,7 @@
     encode_request,
 )
 from ramppin.process.context import RetryRules
-from ramppin.process.drain import POLL_S, Drain, DrainTimes
+from ramppin.process.limits.drain import POLL_S, Drain, DrainTimes
 from standins.backend import Reply
 from standins.common import wait_for
 
--- a/src/ramppin/__init__.py
+++ b/src/ramppin/__init__.py
@@ -25,21 +25,21 @@
         RefusedError,
         SettingsError,
     )
-    from ramppin.process.allocator import Allocator
-    from ramppin.process.claims import ClaimTable, HeldClaims
+    from ramppin.process.claims.claims import ClaimTable, HeldClaims
     from ramppin.process.config import RouterConfig, load_config
-    from ramppin.process.directory import ServerDirectory
     from ramppin.process.gateway import Gateway
     from ramppin.process.gatewayconfig import GatewayConfig
-    from ramppin.process.homes import Homes
-    from ramppin.process.leases import LeaseHolder, LeaseTable
-    from ramppin.process.load import Member, compute_cap
-    from ramppin.process.queue import FairQueue
-    from ramppin.process.replica import Replica
-    from ramppin.process.retries import RetryWindow
+    from ramppin.process.limits.retries import RetryWindow
+    from ramppin.process.membership.leases import LeaseHolder, LeaseTable
+    from ramppin.process.recovery.replica import Replica
+    from ramppin.process.recovery.tables import GatewaySources
     from ramppin.process.router import Router
-    from ramppin.process.selection import PrefixSelection
-    from ramppin.process.tables import GatewaySources
+    from ramppin.process.routing.allocator import Allocator
+    from ramppin.process.routing.directory import ServerDirectory
+    from ramppin.process.routing.homes import Homes
+    from ramppin.process.routing.load import Member, compute_cap
+    from ramppin.process.routing.queue import FairQueue
+    from ramppin.process.routing.selection import PrefixSelection
     from ramppin.request.identity import hash_chat, hash_opening
     from ramppin.request.outcome import Outcome
     from ramppin.request.placement import Grant, PlaceId, PlaceRequest, Reason, Refusal
@@ -50,30 +50,30 @@
     from ramppin.version.tree import Settings
 
 _MODULES = {
-    "Allocator": "ramppin.process.allocator",
+    "Allocator": "ramppin.process.routing.allocator",
     "AppendUnknownError": "ramppin.errors",
     "BrokenAnswerError": "ramppin.errors",
-    "ClaimTable": "ramppin.process.claims",
+    "ClaimTable": "ramppin.process.claims.claims",
     "ConflictError": "ramppin.errors",
-    "FairQueue": "ramppin.process.queue",
+    "FairQueue": "ramppin.process.routing.queue",
     "Gateway": "ramppin.process.gateway",
     "GatewayConfig": "ramppin.process.gatewayconfig",
-    "GatewaySources": "ramppin.process.tables",
+    "GatewaySources": "ramppin.process.recovery.tables",
     "Grant": "ramppin.request.placement",
-    "HeldClaims": "ramppin.process.claims",
-    "Homes": "ramppin.process.homes",
-    "LeaseHolder": "ramppin.process.leases",
-    "LeaseTable": "ramppin.process.leases",
+    "HeldClaims": "ramppin.process.claims.claims",
+    "Homes": "ramppin.process.routing.homes",
+    "LeaseHolder": "ramppin.process.membership.leases",
+    "LeaseTable": "ramppin.process.membership.leases",
     "LogTrimmedError": "ramppin.errors",
     "LogUnavailableError": "ramppin.errors",
-    "Member": "ramppin.process.load",
+    "Member": "ramppin.process.routing.load",
     "NotSentError": "ramppin.errors",
     "Outcome": "ramppin.request.outcome",
     "PeerNotListedError": "ramppin.errors",
     "PeerUnavailableError": "ramppin.errors",
     "PlaceId": "ramppin.request.placement",
     "PlaceRequest": "ramppin.request.placement",
-    "PrefixSelection": "ramppin.process.selection",
+    "PrefixSelection": "ramppin.process.routing.selection",
     "ProtocolError": "ramppin.errors",
     "RamppinError": "ramppin.errors",
     "Ranking": "ramppin.request.ranking",
@@ -81,17 +81,17 @@
     "Refusal": "ramppin.request.placement",
     "RefusedError": "ramppin.errors",
     "RendezvousRanking": "ramppin.request.ranking",
-    "Replica": "ramppin.process.replica",
-    "RetryWindow": "ramppin.process.retries",
+    "Replica": "ramppin.process.recovery.replica",
+    "RetryWindow": "ramppin.process.limits.retries",
     "Router": "ramppin.process.router",
     "RouterConfig": "ramppin.process.config",
     "RoutingTable": "ramppin.version.routing",
-    "ServerDirectory": "ramppin.process.directory",
+    "ServerDirectory": "ramppin.process.routing.directory",
     "Settings": "ramppin.version.tree",
     "SettingsError": "ramppin.errors",
     "SettingsHistory": "ramppin.version.acceptance",
     "SettingsTree": "ramppin.version.schema",
-    "compute_cap": "ramppin.process.load",
+    "compute_cap": "ramppin.process.routing.load",
     "hash_chat": "ramppin.request.identity",
     "hash_opening": "ramppin.request.identity",
     "load_config": "ramppin.process.config",
--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -20,18 +20,18 @@
 from ramppin.connection.operator import OperatorClient
 from ramppin.errors import RamppinError
 from ramppin.process.config import RouterConfig, load_config
-from ramppin.process.decisions import DecisionLog
-from ramppin.process.filetables import (
+from ramppin.process.gateway import Gateway
+from ramppin.process.gatewayfile import GatewayFile, load_gateway_file
+from ramppin.process.recovery.filetables import (
     ROUTING_PART,
     SERVERS_PART,
     FileTable,
     LocalTable,
 )
-from ramppin.process.gateway import Gateway
-from ramppin.process.gatewayfile import GatewayFile, load_gateway_file
-from ramppin.process.logs import start_logging
+from ramppin.process.recovery.tables import GatewaySources
+from ramppin.process.reporting.decisions import DecisionLog
+from ramppin.process.reporting.logs import start_logging
 from ramppin.process.router import Router
-from ramppin.process.tables import GatewaySources
 from ramppin.version.document import read_document, validate_document
 from ramppin.version.routingfile import TreeDecoder
 from ramppin.version.schema import SettingsTree
--- a/src/ramppin/process/callers.py
+++ b/src/ramppin/process/callers.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect, Request
@@ -14,6 +14,7 @@
 from starlette.routing import Route
 
 from ramppin.errors import RefusedError
+from ramppin.process.parts import RouterParts
 from ramppin.request.call import CallRun
 from ramppin.request.chat import ChatRun, ResumedRun, identify_chat, parse_chat
 from ramppin.request.headers import build_call, read_deadline
@@ -32,9 +33,6 @@
 from ramppin.version.schema import ServiceKind
 from ramppin.version.tree import Settings
 
-if TYPE_CHECKING:
-    from ramppin.process.router import Router
-
 LOG = logging.getLogger(__name__)
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -63,7 +61,7 @@
     .. versionadded:: 0.1
     """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: RouterParts) -> None:
         self._router = router
         self.app = Starlette(
             routes=[
--- /dev/null
+++ b/src/ramppin/process/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Which VM may run a request that must run at most once."""
--- a/src/ramppin/process/claiming.py
+++ b/src/ramppin/process/claims/claiming.py
@@ -12,7 +12,7 @@
 
 from ramppin.connection.log import LogClient
 from ramppin.errors import AppendUnknownError, LogUnavailableError
-from ramppin.process.claims import (
+from ramppin.process.claims.claims import (
     Claim,
     ClaimItem,
     ClaimRecord,
--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -11,13 +11,13 @@
 from ramppin.connection.callerwire import ListenerState
 from ramppin.connection.httpwire import HeaderNames
 from ramppin.connection.pool import ConnectionPool
-from ramppin.process.decisions import DecisionLog
-from ramppin.process.directory import ServerDirectory
-from ramppin.process.drain import Drain
-from ramppin.process.explanations import Explanations
-from ramppin.process.gatewaymetrics import GatewayMetrics
-from ramppin.process.retries import RetryWindow
-from ramppin.process.selection import (
+from ramppin.process.limits.drain import Drain
+from ramppin.process.limits.retries import RetryWindow
+from ramppin.process.reporting.decisions import DecisionLog
+from ramppin.process.reporting.explanations import Explanations
+from ramppin.process.reporting.gatewaymetrics import GatewayMetrics
+from ramppin.process.routing.directory import ServerDirectory
+from ramppin.process.routing.selection import (
     NearestSelection,
     PrefixSelection,
     SelectionStrategy,
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -16,17 +16,17 @@
 from ramppin.connection.datagrams import DatagramLink, PeerHints
 from ramppin.connection.pool import ConnectionPool
 from ramppin.process.context import GatewayContext
-from ramppin.process.decisions import DecisionLog
-from ramppin.process.directory import ServerDirectory
-from ramppin.process.drain import Drain
 from ramppin.process.gatewayconfig import Address, GatewayConfig
-from ramppin.process.hints import HintExchange
+from ramppin.process.limits.drain import Drain
+from ramppin.process.limits.readiness import ReadinessResponder
 from ramppin.process.operations import GatewayState, OperationsResponder
-from ramppin.process.peerrecords import RecordsResponder
-from ramppin.process.prefixhomes import PrefixHomes
-from ramppin.process.readiness import ReadinessResponder
-from ramppin.process.selection import NearestSelection, PrefixSelection
-from ramppin.process.tables import GatewaySources, GatewayTables
+from ramppin.process.recovery.peerrecords import RecordsResponder
+from ramppin.process.recovery.tables import GatewaySources, GatewayTables
+from ramppin.process.reporting.decisions import DecisionLog
+from ramppin.process.routing.directory import ServerDirectory
+from ramppin.process.routing.hints import HintExchange
+from ramppin.process.routing.prefixhomes import PrefixHomes
+from ramppin.process.routing.selection import NearestSelection, PrefixSelection
 from ramppin.request.exchange import ExchangeResponder
 
 SWEEP_S = 0.25
--- a/src/ramppin/process/gatewayconfig.py
+++ b/src/ramppin/process/gatewayconfig.py
@@ -6,7 +6,7 @@
 
 from ramppin.connection.httpwire import HeaderNames
 from ramppin.process.context import RetryRules
-from ramppin.process.drain import DrainTimes
+from ramppin.process.limits.drain import DrainTimes
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/ramppin/process/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What is refused or held back: retries, planned stops, readiness."""
--- a/src/ramppin/process/handover.py
+++ b/src/ramppin/process/membership/handover.py
@@ -10,10 +10,11 @@
 from ramppin.connection.links import PeerLinks
 from ramppin.connection.messages import AskRecords, Records
 from ramppin.errors import PeerUnavailableError
-from ramppin.process import ownership, publishing
-from ramppin.process.membership import Membership
-from ramppin.process.ownership import Ownership
-from ramppin.process.publishing import SettingsFollower
+from ramppin.process.membership import ownership
+from ramppin.process.membership.membership import Membership
+from ramppin.process.membership.ownership import Ownership
+from ramppin.process.recovery import publishing
+from ramppin.process.recovery.publishing import SettingsFollower
 
 LOG = logging.getLogger(__name__)
 
--- a/src/ramppin/process/membership.py
+++ b/src/ramppin/process/membership/membership.py
@@ -8,8 +8,8 @@
 
 from ramppin.connection.vmlist import VmList, VmListClient
 from ramppin.errors import RamppinError
-from ramppin.process.load import Member
-from ramppin.process.shards import Shard
+from ramppin.process.routing.load import Member
+from ramppin.process.routing.shards import Shard
 from ramppin.version.tree import Settings
 
 LOG = logging.getLogger(__name__)
--- a/src/ramppin/process/ownership.py
+++ b/src/ramppin/process/membership/ownership.py
@@ -12,10 +12,10 @@
 from ramppin.connection.log import LogClient
 from ramppin.connection.messages import AskEpochs, Epochs
 from ramppin.errors import LogUnavailableError, PeerUnavailableError
-from ramppin.process.leases import LeaseHolder, LeaseRenewal, LeaseTable
-from ramppin.process.membership import Membership
-from ramppin.process.shards import Shard, ShardHost
-from ramppin.process.tails import Tail, TailEvents
+from ramppin.process.membership.leases import LeaseHolder, LeaseRenewal, LeaseTable
+from ramppin.process.membership.membership import Membership
+from ramppin.process.recovery.tails import Tail, TailEvents
+from ramppin.process.routing.shards import Shard, ShardHost
 
 LOG = logging.getLogger(__name__)
 
--- a/src/ramppin/process/peers.py
+++ b/src/ramppin/process/membership/peers.py
@@ -27,10 +27,11 @@
     TraceReply,
 )
 from ramppin.connection.peerserver import PeerHandler
-from ramppin.process import ownership, publishing
-from ramppin.process.claims import HeldClaims
-from ramppin.process.leases import LeaseTable
-from ramppin.process.shards import ShardHost
+from ramppin.process.claims.claims import HeldClaims
+from ramppin.process.membership import ownership
+from ramppin.process.membership.leases import LeaseTable
+from ramppin.process.recovery import publishing
+from ramppin.process.routing.shards import ShardHost
 from ramppin.request.claimholder import wait_for_claim
 from ramppin.request.placement import Decision, Grant, PlaceId, PlaceRequest
 from ramppin.request.trace import TraceStore
--- a/src/ramppin/process/operations.py
+++ b/src/ramppin/process/operations.py
@@ -13,9 +13,9 @@
 
 from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
 from ramppin.process.context import GatewayContext
-from ramppin.process.explanations import Explanations
-from ramppin.process.gatewaymetrics import GatewayMetrics
-from ramppin.process.peerrecords import FollowedTable
+from ramppin.process.recovery.peerrecords import FollowedTable
+from ramppin.process.reporting.explanations import Explanations
+from ramppin.process.reporting.gatewaymetrics import GatewayMetrics
 
 METRICS_TARGET = b"/metrics"
 DUMP_TARGET = b"/dump"
--- a/src/ramppin/process/operators.py
+++ b/src/ramppin/process/operators.py
@@ -6,7 +6,8 @@
 import hmac
 import json
 import logging
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from pydantic import BaseModel, ConfigDict, ValidationError
@@ -18,11 +19,10 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from ramppin.errors import ConflictError, LogUnavailableError, RamppinError
+from ramppin.process.parts import RouterParts
+from ramppin.process.reporting.dump import build_dump, build_status
 from ramppin.version.acceptance import Verdict
 
-if TYPE_CHECKING:
-    from ramppin.process.router import Router
-
 LOG = logging.getLogger(__name__)
 
 MAX_PUBLISH_BYTES = 1024 * 1024
@@ -43,7 +43,7 @@
 class _KeyGate:
     """Lets nobody in without the operators' key."""
 
-    def __init__(self, app: ASGIApp, router: Router) -> None:
+    def __init__(self, app: ASGIApp, router: RouterParts) -> None:
         self._app = app
         self._router = router
 
@@ -72,12 +72,14 @@
 
     Args:
         router: the process that serves it.
+        start_drain: begins a planned stop.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: RouterParts, start_drain: Callable[[], None]) -> None:
         self._router = router
+        self._start_drain = start_drain
         self.app = Starlette(
             routes=[
                 Route("/metrics", self._tell_metrics),
@@ -97,10 +99,10 @@
         return Response(text, media_type=CONTENT_TYPE_LATEST)
 
     async def _dump(self, _: Request) -> Response:
-        return JSONResponse(self._router.dump())
+        return JSONResponse(build_dump(self._router))
 
     async def _tell_status(self, _: Request) -> Response:
-        return JSONResponse(self._router.describe_fleet())
+        return JSONResponse(build_status(self._router))
 
     async def _explain(self, request: Request) -> Response:
         request_id = request.path_params["request_id"]
@@ -140,7 +142,7 @@
         return JSONResponse(_show_verdict(verdict), 409 if conflict else 422)
 
     async def _drain(self, _: Request) -> Response:
-        self._router.start_drain()
+        self._start_drain()
         return JSONResponse({"draining": True}, 202)
 
 
--- a/src/ramppin/process/filetables.py
+++ b/src/ramppin/process/recovery/filetables.py
@@ -18,8 +18,8 @@
 from returns.result import Failure, Success
 
 from ramppin.errors import LogUnavailableError
-from ramppin.process.replica import Record
-from ramppin.process.sources import RecordBatch, RecordLog, RecordSource
+from ramppin.process.recovery.replica import Record
+from ramppin.process.recovery.sources import RecordBatch, RecordLog, RecordSource
 from ramppin.version.document import read_document
 
 POLL_S = 0.2
--- a/src/ramppin/process/follower.py
+++ b/src/ramppin/process/recovery/follower.py
@@ -7,8 +7,8 @@
 import random
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
-from ramppin.process.replica import Replica
-from ramppin.process.sources import RecordSource
+from ramppin.process.recovery.replica import Replica
+from ramppin.process.recovery.sources import RecordSource
 
 LOG = logging.getLogger(__name__)
 
--- a/src/ramppin/process/peerrecords.py
+++ b/src/ramppin/process/recovery/peerrecords.py
@@ -19,8 +19,8 @@
 from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
 from ramppin.connection.fetch import Fetcher
 from ramppin.errors import LogUnavailableError
-from ramppin.process.follower import Follower
-from ramppin.process.replica import Record, Replica
+from ramppin.process.recovery.follower import Follower
+from ramppin.process.recovery.replica import Record, Replica
 
 LOG = logging.getLogger(__name__)
 
--- a/src/ramppin/process/publishing.py
+++ b/src/ramppin/process/recovery/publishing.py
@@ -12,7 +12,7 @@
 
 from ramppin.connection.log import LogClient
 from ramppin.errors import AppendUnknownError, LogUnavailableError
-from ramppin.process.tails import Tail, TailEvents
+from ramppin.process.recovery.tails import Tail, TailEvents
 from ramppin.request.ranking import rank_vms
 from ramppin.version.acceptance import (
     ChangeRecord,
--- a/src/ramppin/process/relays.py
+++ b/src/ramppin/process/recovery/relays.py
@@ -16,16 +16,16 @@
 
 from ramppin.connection.fetch import Fetcher
 from ramppin.errors import LogUnavailableError
-from ramppin.process.fleet import FleetMembers, Member
-from ramppin.process.peerrecords import (
+from ramppin.process.membership.fleet import FleetMembers, Member
+from ramppin.process.recovery.peerrecords import (
     RECORDS_TARGET,
     PeerQuestion,
     TableState,
     decode_answer,
     encode_question,
 )
-from ramppin.process.replica import Record
-from ramppin.process.sources import RecordBatch, RecordSource
+from ramppin.process.recovery.replica import Record
+from ramppin.process.recovery.sources import RecordBatch, RecordSource
 from ramppin.request.ranking import hash_name, mix
 
 MIN_VMS = 5
--- a/src/ramppin/process/sources.py
+++ b/src/ramppin/process/recovery/sources.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
-from ramppin.process.directory import BackendServer
-from ramppin.process.replica import Record
+from ramppin.process.recovery.replica import Record
+from ramppin.process.routing.directory import BackendServer
 from ramppin.version.routing import RoutingTable
 
 __all__ = [
--- a/src/ramppin/process/tables.py
+++ b/src/ramppin/process/recovery/tables.py
@@ -14,15 +14,20 @@
 
 from ramppin.errors import SettingsError
 from ramppin.process.context import GatewayContext
-from ramppin.process.fleet import SILENT_AFTER_S, FleetMembers, Member, announce
-from ramppin.process.follower import Follower
 from ramppin.process.gatewayconfig import GatewayConfig
-from ramppin.process.homesnapshot import HomeSnapshots
-from ramppin.process.peerrecords import FollowedTable, PeerReader
-from ramppin.process.prefixhomes import PrefixHomes
-from ramppin.process.relays import RelayChoice, RelayedSource, RelayTimes
-from ramppin.process.replica import Record, Replica
-from ramppin.process.sources import RecordDecoder, RecordLog, RecordSource
+from ramppin.process.membership.fleet import (
+    SILENT_AFTER_S,
+    FleetMembers,
+    Member,
+    announce,
+)
+from ramppin.process.recovery.follower import Follower
+from ramppin.process.recovery.peerrecords import FollowedTable, PeerReader
+from ramppin.process.recovery.relays import RelayChoice, RelayedSource, RelayTimes
+from ramppin.process.recovery.replica import Record, Replica
+from ramppin.process.recovery.sources import RecordDecoder, RecordLog, RecordSource
+from ramppin.process.routing.homesnapshot import HomeSnapshots
+from ramppin.process.routing.prefixhomes import PrefixHomes
 
 SETTINGS_PACE_S = 0.05
 SERVER_WAIT_S = 1.0
--- /dev/null
+++ b/src/ramppin/process/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""What a process tells of itself: decisions, metrics, dumps, explanations."""
--- a/src/ramppin/process/dump.py
+++ b/src/ramppin/process/reporting/dump.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from ramppin.process.shards import OwnedShard
+from ramppin.process.parts import RouterParts
+from ramppin.process.routing.shards import OwnedShard
 
-if TYPE_CHECKING:
-    from ramppin.process.router import Router
 
-
-def build_dump(router: Router) -> dict[str, Any]:
+def build_dump(router: RouterParts) -> dict[str, Any]:
     """Return everything that helps to see what a process does."""
     return {
         "vm": router.config.vm,
@@ -54,7 +52,7 @@
     }
 
 
-def build_status(router: Router) -> dict[str, Any]:
+def build_status(router: RouterParts) -> dict[str, Any]:
     """Return the fleet as one VM sees it."""
     listed = router.membership.list
     routers = listed.routers if listed else {}
--- a/src/ramppin/process/allocator.py
+++ b/src/ramppin/process/routing/allocator.py
@@ -2,7 +2,7 @@
 
 A plain synchronous state machine. Messages and clock readings go in, typed
 decisions come out; it does no I/O and reads no clock. One allocator at a time
-counts for a pool (see :mod:`ramppin.process.leases`).
+counts for a pool (see :mod:`ramppin.process.membership.leases`).
 
 Example::
 
@@ -19,10 +19,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from ramppin.process.choice import Chooser
-from ramppin.process.homes import Homes
-from ramppin.process.load import START_TRANSIT_S, Member, PoolLoad, ServerLoad
-from ramppin.process.queue import FairQueue, Waiter
+from ramppin.process.routing.choice import Chooser
+from ramppin.process.routing.homes import Homes
+from ramppin.process.routing.load import START_TRANSIT_S, Member, PoolLoad, ServerLoad
+from ramppin.process.routing.queue import FairQueue, Waiter
 from ramppin.request.placement import (
     Decision,
     Grant,
--- a/src/ramppin/process/choice.py
+++ b/src/ramppin/process/routing/choice.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from ramppin.process.homes import Homes
-from ramppin.process.load import PoolLoad, ServerLoad
+from ramppin.process.routing.homes import Homes
+from ramppin.process.routing.load import PoolLoad, ServerLoad
 from ramppin.request.placement import PlaceRequest, Reason
 from ramppin.request.ranking import Ranking
 
--- a/src/ramppin/process/hints.py
+++ b/src/ramppin/process/routing/hints.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from ramppin.connection.datagrams import DatagramLink, HomeHint, PeerHints
-from ramppin.process.fleet import FleetMembers
-from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
+from ramppin.process.membership.fleet import FleetMembers
+from ramppin.process.routing.prefixhomes import HomeNotice, PrefixHomes
 
 SHORTEST_PERIOD_S = 0.08
 DATAGRAMS_PER_S = 100
--- a/src/ramppin/process/homesnapshot.py
+++ b/src/ramppin/process/routing/homesnapshot.py
@@ -16,9 +16,9 @@
 
 from ramppin.connection.datagrams import HomeHint
 from ramppin.errors import LogUnavailableError
-from ramppin.process.fleet import FleetMembers
-from ramppin.process.prefixhomes import HomeNotice, PrefixHomes
-from ramppin.process.sources import RecordLog
+from ramppin.process.membership.fleet import FleetMembers
+from ramppin.process.recovery.sources import RecordLog
+from ramppin.process.routing.prefixhomes import HomeNotice, PrefixHomes
 from ramppin.request.ranking import rank_vms
 
 LOG = logging.getLogger(__name__)
--- a/src/ramppin/process/placer.py
+++ b/src/ramppin/process/routing/placer.py
@@ -20,8 +20,8 @@
     Sync,
 )
 from ramppin.errors import PeerUnavailableError
-from ramppin.process.leases import LeaseTable
-from ramppin.process.shards import ShardHost
+from ramppin.process.membership.leases import LeaseTable
+from ramppin.process.routing.shards import ShardHost
 from ramppin.request.placement import (
     Decision,
     Grant,
--- a/src/ramppin/process/reports.py
+++ b/src/ramppin/process/routing/reports.py
@@ -8,7 +8,7 @@
 
 from ramppin.connection.backends import BackendClient
 from ramppin.errors import RamppinError
-from ramppin.process.shards import OwnedShard, ShardHost
+from ramppin.process.routing.shards import OwnedShard, ShardHost
 from ramppin.version.schema import BackendServerNode
 from ramppin.version.tree import Settings
 
--- a/src/ramppin/process/selection.py
+++ b/src/ramppin/process/routing/selection.py
@@ -12,8 +12,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
-from ramppin.process.directory import ServerState
-from ramppin.process.prefixhomes import PrefixHomes
+from ramppin.process.routing.directory import ServerState
+from ramppin.process.routing.prefixhomes import PrefixHomes
 from ramppin.request.ranking import RendezvousRanking
 
 
--- a/src/ramppin/process/shards.py
+++ b/src/ramppin/process/routing/shards.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field
 
 from ramppin.connection.messages import HeldPlaceInfo
-from ramppin.process.allocator import Allocator
-from ramppin.process.leases import LeaseHolder
-from ramppin.process.load import Member
+from ramppin.process.membership.leases import LeaseHolder
+from ramppin.process.routing.allocator import Allocator
+from ramppin.process.routing.load import Member
 from ramppin.request.placement import Decision, PlaceId, PlaceRequest
 from ramppin.version.tree import PoolPolicy
 
--- a/src/ramppin/request/attempt.py
+++ b/src/ramppin/request/attempt.py
@@ -15,8 +15,8 @@
 )
 from ramppin.connection.upstream import AnswerHead, AnswerReceiver, UpstreamConnection
 from ramppin.errors import BrokenAnswerError, NotSentError, ProtocolError
-from ramppin.process.directory import ServerState
-from ramppin.process.health import Outcome
+from ramppin.process.membership.health import Outcome
+from ramppin.process.routing.directory import ServerState
 from ramppin.request.events import EventSplitter
 from ramppin.version.routing import Route
 
--- a/src/ramppin/request/claimholder.py
+++ b/src/ramppin/request/claimholder.py
@@ -12,7 +12,7 @@
 from ramppin.connection.links import PeerLinks
 from ramppin.connection.messages import AskClaim, ClaimReply
 from ramppin.errors import PeerNotListedError, PeerUnavailableError
-from ramppin.process.claims import ClaimState, HeldClaim, HeldClaims
+from ramppin.process.claims.claims import ClaimState, HeldClaim, HeldClaims
 
 REPLY_EXTRA_S = 0.5
 """How much longer than the holder's own wait its reply is awaited."""
--- a/src/ramppin/request/context.py
+++ b/src/ramppin/request/context.py
@@ -9,10 +9,10 @@
 
 from ramppin.connection.backends import BackendClient
 from ramppin.connection.links import PeerLinks
-from ramppin.process.claiming import Claimer
-from ramppin.process.claims import ClaimTable, HeldClaims
-from ramppin.process.metrics import Metrics
-from ramppin.process.placer import Placer
+from ramppin.process.claims.claiming import Claimer
+from ramppin.process.claims.claims import ClaimTable, HeldClaims
+from ramppin.process.reporting.metrics import Metrics
+from ramppin.process.routing.placer import Placer
 from ramppin.request.budget import RetryBudget
 from ramppin.request.trace import TraceStore
 
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -15,8 +15,8 @@
 from ramppin.connection.upstream import UpstreamConnection
 from ramppin.errors import NotSentError
 from ramppin.process.context import GatewayContext
-from ramppin.process.health import Outcome
-from ramppin.process.selection import Selection, SelectionRequest
+from ramppin.process.membership.health import Outcome
+from ramppin.process.routing.selection import Selection, SelectionRequest
 from ramppin.request.admission import Admission, Denial, admit
 from ramppin.request.attempt import Attempt, AttemptEnd, AttemptResult
 from ramppin.request.upstreamhead import RequestHeadBuilder
--- a/src/ramppin/request/headers.py
+++ b/src/ramppin/request/headers.py
@@ -6,7 +6,7 @@
 
 from ramppin.connection.backends import filter_headers
 from ramppin.errors import RefusedError
-from ramppin.process.claims import read_issue_time
+from ramppin.process.claims.claims import read_issue_time
 from ramppin.request.call import Call
 from ramppin.request.problem import VERSION_HEADER
 
--- a/src/ramppin/request/keyed.py
+++ b/src/ramppin/request/keyed.py
@@ -14,7 +14,7 @@
     PeerUnavailableError,
     RefusedError,
 )
-from ramppin.process.claims import (
+from ramppin.process.claims.claims import (
     Claim,
     ClaimItem,
     StoredAnswer,
--- a/src/ramppin/request/run.py
+++ b/src/ramppin/request/run.py
@@ -15,7 +15,7 @@
     RamppinError,
     RefusedError,
 )
-from ramppin.process.placer import Place, Wanted
+from ramppin.process.routing.placer import Place, Wanted
 from ramppin.request.context import RequestContext
 from ramppin.request.identity import RequestId
 from ramppin.request.outcome import Outcome
--- a/src/ramppin/request/upstreamhead.py
+++ b/src/ramppin/request/upstreamhead.py
@@ -10,7 +10,7 @@
     find_header,
     keep_end_to_end,
 )
-from ramppin.process.directory import BackendServer
+from ramppin.process.routing.directory import BackendServer
 from ramppin.version.routing import Customer, Route
 
 MAX_PRIORITY = 9
