Keep within a VM's share of a server's connections

Every VM keeps connections for 4 s after a burst; with many VMs a server may run out of them and reset those of others. Change: a VM's share is 0.9 of the limit by the VMs heard of late; no more are kept, and servers with room in the share are preferred. A request is never refused for it. Ruled out: refusing at the limit (uneven callers would be refused with servers free). Test: wire.feature 'kept connections stay within this VM's share' (fails before: 3 kept), tables of shares and of servers to choose from.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -43,6 +43,26 @@
       | unknown field  | services[...]                    |
       | wrong type     | limits.max_body_bytes            |
 
+  Scenario Outline: servers to choose from, in flight <loads>, a share of <share>
+    Then with "<loads>" requests in flight and a share of <share> the choice is among "<left>"
+
+    Examples:
+      | loads | share | left     |
+      | 0 1 5 | none  | s0 s1 s2 |
+      | 0 1 5 | 5     | s0 s1    |
+      | 0 1 5 | 1     | s0       |
+      | 3 4 5 | 3     | s0 s1 s2 |
+
+  Scenario Outline: a VM's share of <most> connections among <vms> VMs
+    Then of <most> connections a VM among <vms> has <share>
+
+    Examples:
+      | most | vms | share |
+      | 0    | 8   | none  |
+      | 110  | 8   | 12    |
+      | 370  | 1   | 333   |
+      | 10   | 360 | 1     |
+
   Scenario Outline: homes of prefixes agree in any order: <case>
     Then homes told in any order end as "<end>" for "<case>"
 
--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -83,6 +83,12 @@
       | twice         |
       | twice at once |
 
+  Scenario: kept connections stay within this VM's share
+    Given backend servers that answer by "on demand"
+    And servers that take 2 connections in all
+    When 6 callers have requests at "/once/" that end together
+    Then at most 1 connection to each backend server is kept
+
   Scenario: an answer before the whole body ends the connection's use
     Given backend servers that answer by "well"
     When through the gateway a caller sends 4 requests to "/again/" on one connection
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import random
+from types import SimpleNamespace
 
 from behave import then
 from hypothesis import given as generated
@@ -13,13 +14,18 @@
 
 from features.gateway_support import build_tree
 from ramppin.errors import SettingsError
+from ramppin.process.context import GatewayContext
 from ramppin.process.limits.retries import RetryWindow
 from ramppin.process.membership.health import SILENCE_S, Outcome, ServerHealth
 from ramppin.process.recovery.follower import Follower
 from ramppin.process.recovery.replica import Record, Replica
 from ramppin.process.routing.directory import BackendServer, ServerDirectory
 from ramppin.process.routing.prefixhomes import HomeNotice, PrefixHomes
-from ramppin.process.routing.selection import PrefixSelection, SelectionRequest
+from ramppin.process.routing.selection import (
+    PrefixSelection,
+    SelectionRequest,
+    list_usable,
+)
 from ramppin.request.ranking import hash_name, mix
 from ramppin.version.routingfile import TreeDecoder
 from standins.tables import TableStandIn
@@ -189,6 +195,30 @@
     check()
 
 
+def read_share(text: str) -> int | None:
+    return None if text == "none" else int(text)
+
+
+@then(
+    'with "{loads}" requests in flight and a share of {share} '
+    'the choice is among "{left}"'
+)
+def step_usable(context, loads, share, left):
+    directory = build_states(len(loads.split()))
+    for state, load in zip(directory, loads.split(), strict=True):
+        state.in_flight = int(load)
+    request = SelectionRequest(max_in_flight=read_share(share))
+    usable = list_usable(directory.list_open("m"), request, 1.0)
+    assert [state.id for state in usable] == left.split(), usable
+
+
+@then("of {most:d} connections a VM among {vms:d} has {share}")
+def step_share(context, most, vms, share):
+    tree = build_tree(services={"plain": {"max_connections": most}}, hosts={})
+    shared = SimpleNamespace(table=decode(tree), live_vms=vms)
+    assert GatewayContext.share_connections(shared, "plain") == read_share(share)
+
+
 # health
 
 
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -233,6 +233,37 @@
         backend.script = script
 
 
+@given("servers that take {count:d} connections in all")
+def step_few_connections(context, count):
+    services = build_tree()["services"] | {"plain": {"max_connections": count}}
+    context.fixture.publish(build_tree(2, services=services))
+    gateway = context.fixture.gateway.context
+    run(context, wait_for(lambda: gateway.version == 2, "version 2 in force"))
+
+
+@when('{count:d} callers have requests at "{route}" that end together')
+def step_together(context, count, route):
+    async def ask_all():
+        callers = [await context.fixture.connect() for _ in range(count)]
+        for number, caller in enumerate(callers):
+            await caller.send(encode_request(route, request_id=f"together-{number}"))
+        await wait_for(
+            lambda: len(context.fixture.list_received()) == count, "all are at work"
+        )
+        context.scripts.go_on.set()
+        return [await caller.read() for caller in callers]
+
+    answers = run(context, ask_all())
+    assert [answer.status for answer in answers] == [200] * count
+
+
+@then("at most {count:d} connection to each backend server is kept")
+def step_kept(context, count):
+    pool = context.fixture.gateway.context.pool
+    kept = [pool.count_resting(name) for name in context.fixture.backends]
+    assert max(kept) <= count, kept
+
+
 @given("a budget of {count:d} retry")
 def step_budget(context, count):
     rules = RetryRules(ratio=0.0, extra=count)
--- a/src/ramppin/connection/pool.py
+++ b/src/ramppin/connection/pool.py
@@ -46,16 +46,32 @@
             host, port, peer, timeout_s=self._connect_timeout_s
         )
 
-    def release(self, connection: UpstreamConnection) -> None:
-        """Keep a connection whose answer was whole."""
-        if connection.alive and not connection.busy:
-            self._resting.setdefault(connection.peer, []).append(connection)
+    def release(
+        self, connection: UpstreamConnection, *, max_resting: int | None = None
+    ) -> None:
+        """Keep a connection whose answer was whole.
+
+        Args:
+            connection: the connection.
+            max_resting: connections to the same server that may rest; None for any.
+        """
+        if not connection.alive or connection.busy:
+            return
+        resting = self._resting.setdefault(connection.peer, [])
+        if max_resting is not None and len(resting) >= max_resting:
+            connection.abort()
+        else:
+            resting.append(connection)
 
     def release_unused(self, connection: UpstreamConnection) -> None:
         """Keep a connection over which nothing was sent."""
         connection.rested_since = asyncio.get_running_loop().time()
         self.release(connection)
 
+    def count_resting(self, peer: str) -> int:
+        """Return how many connections to a backend server rest."""
+        return len(self._resting.get(peer, ()))
+
     def drop_peer(self, peer: str) -> None:
         """Close what rests of a backend server that is gone."""
         for connection in self._resting.pop(peer, []):
--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -26,6 +26,9 @@
 
 OLDEST_S = 999_999.0
 
+CONNECTION_SHARE = 0.9
+"""Part of a server's connections that the fleet's VMs divide among themselves."""
+
 LOG = logging.getLogger(__name__)
 
 
@@ -63,6 +66,7 @@
         table: the routing settings in force; None before the first.
         drain: the planned stop that has begun, or None.
         in_flight: exchanges that run.
+        live_vms: VMs of the fleet that were heard of late, this one included.
         servers_confirmed_at: returns the loop's time at which the list of
             servers was last known to be current.
         tasks: their tasks.
@@ -82,6 +86,7 @@
     table: RoutingTable | None = None
     drain: Drain | None = None
     in_flight: int = 0
+    live_vms: int = 1
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     retries: dict[str, RetryWindow] = field(default_factory=dict)
@@ -95,6 +100,13 @@
         """Return how long ago the list of servers was known to be current."""
         return round(min(OLDEST_S, now - self.servers_confirmed_at()), 2)
 
+    def share_connections(self, service: str) -> int | None:
+        """Return this VM's share of a server's connections; None if unlimited."""
+        spec = self.table.services.get(service) if self.table else None
+        if spec is None or not spec.max_connections:
+            return None
+        return max(1, int(spec.max_connections * CONNECTION_SHARE / self.live_vms))
+
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
         """Return the strategy for a request."""
         return self.prefix_selection if keeps_prefix else self.plain_selection
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -229,6 +229,7 @@
                 connection.check_timeouts(now)
             context.pool.sweep(now)
             self.tables.remove_missing(now)
+            context.live_vms = 1 + len(self.tables.members.list_live(now))
             if now - refilled_at >= 1.0:
                 refilled_at = now
                 context.decisions.refill()
--- a/src/ramppin/process/routing/selection.py
+++ b/src/ramppin/process/routing/selection.py
@@ -24,10 +24,13 @@
     Attributes:
         prefix_key: hash of the shared part of the prompt; None if there is none.
         exclude: ids of servers that this request has tried.
+        max_in_flight: requests that this VM should have at one server; None for
+            any number.
     """
 
     prefix_key: int | None = None
     exclude: frozenset[str] = frozenset()
+    max_in_flight: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,12 +70,15 @@
 
 
 def list_usable(
-    states: Sequence[ServerState], exclude: frozenset[str], now: float
+    states: Sequence[ServerState], request: SelectionRequest, now: float
 ) -> list[ServerState]:
-    """Return the servers to choose from: sound ones, else any that is left."""
-    left = [state for state in states if state.id not in exclude]
-    sound = [state for state in left if not state.health.is_aside(now)]
-    return sound or left
+    """Return the servers to choose from: sound ones with room, else any left."""
+    left = [state for state in states if state.id not in request.exclude]
+    sound = [state for state in left if not state.health.is_aside(now)] or left
+    limit = request.max_in_flight
+    if limit is None:
+        return sound
+    return [state for state in sound if state.in_flight < limit] or sound
 
 
 class SelectionStrategy(ABC):
@@ -88,7 +94,7 @@
             states: the open servers of its service.
             now: the loop's time.
         """
-        usable = list_usable(states, request.exclude, now)
+        usable = list_usable(states, request, now)
         if not usable:
             return None
         return self._choose_among(request, usable, measure_loads(states, now), now)
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -182,7 +182,11 @@
         context, now = self._context, self._loop.time()
         if self._ends_at - now < MIN_TIME_LEFT_S:
             return None
-        request = SelectionRequest(admission.prefix_key, frozenset(self._tried))
+        request = SelectionRequest(
+            admission.prefix_key,
+            frozenset(self._tried),
+            context.share_connections(admission.service),
+        )
         states = context.directory.list_open(admission.service)
         strategy = context.choose_strategy(admission.prefix_key is not None)
         return strategy.choose(request, states, now)
@@ -222,7 +226,9 @@
             )
             if result.end is AttemptEnd.REJECTED:
                 self._runs -= 1
-            context.pool.release(connection)
+            share = context.share_connections(admission.service)
+            spare = None if share is None else share - state.in_flight
+            context.pool.release(connection, max_resting=spare)
             return result
         finally:
             state.in_flight -= 1
