Count a head in pieces by its own bytes; a line for each request refused unread

Callers do not try again after 431. And a head without an end was counted only when one of its headers ended, so that it met its limit of time (408), not of size. Ruled out: the limit itself (the same requests in one segment are taken). Change: pieces that neither begin nor end a head are counted beside the parsed headers. Test: wire.feature, 'a head in two pieces is limited by its own size' (200 wanted, 431 found before), 'a head that does not end is refused at its limit' (408 before), lines.

--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -35,6 +35,31 @@
       | two lengths            | two lengths    | 400    |
       | no HTTP                | noise          | 400    |
 
+  Scenario Outline: a head in two pieces is limited by its own size: <what>
+    When through the gateway a caller sends a head of <head> bytes in two pieces and a body of <body> bytes
+    Then the answer is <status>
+
+    Examples:
+      | what                        | head | body | status |
+      | a small head, no body       | 600  | 0    | 200    |
+      | a small head, a large body  | 600  | 4900 | 200    |
+      | a large head                | 2600 | 0    | 431    |
+      | a large head and body       | 2600 | 4900 | 431    |
+
+  Scenario: a head that does not end is refused at its limit
+    When through the gateway a caller sends a header of 9000 bytes without its end
+    Then the answer is 431
+
+  Scenario Outline: a request that is refused unread leaves a line: <request>
+    When through the gateway a caller sends the bytes of "<request>"
+    Then the gateway's log has a line "refused" with the status <status> and "<reason>"
+
+    Examples:
+      | request      | status | reason                         |
+      | large header | 431    | head over 2000 bytes           |
+      | large body   | 413    | body over 5000 bytes           |
+      | noise        | 400    | bytes that form no request     |
+
   Scenario: a public route needs no key
     When through the gateway a caller sends the bytes of "public"
     Then the answer is 200
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 from behave import given, then, when
 
@@ -374,6 +375,56 @@
 }
 
 
+@when(
+    "through the gateway a caller sends a head of {head:d} bytes in two pieces "
+    "and a body of {body:d} bytes"
+)
+def step_two_pieces(context, head, body):
+    plain = encode_request("/once/", body=b"b" * body)
+    padding = head - plain.index(b"\r\n\r\n") - len("X-Pad: \r\n")
+    request = encode_request(
+        "/once/", body=b"b" * body, headers={"X-Pad": "x" * padding}
+    )
+    send_in_pieces(context, request[:100], request[100:])
+
+
+@when("through the gateway a caller sends a header of {size:d} bytes without its end")
+def step_endless(context, size):
+    request = encode_request("/once/", headers={"X-Large": "x" * size})
+    send_in_pieces(context, request[:200], request[200 : size - 200])
+
+
+def send_in_pieces(context, first: bytes, second: bytes) -> None:
+    listener = context.fixture.gateway.context.listener
+
+    async def send():
+        caller = await context.fixture.connect()
+        await caller.send(first)
+        await wait_for(
+            lambda: any(not c.idle for c in listener.connections), "a head began"
+        )
+        await caller.send(second)
+        return await caller.read()
+
+    context.answer = run(context, send())
+
+
+@then(
+    'the gateway\'s log has a line "{event}" with the status {status:d} and "{reason}"'
+)
+def step_log_line(context, event, status, reason):
+    def find_line():
+        context.fixture.gateway.context.decisions.flush()
+        lines = map(json.loads, context.fixture.log_path.read_text().splitlines())
+        return any(
+            (line["event"], line.get("status")) == (event, status)
+            and line["reason"].startswith(reason)
+            for line in lines
+        )
+
+    run(context, wait_for(find_line, "the line is written"))
+
+
 @when('through the gateway a caller sends the bytes of "{name}"')
 def step_send_bytes(context, name):
     async def send():
--- a/src/ramppin/connection/callerwire.py
+++ b/src/ramppin/connection/callerwire.py
@@ -71,6 +71,23 @@
         """Take the news that the caller reads too slowly, or reads again."""
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that was refused before it was read whole.
+
+    Attributes:
+        status: the answer's status.
+        reason: which rule it broke.
+        target: as far as it was read.
+        headers: those that were read.
+    """
+
+    status: int
+    reason: str
+    target: bytes = b""
+    headers: Headers = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class ListenerState:
     """What the connections of one listener share.
@@ -78,11 +95,13 @@
     Attributes:
         limits: limits in force.
         draining: whether answers ask callers to close.
+        note_refused: told of each request that is refused unread.
         connections: those that are open.
     """
 
     limits: CallerLimits = field(default_factory=CallerLimits)
     draining: bool = False
+    note_refused: Callable[[Refusal], None] = lambda refusal: None
     connections: set[CallerConnection] = field(default_factory=set)
 
 
@@ -111,6 +130,7 @@
         self._incoming: CallerRequest | None = None
         self._body: list[bytes] = []
         self._head_size = 0
+        self._unfinished_size = 0
         self._body_size = 0
         self._chunked = False
         self._answer_started = False
@@ -142,18 +162,23 @@
             if self.head_due is None:
                 limits = self._state.limits
                 self.head_due = self._loop.time() + limits.header_timeout_s
-        if self._incoming is not None and self.head_due is not None:
-            self._head_size += len(data)
+        began_before = self._reads_head
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             if not isinstance(error.__context__, _RefusedRequestError):
                 raise
-            self._refuse(error.__context__.status)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
-            self._refuse(400)
+            self._refuse(error.__context__.status, error.__context__.reason)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
+            self._refuse(400, f"bytes that form no request: {error}")
+        else:
+            if began_before and self._reads_head:
+                self._count_unfinished(len(data))
+
+    @property
+    def _reads_head(self) -> bool:
+        """Whether a head has begun and not ended."""
+        return self._incoming is not None and self.head_due is not None
 
     def eof_received(self) -> bool:
         """Treat the caller's close as its leave."""
@@ -183,6 +208,7 @@
         self._body = []
         self._body_size = 0
         self._head_size = 0
+        self._unfinished_size = 0
 
     def on_url(self, url: bytes) -> None:
         """Take a piece of the target."""
@@ -202,8 +228,8 @@
         assert request is not None
         self.head_due = None
         length = request.find(b"content-length")
-        if length is not None and int(length) > self._state.limits.max_body_bytes:
-            raise _RefusedRequestError(413)
+        if length is not None:
+            self._check_body(int(length))
         if request.find(b"expect") is not None and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -211,8 +237,7 @@
         """Take a piece of the body."""
         self._body.append(data)
         self._body_size += len(data)
-        if self._body_size > self._state.limits.max_body_bytes:
-            raise _RefusedRequestError(413)
+        self._check_body(self._body_size)
 
     def on_message_complete(self) -> None:
         """Hand on a whole request."""
@@ -301,14 +326,31 @@
             self.close_if_idle()
         elif self.head_due is not None and now >= self.head_due:
             self.head_due = None
-            self._refuse(408)
+            self._refuse(408, "the head did not end in time")
 
     # inside
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
-        if self._head_size > self._state.limits.max_header_bytes:
-            raise _RefusedRequestError(431)
+        limit = self._state.limits.max_header_bytes
+        if self._head_size > limit:
+            raise _RefusedRequestError(431, f"head over {limit} bytes")
+
+    def _count_unfinished(self, size: int) -> None:
+        """Count bytes of a head that the parser keeps until a header ends.
+
+        Only pieces that neither began nor ended the head are counted: the others
+        may hold bodies.
+        """
+        self._unfinished_size += size
+        limit = self._state.limits.max_header_bytes
+        if self._unfinished_size > limit:
+            self._refuse(431, f"head over {limit} bytes")
+
+    def _check_body(self, size: int) -> None:
+        limit = self._state.limits.max_body_bytes
+        if size > limit:
+            raise _RefusedRequestError(413, f"body over {limit} bytes")
 
     def _begin_rest(self) -> None:
         limits = self._state.limits
@@ -341,7 +383,7 @@
         elif self._incoming is None:
             self._begin_rest()
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, status: int, reason: str) -> None:
         """Answer a request that can't be read, and close."""
         if self._transport is None or self.gone:
             return
@@ -353,11 +395,14 @@
         else:
             self._responder.accept_leave()
             self.break_off()
+        read = self._incoming or CallerRequest(b"", b"", [])
+        self._state.note_refused(Refusal(status, reason, read.target, read.headers))
 
 
 class _RefusedRequestError(Exception):
     """A request that breaks a limit; carries the status of its refusal."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, reason: str) -> None:
         super().__init__(status)
         self.status = status
+        self.reason = reason
--- a/src/ramppin/process/gateway.py
+++ b/src/ramppin/process/gateway.py
@@ -12,8 +12,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from ramppin.connection.callerwire import CallerConnection, ListenerState, Responder
+from ramppin.connection.callerwire import (
+    CallerConnection,
+    ListenerState,
+    Refusal,
+    Responder,
+)
 from ramppin.connection.datagrams import DatagramLink, PeerHints
+from ramppin.connection.httpwire import find_header
 from ramppin.connection.pool import ConnectionPool
 from ramppin.process.context import GatewayContext
 from ramppin.process.gatewayconfig import Address, GatewayConfig
@@ -31,6 +37,7 @@
 
 SWEEP_S = 0.25
 LISTEN_BACKLOG = 1024
+MAX_LOGGED_BYTES = 100
 ResponderBuilder = Callable[[CallerConnection], Responder]
 
 
@@ -65,6 +72,7 @@
             generator=generator,
             retry_rules=config.retry_rules,
         )
+        self.context.listener.note_refused = self._note_refused
         self.tables = GatewayTables(
             config, sources, self.context, self.homes, generator
         )
@@ -213,6 +221,18 @@
             connection, state, self.context.metrics, self.context.explanations
         )
 
+    def _note_refused(self, refusal: Refusal) -> None:
+        """Write a line about a request that was refused before it was read."""
+        found = find_header(refusal.headers, self.config.names.request_id)
+        self.context.decisions.note(
+            "refused",
+            request_id=(found or b"").decode("latin-1"),
+            status=refusal.status,
+            reason=refusal.reason,
+            target=refusal.target[:MAX_LOGGED_BYTES].decode("latin-1"),
+            version=self.context.version,
+        )
+
     def _take_hints(self, hints: PeerHints, host: str) -> None:
         if self._hints is not None:
             self._hints.take(hints, host)
