Take events that end with carriage returns too

Cause, found by reading: a resumable stream whose server ends lines with CR LF was held back whole, up to 1 MiB, and then given up. Test: decisions.feature, 'events split at any piece' (red before for CR LF).

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -63,6 +63,16 @@
       | 370  | 1   | 333   |
       | 10   | 360 | 1     |
 
+  Scenario Outline: events split at any piece: <what>
+    Then the stream "<stream>" in pieces of any size gives whole events up to "<whole>", last id "<last>"
+
+    Examples:
+      | what                  | stream                              | whole                       | last |
+      | line feeds            | id: 1\ndata: a\n\nid: 2\n\nid: 3\n | id: 1\ndata: a\n\nid: 2\n\n | 2    |
+      | carriage returns too  | id: 1\r\ndata: a\r\n\r\nid: 2\r\n   | id: 1\r\ndata: a\r\n\r\n     | 1    |
+      | an id inside the data | id: 7\ndata: id: 8\n\n              | id: 7\ndata: id: 8\n\n      | 7    |
+      | no event yet          | id: 1\n                             |                             | none |
+
   Scenario Outline: homes of prefixes agree in any order: <case>
     Then homes told in any order end as "<end>" for "<case>"
 
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -26,6 +26,7 @@
     SelectionRequest,
     list_usable,
 )
+from ramppin.request.events import EventSplitter
 from ramppin.request.ranking import hash_name, mix
 from ramppin.version.routingfile import TreeDecoder
 from standins.tables import TableStandIn
@@ -195,6 +196,32 @@
     check()
 
 
+@then(
+    'the stream "{stream}" in pieces of any size gives whole events up to '
+    '"{whole}", last id "{last}"'
+)
+def step_split(context, stream, whole, last):
+    check_split(stream, whole, last)
+
+
+@then(
+    'the stream "{stream}" in pieces of any size gives whole events up to '
+    '"", last id "{last}"'
+)
+def step_split_none(context, stream, last):
+    check_split(stream, "", last)
+
+
+def check_split(stream: str, whole: str, last: str) -> None:
+    data = stream.encode().decode("unicode_escape").encode()
+    for size in range(1, len(data) + 1):
+        splitter = EventSplitter()
+        pieces = [data[at : at + size] for at in range(0, len(data), size)]
+        found = b"".join(splitter.feed(piece) for piece in pieces)
+        assert found == whole.encode().decode("unicode_escape").encode(), (size, found)
+        assert (splitter.last_id or b"none") == last.encode(), size
+
+
 def read_share(text: str) -> int | None:
     return None if text == "none" else int(text)
 
--- a/src/ramppin/request/events.py
+++ b/src/ramppin/request/events.py
@@ -4,7 +4,9 @@
 
 from ramppin.errors import ProtocolError
 
-EVENT_END = b"\n\n"
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+"""Blank lines; a server ends its lines in one of two ways."""
+
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1_048_576
 
@@ -31,13 +33,12 @@
             ProtocolError: an event is larger than any real one.
         """
         buffered = self._partial + data if self._partial else data
-        end = buffered.rfind(EVENT_END)
+        end = max(_find_end(buffered, mark) for mark in EVENT_ENDS)
         if end < 0:
             self._partial = buffered
             if len(buffered) > MAX_EVENT_BYTES:
                 raise ProtocolError("an event does not end", step="stream")
             return b""
-        end += len(EVENT_END)
         whole, self._partial = buffered[:end], buffered[end:]
         self._note_last_id(whole)
         return whole
@@ -53,3 +54,9 @@
                 line = whole[start + len(ID_FIELD) :].split(b"\n", 1)[0]
                 self.last_id = line.strip()
                 return
+
+
+def _find_end(data: bytes, mark: bytes) -> int:
+    """Return where the last whole event ends, or -1."""
+    start = data.rfind(mark)
+    return start + len(mark) if start >= 0 else -1
