End requests that stop half way; reading requests is a module of its own

Cause, found by reading: a caller that stopped in the middle of a body, or of a head that it had sent behind an answered request, was waited for without end; each such connection holds a descriptor and its bytes. A body that rests for the idle timeout, and a head that does not end in time, get 408, unless an answer is under way.

--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -50,6 +50,18 @@
     When through the gateway a caller sends a header of 9000 bytes without its end
     Then the answer is 431
 
+  Scenario Outline: a caller that stops sending is not waited for: <sent>
+    When through the gateway a caller sends "<sent>" and stops
+    Then after <limit> without a byte the connection ends with <end>
+
+    Examples:
+      | sent                       | limit               | end |
+      | nothing                    | the idle timeout    | 0   |
+      | blank lines                | the header timeout  | 408 |
+      | half a head                | the header timeout  | 408 |
+      | half a body                | the idle timeout    | 408 |
+      | a request, half a head     | the header timeout  | 408 |
+
   Scenario Outline: a request that is refused unread leaves a line: <request>
     When through the gateway a caller sends the bytes of "<request>"
     Then the gateway's log has a line "refused" with the status <status> and "<reason>"
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -409,6 +409,54 @@
     context.answer = run(context, send())
 
 
+STOPPED = {
+    "nothing": b"",
+    "blank lines": b"\r\n\r\n",
+    "half a head": encode_request("/once/")[:40],
+    "half a body": encode_request("/once/", body=b"x" * 100)[:-50],
+    "a request, half a head": encode_request("/once/") + encode_request("/once/")[:40],
+}
+
+
+@when('through the gateway a caller sends "{sent}" and stops')
+def step_send_and_stop(context, sent):
+    async def send():
+        context.caller = await context.fixture.connect()
+        await context.caller.send(STOPPED[sent])
+        listener = context.fixture.gateway.context.listener
+        await wait_for(lambda: len(listener.connections) == 1, "it is connected")
+        [context.connection] = listener.connections
+        if sent.startswith("a request"):
+            await context.caller.read()
+        elif sent == "nothing":
+            return
+        else:
+            await wait_for(
+                lambda: context.connection.resting_until is None, "bytes were taken"
+            )
+
+    run(context, send())
+
+
+@then("after {limit} without a byte the connection ends with {end:d}")
+def step_ends(context, limit, end):
+    limits = context.fixture.gateway.context.listener.limits
+    wait_s = {
+        "the idle timeout": limits.idle_timeout_s,
+        "the header timeout": limits.header_timeout_s,
+    }[limit]
+
+    async def wait():
+        now = asyncio.get_running_loop().time()
+        context.connection.check_timeouts(now + wait_s * 0.5)
+        assert not context.connection.gone, "ended early"
+        context.connection.check_timeouts(now + wait_s)
+        return await context.caller.wait_for_end()
+
+    data = run(context, wait())
+    assert RawAnswer(data).status == end, data
+
+
 @then(
     'the gateway\'s log has a line "{event}" with the status {status:d} and "{reason}"'
 )
--- a/src/ramppin/connection/callerwire.py
+++ b/src/ramppin/connection/callerwire.py
@@ -13,14 +13,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import httptools
-
 from ramppin.connection.httpwire import (
     LAST_CHUNK,
     Headers,
     encode_answer,
     encode_chunk,
-    find_header,
+)
+from ramppin.connection.requestreader import (
+    CallerRequest,
+    RefusedRequestError,
+    RequestReader,
+    RequestTaker,
 )
 from ramppin.version.routing import CallerLimits
 
@@ -28,33 +31,6 @@
 """Requests of one connection that wait behind the one in flight."""
 
 
-@dataclass(slots=True)
-class CallerRequest:
-    """A request as a caller sent it, whole.
-
-    Attributes:
-        method: as sent.
-        target: path and query as sent.
-        headers: in order, as sent.
-        body: the whole body.
-        arrived: the loop's time at which it was whole.
-        keep_alive: whether the caller wants to keep the connection.
-        http_1_0: whether the caller can't read chunks.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes = b""
-    arrived: float = 0.0
-    keep_alive: bool = True
-    http_1_0: bool = False
-
-    def find(self, name: bytes) -> bytes | None:
-        """Return the value of a header, or None."""
-        return find_header(self.headers, name)
-
-
 class Responder(ABC):
     """Takes requests and the leave of callers; one for each connection."""
 
@@ -105,7 +81,7 @@
     connections: set[CallerConnection] = field(default_factory=set)
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, RequestTaker):
     """One connection of a caller.
 
     Args:
@@ -124,14 +100,10 @@
         self._loop = asyncio.get_running_loop()
         self._responder = build_responder(self)
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(self, lambda: state.limits)
         self._waiting: deque[CallerRequest] = deque()
         self._current: CallerRequest | None = None
-        self._incoming: CallerRequest | None = None
-        self._body: list[bytes] = []
-        self._head_size = 0
-        self._unfinished_size = 0
-        self._body_size = 0
+        self._heard_at = self._loop.time()
         self._chunked = False
         self._answer_started = False
         self.opened_at = self._loop.time()
@@ -142,7 +114,7 @@
     @property
     def idle(self) -> bool:
         """Whether no request is in flight, waiting or half received."""
-        return not (self._current or self._waiting or self._incoming)
+        return not (self._current or self._waiting or self._reader.incoming)
 
     # asyncio's side
 
@@ -159,26 +131,12 @@
             return
         if self.resting_until is not None:
             self.resting_until = None
-            if self.head_due is None:
-                limits = self._state.limits
-                self.head_due = self._loop.time() + limits.header_timeout_s
-        began_before = self._reads_head
+            self._expect_head()
+        self._heard_at = self._loop.time()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            if not isinstance(error.__context__, _RefusedRequestError):
-                raise
-            self._refuse(error.__context__.status, error.__context__.reason)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
-            self._refuse(400, f"bytes that form no request: {error}")
-        else:
-            if began_before and self._reads_head:
-                self._count_unfinished(len(data))
-
-    @property
-    def _reads_head(self) -> bool:
-        """Whether a head has begun and not ended."""
-        return self._incoming is not None and self.head_due is not None
+            self._reader.feed(data)
+        except RefusedRequestError as error:
+            self._refuse(error.status, error.reason)
 
     def eof_received(self) -> bool:
         """Treat the caller's close as its leave."""
@@ -200,56 +158,17 @@
         """Pass on that the caller reads again."""
         self._responder.accept_flow(paused=False)
 
-    # httptools' side
-
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._incoming = CallerRequest(b"", b"", [])
-        self._body = []
-        self._body_size = 0
-        self._head_size = 0
-        self._unfinished_size = 0
-
-    def on_url(self, url: bytes) -> None:
-        """Take a piece of the target."""
-        assert self._incoming is not None
-        self._incoming.target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        assert self._incoming is not None
-        self._incoming.headers.append((name, value))
-        self._count_head(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        """Check what the head announces."""
-        request = self._incoming
-        assert request is not None
+    # the reader's side
+
+    def accept_head(self, request: CallerRequest) -> None:
+        """Let the caller send the body."""
         self.head_due = None
-        length = request.find(b"content-length")
-        if length is not None:
-            self._check_body(int(length))
         if request.find(b"expect") is not None and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, data: bytes) -> None:
-        """Take a piece of the body."""
-        self._body.append(data)
-        self._body_size += len(data)
-        self._check_body(self._body_size)
-
-    def on_message_complete(self) -> None:
-        """Hand on a whole request."""
-        request = self._incoming
-        assert request is not None
-        self._incoming = None
-        request.method = self._parser.get_method()
-        request.body = b"".join(self._body)
+    def accept_whole(self, request: CallerRequest) -> None:
+        """Begin a request, or let it wait for the one in flight."""
         request.arrived = self._loop.time()
-        request.keep_alive = self._parser.should_keep_alive()
-        request.http_1_0 = self._parser.get_http_version() == "1.0"
-        self._body = []
         self._waiting.append(request)
         if self._current is None:
             self._start_next()
@@ -322,35 +241,28 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close or refuse a connection that rested or dawdled too long."""
+        limits = self._state.limits
         if self.resting_until is not None and now >= self.resting_until:
             self.close_if_idle()
         elif self.head_due is not None and now >= self.head_due:
             self.head_due = None
             self._refuse(408, "the head did not end in time")
+        elif self._awaits_body and now - self._heard_at >= limits.idle_timeout_s:
+            self._refuse(408, "the body stopped")
 
-    # inside
-
-    def _count_head(self, size: int) -> None:
-        self._head_size += size
-        limit = self._state.limits.max_header_bytes
-        if self._head_size > limit:
-            raise _RefusedRequestError(431, f"head over {limit} bytes")
-
-    def _count_unfinished(self, size: int) -> None:
-        """Count bytes of a head that the parser keeps until a header ends.
+    @property
+    def _awaits_body(self) -> bool:
+        """Whether a request's body is due, and no answer would be cut with it."""
+        if self._current or self._waiting or self._reader.incoming is None:
+            return False
+        return not self._reader.reads_head
 
-        Only pieces that neither began nor ended the head are counted: the others
-        may hold bodies.
-        """
-        self._unfinished_size += size
-        limit = self._state.limits.max_header_bytes
-        if self._unfinished_size > limit:
-            self._refuse(431, f"head over {limit} bytes")
+    # inside
 
-    def _check_body(self, size: int) -> None:
-        limit = self._state.limits.max_body_bytes
-        if size > limit:
-            raise _RefusedRequestError(413, f"body over {limit} bytes")
+    def _expect_head(self) -> None:
+        if self.head_due is None:
+            limits = self._state.limits
+            self.head_due = self._loop.time() + limits.header_timeout_s
 
     def _begin_rest(self) -> None:
         limits = self._state.limits
@@ -380,8 +292,10 @@
         if self._waiting:
             self._transport.resume_reading()
             self._start_next()
-        elif self._incoming is None:
+        elif self._reader.incoming is None:
             self._begin_rest()
+        elif self._reader.reads_head:
+            self._expect_head()
 
     def _refuse(self, status: int, reason: str) -> None:
         """Answer a request that can't be read, and close."""
@@ -395,14 +309,5 @@
         else:
             self._responder.accept_leave()
             self.break_off()
-        read = self._incoming or CallerRequest(b"", b"", [])
+        read = self._reader.incoming or CallerRequest(b"", b"", [])
         self._state.note_refused(Refusal(status, reason, read.target, read.headers))
-
-
-class _RefusedRequestError(Exception):
-    """A request that breaks a limit; carries the status of its refusal."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(status)
-        self.status = status
-        self.reason = reason
--- a/src/ramppin/process/limits/readiness.py
+++ b/src/ramppin/process/limits/readiness.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+from ramppin.connection.callerwire import CallerConnection, Responder
+from ramppin.connection.requestreader import CallerRequest
 
 
 class ReadinessResponder(Responder):
--- a/src/ramppin/process/operations.py
+++ b/src/ramppin/process/operations.py
@@ -11,7 +11,8 @@
 
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+from ramppin.connection.callerwire import CallerConnection, Responder
+from ramppin.connection.requestreader import CallerRequest
 from ramppin.process.context import GatewayContext
 from ramppin.process.recovery.peerrecords import FollowedTable
 from ramppin.process.reporting.explanations import Explanations
--- a/src/ramppin/process/recovery/peerrecords.py
+++ b/src/ramppin/process/recovery/peerrecords.py
@@ -16,8 +16,9 @@
 
 import msgspec
 
-from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+from ramppin.connection.callerwire import CallerConnection, Responder
 from ramppin.connection.fetch import Fetcher
+from ramppin.connection.requestreader import CallerRequest
 from ramppin.errors import LogUnavailableError
 from ramppin.process.recovery.follower import Follower
 from ramppin.process.recovery.replica import Record, Replica
--- a/src/ramppin/request/admission.py
+++ b/src/ramppin/request/admission.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ramppin.connection.callerwire import CallerRequest
+from ramppin.connection.requestreader import CallerRequest
 from ramppin.process.context import GatewayContext
 from ramppin.request.promptkey import hash_prefix
 from ramppin.version.routing import Customer, Route, RoutingTable, choose_service
--- a/src/ramppin/request/attempt.py
+++ b/src/ramppin/request/attempt.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ramppin.connection.callerwire import CallerConnection, CallerRequest
+from ramppin.connection.callerwire import CallerConnection
 from ramppin.connection.httpwire import (
     HeaderNames,
     Headers,
     find_header,
     keep_end_to_end,
 )
+from ramppin.connection.requestreader import CallerRequest
 from ramppin.connection.upstream import AnswerHead, AnswerReceiver, UpstreamConnection
 from ramppin.errors import BrokenAnswerError, NotSentError, ProtocolError
 from ramppin.process.membership.health import Outcome
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -10,8 +10,9 @@
 
 import asyncio
 
-from ramppin.connection.callerwire import CallerConnection, CallerRequest, Responder
+from ramppin.connection.callerwire import CallerConnection, Responder
 from ramppin.connection.httpwire import Headers, find_header, keep_end_to_end
+from ramppin.connection.requestreader import CallerRequest
 from ramppin.connection.upstream import UpstreamConnection
 from ramppin.errors import NotSentError
 from ramppin.process.context import GatewayContext
--- a/src/ramppin/request/upstreamhead.py
+++ b/src/ramppin/request/upstreamhead.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ramppin.connection.callerwire import CallerRequest
 from ramppin.connection.httpwire import (
     HeaderNames,
     Headers,
@@ -10,6 +9,7 @@
     find_header,
     keep_end_to_end,
 )
+from ramppin.connection.requestreader import CallerRequest
 from ramppin.process.routing.directory import BackendServer
 from ramppin.version.routing import Customer, Route
 
