--- a/features/gateway/relays.feature
+++ b/features/gateway/relays.feature
@@ -53,3 +53,22 @@
       | 2     | 0.0   | 0.5      |
       | 3     | 0.4   | 1.0      |
       | 8     | 2.0   | 2.0      |
+
+  Scenario Outline: heartbeats stay bounded in any fleet: <vms>
+    Then among "<vms>" the VM "a1" tells near VMs each <near> s
+    And among "<vms>" the VM "a1" tells far VMs each <far> s
+
+    Examples:
+      | vms                      | near | far |
+      | a:2 b:2                  | 2.5  | 2.5 |
+      | a:20 b:20 c:20 d:20      | 2.5  | 2.5 |
+      | a:72 b:72 c:72 d:72 e:72 | 2.5  | 7.2 |
+
+  Scenario Outline: who counts as live <passed> s after the last message: <vms>
+    Then among "<vms>" the VM "a1" counts as live "<live>" after <passed> s
+
+    Examples:
+      | vms                      | passed | live      |
+      | a:20 b:20                | 5      | a b       |
+      | a:72 b:72 c:72 d:72 e:72 | 5      | a b c d e |
+      | a:72 b:72 c:72 d:72 e:72 | 10     | b c d e   |
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -5,16 +5,17 @@
 import asyncio
 import json
 
+import msgspec
 from behave import given, then, when
 
 from features.gateway_support import build_tree
-from ramppin.process.membership.fleet import Member
+from ramppin.process.membership.fleet import FleetMembers, Member, MemberRecord
 from ramppin.process.recovery.relays import RelayedSource, RelayTimes, choose_relays
+from ramppin.process.recovery.replica import Record
 from standins.common import wait_for
 from standins.tables import TableStandIn
 
 NOW = 100.0
-LIVE_S = 6.0
 EASY_BOUND_S = 20.0
 LONG_WAIT_S = 30.0
 
@@ -23,21 +24,49 @@
     return context.loop.run_until_complete(work)
 
 
-def read_vm(text: str) -> Member:
+def read_record(text: str) -> tuple[Record, float]:
     """Read ``NAME[*WEIGHT][:silent]``; the letter is the failure domain."""
     name, _, silent = text.partition(":")
     name, _, weight = name.partition("*")
+    entry = MemberRecord(name, name[0], float(weight or 1))
     heard_at = NOW - 60 if silent else NOW
-    return Member(name, name, heard_at, name[0], float(weight or 1))
+    return Record(name, msgspec.json.encode(entry), 0), heard_at
+
+
+def build_members(own: str, vms: str) -> FleetMembers:
+    members = FleetMembers(own, own[0])
+    for record, heard_at in map(read_record, vms.split()):
+        members.take_record(record, heard_at)
+    return members
 
 
 def check_relays(vms: str, name: str, relays: list[str]) -> None:
-    members = {member.vm: member for member in map(read_vm, vms.split())}
-    own = members.pop(name)
-    found = choose_relays(own, list(members.values()), NOW, LIVE_S)
+    weights = dict(vm.partition("*")[::2] for vm in vms.split())
+    own = Member(name, name, NOW, name[0], float(weights[name] or 1))
+    live_near = build_members(name, vms).list_live_near(NOW)
+    found = choose_relays(own, live_near)
     assert [member.vm for member in found] == relays, found
 
 
+@then('among "{vms}" the VM "{own}" tells {which} VMs each {period:g} s')
+def step_heartbeat(context, vms, own, which, period):
+    members = build_members(own, expand(vms))
+    found = members.choose_heartbeat_s(near=which == "near")
+    assert found == period, found
+
+
+@then('among "{vms}" the VM "{own}" counts as live "{live}" after {passed:g} s')
+def step_live(context, vms, own, live, passed):
+    found = build_members(own, expand(vms)).list_live(NOW + passed)
+    assert sorted({name[0] for name in found}) == live.split(), found
+
+
+def expand(vms: str) -> str:
+    """Turn ``a:3 b:2`` into ``a1 a2 a3 b1 b2``."""
+    parts = (part.partition(":")[::2] for part in vms.split())
+    return " ".join(f"{d}{n}" for d, count in parts for n in range(1, int(count) + 1))
+
+
 @then('with the VMs "{vms}" the relays of "{name}" are "{relays}"')
 def step_relays(context, vms, name, relays):
     check_relays(vms, name, relays.split())
--- a/src/ramppin/process/membership/fleet.py
+++ b/src/ramppin/process/membership/fleet.py
@@ -15,8 +15,14 @@
 LOG = logging.getLogger(__name__)
 
 ANNOUNCE_RETRY_S = 1.0
-SILENT_AFTER_S = 6.0
-"""A VM that was not heard for this long gets hints only now and then."""
+NEAR_HEARTBEAT_S = 2.5
+"""A VM tells those of its own failure domain after this long that it lives."""
+
+FAR_HEARTBEATS_PER_S = 40.0
+"""Heartbeats that one VM sends to other failure domains, whatever their size."""
+
+SILENT_AFTER_HEARTBEATS = 2.4
+"""A VM that missed this many heartbeats gets hints only now and then."""
 
 TRY_AGAIN_S = 5.0
 
@@ -55,12 +61,14 @@
 
     Args:
         vm: this VM's name.
+        failure_domain: where it stands.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, vm: str) -> None:
+    def __init__(self, vm: str, failure_domain: str) -> None:
         self._vm = vm
+        self._failure_domain = failure_domain
         self._members: dict[str, Member] = {}
 
     def __len__(self) -> int:
@@ -90,11 +98,28 @@
         member.heard_at = now
         return True
 
-    def list_hosts(self, now: float) -> list[str]:
-        """Return the addresses to send hints to: VMs that were heard of late."""
+    def choose_heartbeat_s(self, *, near: bool) -> float:
+        """Return the time between heartbeats to near VMs, or to far ones.
+
+        Those of other failure domains are told more rarely as they become many:
+        a VM's own messages stay bounded in a fleet of any size.
+        """
+        if near:
+            return NEAR_HEARTBEAT_S
+        far = sum(not self._is_near(member) for member in self._members.values())
+        return max(NEAR_HEARTBEAT_S, far / FAR_HEARTBEATS_PER_S)
+
+    def list_hosts(self, now: float, *, near: bool) -> list[str]:
+        """Return the addresses of near VMs, or of far ones, to send messages to.
+
+        Those that were not heard of late are tried only now and then.
+        """
+        silent_s = self._choose_silence_s(near=near)
         chosen = []
         for member in self._members.values():
-            silent = now - member.heard_at > SILENT_AFTER_S
+            if self._is_near(member) != near:
+                continue
+            silent = now - member.heard_at > silent_s
             if silent and now - member.tried_at < TRY_AGAIN_S:
                 continue
             member.tried_at = now
@@ -103,16 +128,33 @@
 
     def list_live(self, now: float) -> list[str]:
         """Return the names of VMs that were heard of late."""
+        near_s = self._choose_silence_s(near=True)
+        far_s = self._choose_silence_s(near=False)
         return [
             member.vm
             for member in self._members.values()
-            if now - member.heard_at <= SILENT_AFTER_S
+            if now - member.heard_at <= (near_s if self._is_near(member) else far_s)
+        ]
+
+    def list_live_near(self, now: float) -> list[Member]:
+        """Return the VMs of the own failure domain that were heard of late."""
+        silent_s = self._choose_silence_s(near=True)
+        return [
+            member
+            for member in self._members.values()
+            if self._is_near(member) and now - member.heard_at <= silent_s
         ]
 
     def list_heard_first(self) -> list[Member]:
         """Return all members, those heard last first."""
         return sorted(self._members.values(), key=lambda m: m.heard_at, reverse=True)
 
+    def _is_near(self, member: Member) -> bool:
+        return member.failure_domain == self._failure_domain
+
+    def _choose_silence_s(self, *, near: bool) -> float:
+        return SILENT_AFTER_HEARTBEATS * self.choose_heartbeat_s(near=near)
+
 
 async def announce(log: RecordLog, own: Member) -> None:
     """Write this VM's entry into the shared log; try until it is there."""
--- a/src/ramppin/process/recovery/relays.py
+++ b/src/ramppin/process/recovery/relays.py
@@ -88,26 +88,17 @@
         return min(wait_s, max(0.0, self.max_age_s - age_s))
 
 
-def choose_relays(
-    own: Member, members: list[Member], now: float, live_s: float
-) -> list[Member]:
+def choose_relays(own: Member, live_near: list[Member]) -> list[Member]:
     """Return the VMs of the own failure domain that read the log for the others.
 
     Args:
         own: this VM.
-        members: the other VMs.
-        now: the loop's time.
-        live_s: time since its last message for which a VM counts as live.
+        live_near: the other live VMs of its failure domain.
 
     Returns:
         The relays, or an empty list where every VM reads for itself.
     """
-    near = [own] + [
-        member
-        for member in members
-        if member.failure_domain == own.failure_domain
-        and now - member.heard_at <= live_s
-    ]
+    near = [own, *live_near]
     if len(near) < MIN_VMS:
         return []
     key = hash_name(f"relay of {own.failure_domain}")
@@ -217,19 +208,15 @@
     Args:
         own: this VM.
         members: the other VMs.
-        live_s: time since its last message for which a VM counts as live.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, own: Member, members: FleetMembers, live_s: float) -> None:
+    def __init__(self, own: Member, members: FleetMembers) -> None:
         self._own = own
         self._members = members
-        self._live_s = live_s
 
     def list_relays(self) -> list[Member]:
         """Return the relays now."""
         now = asyncio.get_running_loop().time()
-        return choose_relays(
-            self._own, self._members.list_heard_first(), now, self._live_s
-        )
+        return choose_relays(self._own, self._members.list_live_near(now))
--- a/src/ramppin/process/recovery/tables.py
+++ b/src/ramppin/process/recovery/tables.py
@@ -16,7 +16,6 @@
 from ramppin.process.context import GatewayContext
 from ramppin.process.gatewayconfig import GatewayConfig
 from ramppin.process.membership.fleet import (
-    SILENT_AFTER_S,
     FleetMembers,
     Member,
     announce,
@@ -83,11 +82,11 @@
         self._context = context
         self.settings = Replica("settings", self._take_settings)
         self.servers = Replica("servers", self._take_server)
-        self.members = FleetMembers(config.vm)
+        self.members = FleetMembers(config.vm, config.failure_domain)
         self._own = Member(
             config.vm, config.peers.host, 0.0, config.failure_domain, config.weight
         )
-        self._relays = RelayChoice(self._own, self.members, SILENT_AFTER_S)
+        self._relays = RelayChoice(self._own, self.members)
         self.settings_follower = Follower(
             self.settings,
             self._relay(
--- a/src/ramppin/process/routing/hints.py
+++ b/src/ramppin/process/routing/hints.py
@@ -13,8 +13,6 @@
 """Datagrams that one VM sends; with many VMs the period grows instead."""
 
 HINTS_PER_DATAGRAM = 24
-HEARTBEAT_S = 2.5
-"""A VM with nothing to tell sends an empty message after this long."""
 
 
 class HintExchange:
@@ -43,7 +41,7 @@
         self._port = port
         self._members = members
         self._homes = homes
-        self._sent_at = float("-inf")
+        self._sent_at = dict.fromkeys((True, False), float("-inf"))
 
     async def run(self) -> None:
         """Send hints until cancelled."""
@@ -67,14 +65,17 @@
         return max(SHORTEST_PERIOD_S, len(self._members) / DATAGRAMS_PER_S)
 
     def _send(self) -> None:
+        """Send what is new to all VMs, or a heartbeat to those it is due to."""
         now = asyncio.get_running_loop().time()
         notices = self._homes.collect_notices(now, HINTS_PER_DATAGRAM)
-        if not notices and now - self._sent_at < HEARTBEAT_S:
-            return
-        self._sent_at = now
         homes = [
             HomeHint(notice.key, notice.server, int(notice.age_s * 1000))
             for notice in notices
         ]
-        hosts = self._members.list_hosts(now)
-        self._link.send(PeerHints(self._vm, homes), hosts, self._port)
+        for near in (True, False):
+            due_s = self._members.choose_heartbeat_s(near=near)
+            if not notices and now - self._sent_at[near] < due_s:
+                continue
+            self._sent_at[near] = now
+            hosts = self._members.list_hosts(now, near=near)
+            self._link.send(PeerHints(self._vm, homes), hosts, self._port)
