--- a/src/ramppin/errors.py
+++ b/src/ramppin/errors.py
@@ -183,3 +183,31 @@
         self.code = code
         self.retry_after = retry_after
         self.outcome = outcome
+
+    @classmethod
+    def from_broken_answer(
+        cls,
+        error: BrokenAnswerError,
+        message: str,
+        *,
+        status: int = 502,
+        code: str = "answer_lost",
+    ) -> RefusedError:
+        """Return the refusal of a request that may have run.
+
+        Args:
+            error: what befell its answer.
+            message: what that means for the caller.
+            status: the HTTP status of the refusal.
+            code: a short stable word for programs.
+
+        .. versionadded:: 0.2
+        """
+        return cls(
+            message,
+            status=status,
+            code=code,
+            outcome="unknown",
+            step=error.step,
+            peer=error.peer,
+        )
--- a/src/ramppin/request/chat.py
+++ b/src/ramppin/request/chat.py
@@ -129,13 +129,8 @@
             content = await sent.answer.read()
         except BrokenAnswerError as error:
             run.free(sent.place, failed=True, running=True)
-            raise RefusedError(
-                "the answer ended before it was whole",
-                status=502,
-                code="answer_lost",
-                outcome=Outcome.UNKNOWN,
-                step=error.step,
-                peer=error.peer,
+            raise RefusedError.from_broken_answer(
+                error, "the answer ended before it was whole"
             ) from error
         except BaseException:
             sent.answer.close()
@@ -274,13 +269,8 @@
                 stream.position,
             )
         except BrokenAnswerError as error:
-            raise RefusedError(
-                "the stream can't be resumed",
-                status=410,
-                code="stream_gone",
-                outcome=Outcome.UNKNOWN,
-                step=error.step,
-                peer=error.peer,
+            raise RefusedError.from_broken_answer(
+                error, "the stream can't be resumed", status=410, code="stream_gone"
             ) from error
         headers = build_headers(run.id, run.settings.version, Outcome.RAN)
         headers[SERVER_HEADER] = stream.backend_server
--- a/src/ramppin/request/keyed.py
+++ b/src/ramppin/request/keyed.py
@@ -182,13 +182,8 @@
             body = await sent.answer.read()
         except BrokenAnswerError as error:
             failed = True
-            raise RefusedError(
-                "the answer was lost",
-                status=502,
-                code="answer_lost",
-                outcome=Outcome.UNKNOWN,
-                step=error.step,
-                peer=error.peer,
+            raise RefusedError.from_broken_answer(
+                error, "the answer was lost"
             ) from error
         finally:
             run.free(sent.place, failed=failed, running=failed)
