Give a silent server up for requests that may be repeated

Cause: a request that may be repeated waited its whole time for a server that had gone dark after it was sent; only new requests avoided the server. And a server with a single stream in flight was never seen as silent once an event had come. Ruled out: hedging (a second run while the first goes on): it costs runs on sound servers. A server that a slow caller holds back does not count as silent. Test: wire.feature 'silent then well', '/hasty/'; streams.feature 'a silent one goes on elsewhere': red before.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -16,6 +16,7 @@
       | a broken stream is cut                | two events, reset   | /stream/ | broken | 1 2     | 1    |
       | a broken one that ends well is cut    | two events, closed  | /stream/ | broken | 1 2     | 1    |
       | a resumable one goes on elsewhere     | two events, reset   | /resume/ | whole  | 1 2 3 4 | 2    |
+      | a silent one goes on elsewhere        | two events, silent  | /resume/ | whole  | 1 2 3 4 | 2    |
       | broken in the middle of an event      | half event, reset   | /resume/ | whole  | 1 2 3 4 | 2    |
       | events cut across pieces              | pieces              | /resume/ | whole  | 1 2 3 4 | 1    |
       | an end in the middle of an event      | half event, ended   | /resume/ | whole  | 1 2 3 4 | 2    |
--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -104,6 +104,8 @@
       | reset then rejected    | /again/  | 502    | whole  |        | 4    |
       | misdirected then well  | /once/   | 200    | whole  | answer | 2    |
       | silent                 | /brief/  | 504    | whole  |        | 1    |
+      | silent then well       | /again/  | 200    | whole  | answer | 2    |
+      | silent                 | /hasty/  | 504    | whole  |        | 2    |
 
   Scenario: a surplus answer never reaches the next request
     Given backend servers that answer by "twice"
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -36,6 +36,10 @@
         "rules": {"kind": "stream", "resumable": True, "max_attempts": 2},
     },
     "/brief/": {"service": "plain", "rules": {"kind": "once", "time_limit_s": 0.3}},
+    "/hasty/": {
+        "service": "plain",
+        "rules": {"kind": "repeatable", "max_attempts": 2, "time_limit_s": 2.5},
+    },
     "/open/": {"service": "plain", "rules": {"public": True}},
 }
 
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -146,6 +146,9 @@
     async def do_silent(self, reply: Reply) -> None:
         await asyncio.sleep(60)
 
+    async def do_silent_then_well(self, reply: Reply) -> None:
+        await self._first(reply, self.do_silent, self.do_well)
+
     async def do_twice_at_once(self, reply: Reply) -> None:
         length = b"Content-Length: 6\r\n\r\n"
         good = reply.head(200) + length + b"answer"
@@ -176,6 +179,11 @@
         await self._send_events(reply, stop_after=2)
         reply.reset()
 
+    async def do_two_events_silent(self, reply: Reply) -> None:
+        await self._send_events(reply, stop_after=2)
+        if not self._continues(reply):
+            await self.do_silent(reply)
+
     async def do_two_events_closed(self, reply: Reply) -> None:
         await self._send_events(reply, stop_after=2)
         reply.writer.close()
--- a/src/ramppin/process/context.py
+++ b/src/ramppin/process/context.py
@@ -115,6 +115,10 @@
         """Count a request of a service for the budget of retries."""
         self._find_window(service).note_request(now)
 
+    def has_retry(self, service: str, now: float) -> bool:
+        """Return whether a retry would be allowed, without counting it."""
+        return self._find_window(service).has_left(now)
+
     def take_retry(self, service: str, now: float) -> bool:
         """Return whether a request of a service may be sent once more."""
         allowed = self._find_window(service).take(now)
--- a/src/ramppin/process/limits/retries.py
+++ b/src/ramppin/process/limits/retries.py
@@ -33,12 +33,16 @@
         self._requests.append(now)
         self._forget(self._requests, now)
 
-    def take(self, now: float) -> bool:
-        """Return whether a retry may be made, and count it."""
+    def has_left(self, now: float) -> bool:
+        """Return whether a retry may be made."""
         self._forget(self._requests, now)
         self._forget(self._retries, now)
         allowed = self._ratio * len(self._requests) + self._extra
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def take(self, now: float) -> bool:
+        """Return whether a retry may be made, and count it."""
+        if not self.has_left(now):
             return False
         self._retries.append(now)
         return True
--- a/src/ramppin/request/attempt.py
+++ b/src/ramppin/request/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,7 +17,7 @@
 from ramppin.connection.requestreader import CallerRequest
 from ramppin.connection.upstream import AnswerHead, AnswerReceiver, UpstreamConnection
 from ramppin.errors import BrokenAnswerError, NotSentError, ProtocolError
-from ramppin.process.membership.health import Outcome
+from ramppin.process.membership.health import SILENCE_S, Outcome
 from ramppin.process.routing.directory import ServerState
 from ramppin.request.events import EventSplitter
 from ramppin.version.routing import Route
@@ -28,6 +29,10 @@
 """Statuses with which a server may say that it did not run a request."""
 
 MISDIRECTED = 421
+
+SILENCE_CHECK_S = 0.2
+"""Time between two looks at whether the server has gone silent."""
+
 _LENGTH = frozenset({b"content-length"})
 
 
@@ -76,6 +81,7 @@
         previous: the attempt whose stream this one continues, or None.
         streams: whether pieces are passed on as they come.
         resumable: whether only whole events are passed on.
+        may_move: tells whether another server could take the request over.
 
     .. versionadded:: 0.2
     """
@@ -90,12 +96,14 @@
         previous: Attempt | None,
         streams: bool,
         resumable: bool,
+        may_move: Callable[[], bool] = lambda: False,
     ) -> None:
         self._names = names
         self._caller = caller
         self._request_id = request_id
         self._state = state
         self._streams = streams
+        self._may_move = may_move
         self._loop = asyncio.get_running_loop()
         self._result: asyncio.Future[AttemptResult] = self._loop.create_future()
         self._connection: UpstreamConnection | None = None
@@ -104,6 +112,9 @@
         self._held_size = 0
         self._passing = False
         self._first_byte_at: float | None = None
+        self._heard_at = 0.0
+        self._held_back = False
+        self._watch_timer: asyncio.TimerHandle | None = None
         self.started: bool = previous.started if previous else False
         self._events: EventSplitter | None = None
         if resumable:
@@ -134,7 +145,9 @@
             route: the request's route.
         """
         self._connection = connection
+        self._heard_at = self._loop.time()
         timer = self._loop.call_at(ends_at, self.cancel, AttemptEnd.TIMED_OUT)
+        self._watch()
         try:
             connection.send(
                 head, request.body, self, head_request=request.method == b"HEAD"
@@ -144,18 +157,23 @@
             return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
         finally:
             timer.cancel()
+            if self._watch_timer is not None:
+                self._watch_timer.cancel()
 
     def cancel(self, end: AttemptEnd) -> None:
         """Give the attempt up; the server sees its connection close."""
         if self._connection is not None:
             self._connection.abort()
-        self._note_heard()
+        self._note_heard(due=False)
         self._finish(end)
 
     def hold_back(self, paused: bool) -> None:
         """Pause or resume the server's answer."""
         if self._connection is None or self._result.done():
             return
+        # A server that is held back here is not silent.
+        self._held_back = paused
+        self._note_heard(due=not paused)
         if paused:
             self._connection.pause()
         else:
@@ -165,7 +183,7 @@
 
     def accept_head(self, head: AnswerHead) -> bool:
         """Take the head if it answers this request."""
-        self._note_heard()
+        self._note_heard(due=True)
         found = find_header(head.headers, self._names.request_id)
         if found is None and head.status < 300:
             return False
@@ -179,7 +197,7 @@
         """Pass a piece on, or hold it."""
         if self._result.done():
             return
-        self._note_heard()
+        self._note_heard(due=True)
         if self._passing:
             self._pass_on(data)
             return
@@ -190,7 +208,7 @@
 
     def accept_end(self) -> None:
         """Pass the end of a whole answer on."""
-        self._note_heard()
+        self._note_heard(due=False)
         head = self._head
         if head is None or self._result.done():
             return
@@ -213,7 +231,7 @@
 
     def accept_failure(self, error: BrokenAnswerError) -> None:
         """Take the news that the answer broke off."""
-        self._note_heard()
+        self._note_heard(due=False)
         self._fail(error.message)
 
     # inside
@@ -304,9 +322,30 @@
             )
         )
 
-    def _note_heard(self) -> None:
-        awaited = self._state.in_flight > 1
-        self._state.health.note_heard(self._loop.time(), awaited=awaited)
+    def _watch(self) -> None:
+        """Give the server up if it went silent and another can take over.
+
+        A lost answer must not cost a request that may be repeated its whole time.
+        The server counts as silent only if none of its connections brought a byte.
+        """
+        if self._result.done():
+            return
+        now = self._loop.time()
+        silent = now - self._heard_at > SILENCE_S and self._state.health.is_silent(now)
+        if silent and not self._held_back and self._may_move():
+            self._fail("the server went silent")
+            return
+        self._watch_timer = self._loop.call_later(SILENCE_CHECK_S, self._watch)
+
+    def _note_heard(self, *, due: bool) -> None:
+        """Note bytes, or the end of what was awaited.
+
+        Args:
+            due: whether more of this answer is awaited.
+        """
+        self._heard_at = self._loop.time()
+        awaited = due or self._state.in_flight > 1
+        self._state.health.note_heard(self._heard_at, awaited=awaited)
 
     def _note_load(self, headers: Headers) -> None:
         told = find_header(headers, self._names.load)
--- a/src/ramppin/request/exchange.py
+++ b/src/ramppin/request/exchange.py
@@ -216,6 +216,7 @@
                 previous=self._attempt,
                 streams=admission.route.kind.is_stream,
                 resumable=admission.route.resumable,
+                may_move=lambda: self._may_move(admission),
             )
             self._attempt = attempt
             source = context.directory.find_source(selection.copy_from, now)
@@ -250,6 +251,20 @@
             selection.state.health.note_outcome(Outcome.UNREACHABLE, self._loop.time())
             return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
 
+    def _may_move(self, admission: Admission) -> bool:
+        """Return whether another server can take over from one that is silent."""
+        route, context, now = admission.route, self._context, self._loop.time()
+        if not route.repeatable or self._runs >= route.max_attempts:
+            return False
+        if self._started and not route.resumable:
+            return False
+        others = [
+            state
+            for state in context.directory.list_open(admission.service)
+            if state.id not in self._tried and not state.health.is_aside(now)
+        ]
+        return bool(others) and context.has_retry(admission.service, now)
+
     def _may_try_again(self, admission: Admission, result: AttemptResult) -> bool:
         route, now = admission.route, self._loop.time()
         if result.end is AttemptEnd.NOT_SENT:
