Give a first read of the log's tables more time

Ruled out: the store's rate of calls (429 were rare); peers (none knows anything then). Change: the first read of a table has 3 s, doubled at each failure up to 12; a later whole read keeps 1 s, as what was known still serves meanwhile. Test: records.feature, 'a first read gets more time' (the limit was fixed before).

--- a/features/gateway/records.feature
+++ b/features/gateway/records.feature
@@ -16,6 +16,16 @@
     When its key is taken away
     Then its next request on that connection gets 401 soon
 
+  Scenario Outline: a first read gets more time, a later one does not: it needs <needed> s
+    Then a table whose first read needs <needed> s is read with the limits "<limits>"
+    And once it is known, a whole read is limited to 1.0 s
+
+    Examples:
+      | needed | limits   |
+      | 0.1    | 3        |
+      | 5      | 3 6      |
+      | 12     | 3 6 12   |
+
   Scenario: unreadable settings change nothing
     When unreadable settings are published and then version 4
     Then the version in force is 4
--- a/features/steps/gateway_record_steps.py
+++ b/features/steps/gateway_record_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 from behave import given, then, when
 
@@ -12,7 +13,11 @@
     build_tree,
     encode_request,
 )
+from ramppin.errors import LogUnavailableError
+from ramppin.process.recovery.follower import Follower
+from ramppin.process.recovery.replica import Replica
 from standins.common import wait_for
+from standins.tables import TableStandIn
 
 
 def run(context, work):
@@ -271,3 +276,56 @@
     homes = context.second.gateway.homes
     run(context, wait_for(lambda: len(homes) == count, "the homes were read"))
     assert {key: homes.find(key) for key in context.placed} == context.placed
+
+
+class SlowTable(TableStandIn):
+    """A table whose whole read takes longer than some limits."""
+
+    def __init__(self, needed_s: float) -> None:
+        super().__init__()
+        self.needed_s = needed_s
+        self.limits = []
+
+    async def read_newest(self, *, timeout_s: float = 0.0):
+        self.limits.append(timeout_s)
+        if timeout_s < self.needed_s:
+            raise LogUnavailableError("too slow", step="read", peer="table")
+        return await super().read_newest()
+
+
+@then('a table whose first read needs {needed:g} s is read with the limits "{limits}"')
+def step_first_read(context, needed, limits):
+    context.slow_table = SlowTable(needed)
+    context.replica = Replica("slow", lambda record: None)
+    follower = Follower(
+        context.replica,
+        context.slow_table,
+        pace_s=0.01,
+        wait_s=0.1,
+        generator=Random(1),
+    )
+
+    async def read():
+        context.following = asyncio.create_task(follower.run())
+        await wait_for(lambda: context.replica.started, "the first read")
+
+    run(context, read())
+    assert context.slow_table.limits == [float(n) for n in limits.split()]
+
+
+@then("once it is known, a whole read is limited to {limit:g} s")
+def step_later_read(context, limit):
+    table = context.slow_table
+    table.needed_s = 0.0
+    table.limits.clear()
+    table.put("key", b"1")
+
+    async def read():
+        await wait_for(lambda: context.replica.position == table.end, "it is read")
+        table.put("key", b"2")
+        table.forget_history()
+        await wait_for(lambda: table.limits, "a whole read")
+        context.following.cancel()
+
+    run(context, read())
+    assert set(table.limits) == {limit}, table.limits
--- a/src/ramppin/process/recovery/follower.py
+++ b/src/ramppin/process/recovery/follower.py
@@ -8,12 +8,24 @@
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
 from ramppin.process.recovery.replica import Replica
-from ramppin.process.recovery.sources import RecordSource
+from ramppin.process.recovery.sources import RecordBatch, RecordSource
 
 LOG = logging.getLogger(__name__)
 
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.6
+
+FIRST_READ_TIMEOUT_S = 3.0
+LONGEST_READ_TIMEOUT_S = 12.0
+"""Limits of the first read, doubled from one to the other.
+
+All VMs may start together and share what the log sends in a second; a read that is
+given up then and begun anew takes from the others and never ends.
+"""
+
+READ_AGAIN_TIMEOUT_S = 1.0
+"""Limit of a later read of a whole table; what was known still serves."""
+
 RELAYED_PACE_S = 0.05
 """Pause after an answer of a relay, which reads the log at its own pace."""
 
@@ -48,6 +60,7 @@
         self._backoff_s = FIRST_BACKOFF_S
         self._reachable = True
         self._complete = False
+        self._first_read_timeout_s = FIRST_READ_TIMEOUT_S
         self.lost_at = float("-inf")
         self.regained_at = float("-inf")
 
@@ -96,7 +109,7 @@
         """Read once; return whether a relay answered."""
         asked_at = asyncio.get_running_loop().time()
         if not self._complete:
-            batch = await self._source.read_newest()
+            batch = await self._read_newest()
             self._replica.replace(batch.records, batch.position, asked_at)
             self._complete = True
             return False
@@ -107,6 +120,13 @@
         self._replica.apply(batch.records, batch.position, as_of)
         return batch.relayed
 
+    async def _read_newest(self) -> RecordBatch:
+        if self._replica.started:
+            return await self._source.read_newest(timeout_s=READ_AGAIN_TIMEOUT_S)
+        timeout_s = self._first_read_timeout_s
+        self._first_read_timeout_s = min(LONGEST_READ_TIMEOUT_S, 2 * timeout_s)
+        return await self._source.read_newest(timeout_s=timeout_s)
+
     async def _back_off(self) -> None:
         await asyncio.sleep(self._backoff_s * self._generator.uniform(0.7, 1.3))
         self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2)
--- a/src/ramppin/process/recovery/sources.py
+++ b/src/ramppin/process/recovery/sources.py
@@ -46,9 +46,12 @@
     """
 
     @abstractmethod
-    async def read_newest(self) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float) -> RecordBatch:
         """Return the newest record of each key.
 
+        Args:
+            timeout_s: how long each answer may take.
+
         Raises:
             LogUnavailableError: the log could not be read.
         """
--- a/src/ramppin/process/routing/homesnapshot.py
+++ b/src/ramppin/process/routing/homesnapshot.py
@@ -28,6 +28,7 @@
 MAX_SNAPSHOT_HOMES = 5_000
 """Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
 
+LOAD_TIMEOUT_S = 1.0
 LOAD_RETRY_S = 0.2
 LOAD_ATTEMPTS = 10
 SERVER_CHECK_S = 0.03
@@ -91,7 +92,7 @@
     async def _read(self) -> bytes | None:
         for _ in range(LOAD_ATTEMPTS):
             try:
-                batch = await self._log.read_newest()
+                batch = await self._log.read_newest(timeout_s=LOAD_TIMEOUT_S)
             except LogUnavailableError as error:
                 LOG.warning("no snapshot: %s", error, extra={"step": "homes"})
                 await asyncio.sleep(LOAD_RETRY_S)
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -52,7 +52,7 @@
         self._check()
         self.put(key, value)
 
-    async def read_newest(self) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float = 0.0) -> RecordBatch:
         """Return the newest record of each key."""
         await self._meet_faults()
         newest = {record.key: record for record in self._kept}
