Halve a relay's own waits: its knowledge was too old to be taken

Change: a relay's wait is half of what is left of its share after the pause. Test: relays.feature, 'a relay's knowledge stays young enough' (2.35 against 1.5 before).

--- a/features/gateway/relays.feature
+++ b/features/gateway/relays.feature
@@ -51,8 +51,8 @@
       | bound | relay | question |
       | 1     | 0.0   | 0.0      |
       | 2     | 0.0   | 0.5      |
-      | 3     | 0.4   | 1.0      |
-      | 8     | 2.0   | 2.0      |
+      | 3     | 0.2   | 1.0      |
+      | 8     | 1.2   | 2.0      |
 
   Scenario Outline: heartbeats stay bounded in any fleet: <vms>
     Then among "<vms>" the VM "a1" tells near VMs each <near> s
@@ -72,3 +72,14 @@
       | a:20 b:20                | 5      | a b       |
       | a:72 b:72 c:72 d:72 e:72 | 5      | a b c d e |
       | a:72 b:72 c:72 d:72 e:72 | 10     | b c d e   |
+
+  Scenario Outline: a relay's knowledge stays young enough, bound <bound> s, pause <pause> s
+    Then within a bound of <bound> s and with pauses of <pause> s a relay's answers are taken at any moment
+
+    Examples:
+      | bound | pause |
+      | 2     | 0.05  |
+      | 2     | 0.8   |
+      | 3     | 0.05  |
+      | 3     | 0.8   |
+      | 8     | 0.8   |
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -210,6 +210,17 @@
     assert abs(found[name] - float(wanted)) < 1e-9, found
 
 
+@then(
+    "within a bound of {bound:g} s and with pauses of {pause:g} s "
+    "a relay's answers are taken at any moment"
+)
+def step_young(context, bound, pause):
+    times = RelayTimes.from_bound(bound)
+    wait_s = times.choose_relay_wait(pause, LONG_WAIT_S)
+    oldest_s = wait_s + pause + wait_s
+    assert oldest_s <= times.max_age_s, (oldest_s, times)
+
+
 @then("a read of the table comes from the log")
 def step_from_log(context):
     batch = run(context, context.relayed.read_after(context.position, wait_s=0.1))
--- a/src/ramppin/process/recovery/relays.py
+++ b/src/ramppin/process/recovery/relays.py
@@ -35,7 +35,7 @@
 AVOID_S = 5.0
 """Time for which the log is read directly after a relay failed."""
 
-CYCLE_SHARE = 0.4
+RELAY_AGE_SHARE = 0.4
 MAX_AGE_SHARE = 0.5
 CALL_TIMEOUT_SHARE = 0.2
 
@@ -49,14 +49,14 @@
     together leave the rest of the bound for a read of the log itself.
 
     Attributes:
-        cycle_s: time in which a relay reads the log once.
+        relay_age_s: age that a relay lets its own knowledge reach.
         max_age_s: age past which a relay's knowledge is not taken.
         call_timeout_s: time that an answer may take beyond the wait asked for.
 
     .. versionadded:: 0.2
     """
 
-    cycle_s: float
+    relay_age_s: float
     max_age_s: float
     call_timeout_s: float
 
@@ -64,7 +64,7 @@
     def from_bound(cls, bound_s: float) -> RelayTimes:
         """Return the times for records that must be known within a bound."""
         return cls(
-            cycle_s=CYCLE_SHARE * bound_s,
+            relay_age_s=RELAY_AGE_SHARE * bound_s,
             max_age_s=MAX_AGE_SHARE * bound_s,
             call_timeout_s=CALL_TIMEOUT_SHARE * bound_s,
         )
@@ -72,11 +72,14 @@
     def choose_relay_wait(self, pace_s: float, wait_s: float) -> float:
         """Return how long a relay's own read may wait at the end of the log.
 
+        What a read brings is as old as its wait when it ends, and stays the newest
+        through the pause and the wait of the next one.
+
         Args:
             pace_s: the pause between two reads.
             wait_s: the wait of a VM that reads for itself alone.
         """
-        return min(wait_s, max(0.0, self.cycle_s - pace_s))
+        return min(wait_s, max(0.0, (self.relay_age_s - pace_s) / 2))
 
     def choose_wait(self, age_s: float, wait_s: float) -> float:
         """Return how long a question to a relay may wait for news.
