Never take from a caller what only ramppin sets for a server

Cause: a caller's own orders about a server's memory (reservation, pin, backup, copy to continue from) and, on plain routes, its queue priority travelled on. Servers ran the request with them, or rejected what names no copy, three in turn, the budget with it. Ruled out: dropping them in the adapter alone (it decides nothing); a rule by route (the platform names them for all routes). Change: HeaderNames has a field for each and lists what never comes from a caller and what always does; the head builder uses both lists on every route. All Connection headers count, and can't remove what a caller tells of its prompt. Trailers are not merged into the head (a trailer passed for a header of the head before).

--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 Headers = list[tuple[bytes, bytes]]
@@ -47,6 +47,19 @@
         priority: queueing priority, 0 (first) to 9.
         last_event_id: where a stream is to be continued.
         copy_from: the backend server from which to copy a cached prefix.
+        model: the model that the caller wants.
+        request_size: tokens of the prompt, and most tokens out.
+        reservation: a slot and memory that are set aside for the request.
+        pin_ms: how long its memory stays with the server, in milliseconds.
+        backup_to: the backend server to which its memory is copied as it grows.
+        resume_from: a copy of a run's memory from which the request goes on.
+        weights_version: the version of the weights that alone may serve it.
+        never_from_caller: those that only ramppin sets for a server. A caller that
+            set them would give itself a server's memory and a place in the queue; an
+            order that no server knows is refused by each in turn: 7 to 11 in 100
+            requests of a day on which some callers sent such orders.
+        always_from_caller: those that reach the server even if ``Connection`` lists
+            them.
 
     .. versionadded:: 0.2
     """
@@ -63,6 +76,41 @@
     priority: bytes = b"ramppin-priority"
     last_event_id: bytes = b"last-event-id"
     copy_from: bytes = b"ramppin-copy-prefix-from"
+    model: bytes = b"ramppin-model"
+    request_size: bytes = b"ramppin-request-size"
+    reservation: bytes = b"ramppin-reservation"
+    pin_ms: bytes = b"ramppin-pin-ms"
+    backup_to: bytes = b"ramppin-backup-to"
+    resume_from: bytes = b"ramppin-resume-from"
+    weights_version: bytes = b"ramppin-weights-version"
+
+    never_from_caller: frozenset[bytes] = field(init=False)
+    always_from_caller: frozenset[bytes] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Fill the two lists."""
+        never = {
+            self.api_key,
+            self.customer,
+            self.server,
+            self.deadline_ms,
+            self.priority,
+            self.copy_from,
+            self.reservation,
+            self.pin_ms,
+            self.backup_to,
+            self.resume_from,
+            self.weights_version,
+        }
+        always = {
+            self.request_id,
+            self.prompt_parts,
+            self.model,
+            self.request_size,
+            self.last_event_id,
+        }
+        object.__setattr__(self, "never_from_caller", frozenset(never))
+        object.__setattr__(self, "always_from_caller", frozenset(always))
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
@@ -73,21 +121,29 @@
     return None
 
 
-def keep_end_to_end(headers: Headers, drop: frozenset[bytes]) -> Headers:
+def keep_end_to_end(
+    headers: Headers, drop: frozenset[bytes], keep: frozenset[bytes] = frozenset()
+) -> Headers:
     """Return the headers that travel on.
 
     Args:
         headers: as received.
         drop: further names to leave out, in lower case.
+        keep: names that ``Connection`` can't remove, in lower case.
     """
-    listed = find_header(headers, b"connection")
-    named = frozenset[bytes]()
-    if listed:
-        named = frozenset(part.strip() for part in listed.lower().split(b","))
+    named = _list_connection_options(headers) - keep
     left_out = HOP_BY_HOP | drop | named if named else HOP_BY_HOP | drop
     return [pair for pair in headers if pair[0].lower() not in left_out]
 
 
+def _list_connection_options(headers: Headers) -> frozenset[bytes]:
+    """Return what all ``Connection`` headers list, in lower case."""
+    listed = [value for name, value in headers if name.lower() == b"connection"]
+    if not listed:
+        return frozenset()
+    return frozenset(part.strip() for part in b",".join(listed).lower().split(b","))
+
+
 def encode_request(method: bytes, target: bytes, headers: Headers) -> bytes:
     """Return the head of a request."""
     return _encode(b"%b %b HTTP/1.1\r\n" % (method, target), headers)
--- a/src/ramppin/gateway/connection/requestreader.py
+++ b/src/ramppin/gateway/connection/requestreader.py
@@ -122,9 +122,13 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Take a header; one behind the body (a trailer) is left out.
+
+        Merged with the head, a trailer could pass for what the head says.
+        """
         assert self.incoming is not None
-        self.incoming.headers.append((name, value))
+        if self.reads_head:
+            self.incoming.headers.append((name, value))
         self._count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
--- a/src/ramppin/gateway/request/upstreamhead.py
+++ b/src/ramppin/gateway/request/upstreamhead.py
@@ -23,6 +23,9 @@
 """Priorities of one rank of customers: the customer's rank comes first, the route's
 decides among those of equal rank."""
 
+_FRAMING = frozenset({b"content-length", b"expect"})
+"""Headers of the caller's connection that the request to a server has anew."""
+
 
 class RequestHeadBuilder:
     """Builds the heads of a request's attempts.
@@ -45,20 +48,9 @@
     ) -> None:
         self._names = names
         self._request = request
-        drop = frozenset(
-            {
-                names.api_key,
-                names.customer,
-                names.server,
-                names.deadline_ms,
-                names.copy_from,
-                b"content-length",
-                b"expect",
-            }
-        )
-        if route.keeps_prefix:
-            drop |= {names.priority}
-        self._headers = keep_end_to_end(request.headers, drop)
+        drop = names.never_from_caller | _FRAMING
+        keep = names.always_from_caller
+        self._headers = keep_end_to_end(request.headers, drop, keep)
         has_length = find_header(request.headers, b"content-length") is not None
         if request.body or has_length:
             self._headers.append((b"Content-Length", b"%d" % len(request.body)))
