Few VMs read the log for the whole fleet

Cause: two relays in each failure domain of five and more VMs, every VM of smaller ones, read the log; a relay counted what it read as old as its wait; a VM whose relay failed read the log itself for 5 s; all VMs repeated refused reads each 0.6 s. Ruled out: fewer calls by longer waits alone (the bound of settings and of leaving servers limits the age of a relay's knowledge); one relay (its loss would send all to the log). Change: a relay for 40 VMs of the fleet, two at least, spread over failure domains; an empty answer after its whole wait dates the knowledge at the wait's end; another relay is asked where one failed; reads of a lost log each 2 s at most where relays read; the table of VMs is relayed; calls are counted in ramppin_gateway_log_calls_total by table, kind and outcome. Mended with it: a relay kept each question that waited in vain until the table changed.

--- a/features/gateway/relays.feature
+++ b/features/gateway/relays.feature
@@ -1,17 +1,65 @@
 Feature: few VMs read the log and pass on what they read
 
-  Scenario Outline: relays of a failure domain: <vms>
+  Scenario Outline: relays of a fleet: <vms>
     Then with the VMs "<vms>" the relays of "a1" are "<relays>"
 
     Examples:
-      | vms                           | relays |
-      | a1 a2 a3 a4                   |        |
-      | a1 a2 a3 a4 b1 b2             |        |
-      | a1 a2 a3 a4*9 a5*5            | a4 a5  |
-      | a1*7 a2 a3*8 a4 a5            | a3 a1  |
+      | vms                         | relays |
+      | a1 a2 a3 a4                 |        |
+      | a1 a2 a3 a4*9 a5*5          | a4 a5  |
+      | a1*7 a2 a3*8 a4 a5          | a3 a1  |
+      | a1*2 a2*3 b1*1 b2*1 b3*1.5  | a2 b3  |
+      | a1*2 a2*9 a3*8 b1*1 c1*0.5  | a2 b1  |
       | a1 a2 a3 a4 a5*9:lost       |        |
       | a1 a2 a3 a4*4 a5*3 a6:lost  | a4 a5  |
 
+  Scenario Outline: a large fleet has more relays: <vms>
+    Then among "<vms>" there are <count> relays, in <domains> failure domains
+
+    Examples:
+      | vms                      | count | domains |
+      | a:2 b:2                  | 0     | 0       |
+      | a:2 b:2 c:2 d:2          | 2     | 2       |
+      | a:80                     | 2     | 1       |
+      | a:21 b:22 c:22 d:22      | 3     | 3       |
+      | a:72 b:72 c:72 d:72 e:72 | 9     | 5       |
+
+  Scenario Outline: the relay that "<vm>" asks among "<relays>", avoiding "<avoided>"
+    Then "<vm>" asks "<asked>" among the relays "<relays>" while it avoids "<avoided>"
+
+    Examples:
+      | vm | relays | avoided | asked |
+      | a1 | a1 b1  | none    | none  |
+      | a2 | a1 b1  | none    | a1    |
+      | b2 | a1 b1  | none    | b1    |
+      | b2 | a1 b1  | b1      | a1    |
+      | b2 | a1 b1  | a1 b1   | none  |
+      | c1 | a1 b1  | a1      | b1    |
+      | c1 | none   | none    | none  |
+
+  Scenario: a question that ends its wait in vain leaves nothing behind
+    Given a gateway before two plain servers
+    And a table read through that gateway as its relay
+    When the table is read 3 times and waits 0.05 s in vain
+    Then no question waits at the relay
+
+  Scenario Outline: what an empty answer says of the time it waited: <records>, <took>
+    Then a read of "<records>" that waits 1.0 s and takes <took> s waited <waited> s in vain
+
+    Examples:
+      | records | took | waited |
+      | none    | 1.01 | 1.0    |
+      | none    | 0.5  | 0.0    |
+      | one     | 1.01 | 0.0    |
+
+  Scenario Outline: a VM that others read for asks the lost log rarely: <spared>
+    Then a reader that is "<spared>" asks a lost log at most each <longest> s
+
+    Examples:
+      | spared     | longest |
+      | spared     | 2.6     |
+      | not spared | 0.78    |
+
   Scenario: a VM reads from a relay, and not from the log
     Given a gateway before two plain servers
     And a table read through that gateway as its relay
@@ -51,8 +99,8 @@
       | bound | relay | question |
       | 1     | 0.0   | 0.0      |
       | 2     | 0.0   | 0.5      |
-      | 3     | 0.2   | 1.0      |
-      | 8     | 1.2   | 2.0      |
+      | 3     | 0.4   | 1.0      |
+      | 8     | 2.0   | 2.0      |
 
   Scenario Outline: heartbeats stay bounded in any fleet: <vms>
     Then among "<vms>" the VM "a1" sends heartbeats to near VMs each <near> s
--- a/features/steps/gateway_rule_steps.py
+++ b/features/steps/gateway_rule_steps.py
@@ -445,7 +445,7 @@
 @then('among relays "{relays}" the VM "{vm}" asks {count:w} one')
 def step_own_relay(context, relays, vm, count):
     members = [Member(name, name, NOW) for name in read_names(relays)]
-    found = choose_own_relay(vm, members)
+    found = choose_own_relay(Member(vm, vm, NOW), members, ())
     assert (found is not None) is {"some": True, "no": False}[count], found
 
 
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -90,7 +90,11 @@
         )
         self.context.listener.note_refused = self._note_refused
         self.tables = GatewayTables(
-            config, sources, self.context, self.homes, generator
+            config,
+            sources.count_calls(self.context.metrics.log_calls),
+            self.context,
+            self.homes,
+            generator,
         )
         self._hints: HintExchange | None = None
         self._inner_listener = ListenerState()
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -138,23 +138,14 @@
             chosen.append(member.host)
         return chosen
 
-    def list_live(self, now: float) -> list[str]:
-        """Return the names of live VMs."""
+    def list_live(self, now: float) -> list[Member]:
+        """Return the live VMs."""
         near_s = self._choose_timeout_s(near=True)
         far_s = self._choose_timeout_s(near=False)
-        return [
-            member.vm
-            for member in self._members.values()
-            if now - member.last_seen_at <= (near_s if self._is_near(member) else far_s)
-        ]
-
-    def list_live_near(self, now: float) -> list[Member]:
-        """Return the live VMs of the own failure domain."""
-        timeout_s = self._choose_timeout_s(near=True)
         return [
             member
             for member in self._members.values()
-            if self._is_near(member) and now - member.last_seen_at <= timeout_s
+            if now - member.last_seen_at <= (near_s if self._is_near(member) else far_s)
         ]
 
     def list_last_seen_first(self) -> list[Member]:
--- a/src/ramppin/gateway/process/recovery/follower.py
+++ b/src/ramppin/gateway/process/recovery/follower.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
@@ -23,8 +24,12 @@
 with the first version; no run varied it."""
 
 LONGEST_BACKOFF_S = 0.6
-"""Seconds of the longest pause between two failed reads: settings must be in force
-again within 2 s of the log's return."""
+"""Seconds of the longest pause between two failed reads of a VM on which others rely:
+settings must be in force again within 2 s of the log's return."""
+
+LONGEST_SPARED_BACKOFF_S = 2.0
+"""Seconds of the longest pause of a VM that has relays and peers to ask: while the log
+is away, its calls are refused and priced, and a relay that reads it again tells."""
 
 FIRST_READ_TIMEOUT_S = 3.0
 """Seconds that the first read may take; doubled at each failure.
@@ -52,6 +57,7 @@
         interval_s: shortest time between two reads.
         wait_s: longest time that a read waits at the end of the log.
         generator: spreads the retries of many VMs.
+        is_spared: returns whether others read the log for this VM.
 
     .. versionadded:: 0.2
     """
@@ -64,7 +70,9 @@
         interval_s: float,
         wait_s: float,
         generator: random.Random,
+        is_spared: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_spared = is_spared
         self._replica = replica
         self._source = source
         self._interval_s = interval_s
@@ -91,7 +99,7 @@
                 relayed = False
             except LogUnavailableError as error:
                 self._note_lost(error)
-                await self._back_off()
+                await asyncio.sleep(self.choose_backoff_s())
                 continue
             self._note_regained()
             await self._pause(relayed=relayed)
@@ -115,7 +123,7 @@
         # After an outage the first answer must come at once, not after a wait.
         wait_s = self._wait_s if self._reachable else 0.0
         batch = await self._source.read_after(self._replica.position, wait_s=wait_s)
-        as_of = asked_at - batch.age_s
+        as_of = asked_at + batch.waited_s - batch.age_s
         self._replica.apply(batch.records, batch.position, as_of)
         return batch.relayed
 
@@ -126,9 +134,12 @@
         self._first_read_timeout_s = min(LONGEST_READ_TIMEOUT_S, 2 * timeout_s)
         return await self._source.read_newest(timeout_s=timeout_s)
 
-    async def _back_off(self) -> None:
-        await asyncio.sleep(self._backoff_s * self._generator.uniform(0.7, 1.3))
-        self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2)
+    def choose_backoff_s(self) -> float:
+        """Return the pause after one more failed read, in seconds."""
+        pause_s = self._backoff_s * self._generator.uniform(0.7, 1.3)
+        longest_s = LONGEST_SPARED_BACKOFF_S if self._is_spared() else LONGEST_BACKOFF_S
+        self._backoff_s = min(longest_s, self._backoff_s * 2)
+        return pause_s
 
     def _note_lost(self, error: LogUnavailableError) -> None:
         if self._reachable:
--- a/src/ramppin/gateway/process/recovery/peeranswers.py
+++ b/src/ramppin/gateway/process/recovery/peeranswers.py
@@ -25,7 +25,7 @@
 
 LOG = logging.getLogger(__name__)
 
-MAX_WAIT_MS = 2_000
+MAX_WAIT_MS = 20_000
 """Longest wait of one question, in milliseconds; above any that a VM asks for."""
 
 NEVER_MS = 1_000_000_000
@@ -80,25 +80,34 @@
     def _wait(self, question: PeerQuestion) -> None:
         """Answer once a table has moved, or the wait is over."""
         loop = asyncio.get_running_loop()
-        answered = False
+        replicas = [
+            self._replicas[name]
+            for name in question.positions
+            if name in self._replicas
+        ]
 
         def answer() -> None:
-            nonlocal answered
-            if not answered:
-                answered = True
-                timer.cancel()
-                self._connection.send_whole(200, [], self._build_answer(question))
+            timer.cancel()
+            self._connection.send_whole(200, [], self._build_answer(question))
 
         def answer_soon() -> None:
+            stop_waiting()
             # Later in the loop: the records are applied by then.
             loop.call_soon(answer)
 
+        def answer_in_vain() -> None:
+            stop_waiting()
+            answer()
+
+        def stop_waiting() -> None:
+            timer.cancel()
+            for replica in replicas:
+                replica.forget_callback(answer_soon)
+
         wait_s = min(question.wait_ms, MAX_WAIT_MS) / 1000
-        timer = loop.call_later(wait_s, answer)
-        for name in question.positions:
-            replica = self._replicas.get(name)
-            if replica is not None:
-                replica.call_when_advanced(answer_soon)
+        timer = loop.call_later(wait_s, answer_in_vain)
+        for replica in replicas:
+            replica.call_when_advanced(answer_soon)
 
     def _build_answer(self, question: PeerQuestion) -> bytes:
         now = asyncio.get_running_loop().time()
--- a/src/ramppin/gateway/process/recovery/relayrules.py
+++ b/src/ramppin/gateway/process/recovery/relayrules.py
@@ -1,34 +1,38 @@
 """Which VMs read the shared log for others, and when their word is too old.
 
-Each call to the log has a price, and a large record is slow over a small link. In
-a failure domain with many VMs two read the log; the others wait for records at one
-of these. All times are shares of the bound within which a record must be known
+Each call to the log has a price, and a large record is slow over a small link. So a
+few VMs of the fleet read the log, and the others wait for records at one of these.
+All times are shares of the bound within which a record must be known
 everywhere. Pure; :mod:`~.relays` carries out.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import math
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from itertools import zip_longest
 
 from ramppin.gateway.process.membership.members import Member
 from ramppin.ranking import hash_name, mix
 
 MIN_VMS = 5
-"""VMs of a failure domain from which on relays are used: with fewer, little is
-saved. Chosen with commit 2316353; no run varied it."""
+"""VMs of a fleet from which on relays are used: with fewer, little is saved."""
 
-RELAYS = 2
-"""Relays of a failure domain, so that one may be lost."""
+MIN_RELAYS = 2
+"""Relays of a fleet, so that one may be lost."""
+
+VMS_PER_RELAY = 40
+"""VMs for each relay of a large fleet: bounds the questions that one answers in a
+second, and the copies of a large record that leave over its link."""
 
 AVOID_S = 5.0
-"""Seconds for which the log is read directly after a relay failed. Chosen with commit
-2316353; no run varied it."""
+"""Seconds for which a relay that failed is not asked; by then its heartbeats are
+missed."""
 
 RELAY_AGE_SHARE = 0.4
-"""Share of the bound that a relay lets the age of its own knowledge reach. With the
-waits of commit cce4cd8: calls to the log 4,696 to 2,058 in a day of
-agenda-coral-grown (quiet-1)."""
+"""Share of the bound that a relay lets the age of its own knowledge reach: below the
+age up to which it is accepted, or every VM would read the log itself."""
 
 MAX_AGE_SHARE = 0.5
 """Share of the bound up to which the age of a relay's knowledge is accepted."""
@@ -37,6 +41,8 @@
 """Share of the bound that an answer may take beyond the wait asked for. This and the
 share above leave 0.3 of the bound for a read of the log itself."""
 
+_RELAY_KEY = hash_name("relay")
+
 
 @dataclass(frozen=True, slots=True)
 class RelayTimes:
@@ -70,14 +76,14 @@
     def choose_relay_wait(self, interval_s: float, wait_s: float) -> float:
         """Return how long a relay's own read may wait at the end of the log.
 
-        What a read brings is as old as its wait when it ends, and stays the newest
-        through the pause and the wait of the next one.
+        A read that waits in vain shows that there was no news until its end; that
+        stays the newest word through the pause and the wait of the next read.
 
         Args:
             interval_s: the pause between two reads.
             wait_s: the wait of a VM that reads for itself alone.
         """
-        return min(wait_s, max(0.0, (self.relay_age_s - interval_s) / 2))
+        return min(wait_s, max(0.0, self.relay_age_s - interval_s))
 
     def choose_wait(self, age_s: float, wait_s: float) -> float:
         """Return how long a question to a relay may wait for news.
@@ -106,34 +112,50 @@
         return None
 
 
-def choose_relays(own: Member, live_near: Sequence[Member]) -> list[Member]:
-    """Return the VMs of the own failure domain that read the log for the others.
+def choose_relays(live: Sequence[Member]) -> list[Member]:
+    """Return the VMs that read the log for the others.
 
-    The VMs with most capacity, so that small links carry little; among equal ones
-    by hash, which every VM computes alike.
+    The VMs with most capacity of each failure domain in turn, so that small links
+    carry little and the loss of a domain leaves relays; among equal ones by hash,
+    which every VM computes alike.
 
     Args:
-        own: this VM.
-        live_near: the other live VMs of its failure domain.
+        live: the live VMs of the fleet, the own one among them.
 
     Returns:
         The relays, or an empty list where every VM reads for itself.
     """
-    near = [own, *live_near]
-    if len(near) < MIN_VMS:
+    if len(live) < MIN_VMS:
         return []
-    key = hash_name(f"relay of {own.failure_domain}")
-    near.sort(key=lambda vm: (-vm.capacity_weight, mix(key, hash_name(vm.vm))))
-    return near[:RELAYS]
+    count = max(MIN_RELAYS, math.ceil(len(live) / VMS_PER_RELAY))
+    domains: dict[str, list[Member]] = {}
+    for vm in sorted(live, key=_rank):
+        domains.setdefault(vm.failure_domain, []).append(vm)
+    in_turn = [
+        vm for row in zip_longest(*domains.values()) for vm in row if vm is not None
+    ]
+    return in_turn[:count]
+
 
+def _rank(vm: Member) -> tuple[float, int]:
+    return -vm.capacity_weight, mix(_RELAY_KEY, hash_name(vm.vm))
 
-def choose_own_relay(vm: str, relays: Sequence[Member]) -> Member | None:
+
+def choose_own_relay(
+    own: Member, relays: Sequence[Member], avoided: Collection[str]
+) -> Member | None:
     """Return the relay that a VM asks; None if it reads the log itself.
 
+    One of the own failure domain comes first: what it passes on crosses no other.
+
     Args:
-        vm: the VM's name.
-        relays: of its failure domain.
+        own: the VM.
+        relays: of its fleet.
+        avoided: names of relays that failed of late.
     """
-    if not relays or any(relay.vm == vm for relay in relays):
+    if any(relay.vm == own.vm for relay in relays):
         return None
-    return relays[hash_name(vm) % len(relays)]
+    usable = [relay for relay in relays if relay.vm not in avoided]
+    near = [relay for relay in usable if relay.failure_domain == own.failure_domain]
+    chosen = near or usable
+    return chosen[hash_name(own.vm) % len(chosen)] if chosen else None
--- a/src/ramppin/gateway/process/recovery/relays.py
+++ b/src/ramppin/gateway/process/recovery/relays.py
@@ -41,10 +41,10 @@
 
     Args:
         name: the table's name.
-        vm: this VM's name.
+        own: this VM.
         direct: the table in the shared log.
         port: the port on which relays answer.
-        list_relays: returns the relays of this VM's failure domain.
+        list_relays: returns the relays of the fleet.
         times: how old records may grow on their way.
         interval_s: the reader's pause between two reads of the log.
 
@@ -54,7 +54,7 @@
     def __init__(
         self,
         name: str,
-        vm: str,
+        own: Member,
         direct: RecordSource,
         port: int,
         list_relays: Callable[[], list[Member]],
@@ -63,14 +63,14 @@
         interval_s: float = 0.0,
     ) -> None:
         self._name = name
-        self._vm = vm
+        self._own = own
         self._direct = direct
         self._port = port
         self._list_relays = list_relays
         self._times = times
         self._interval_s = interval_s
         self._known_at = float("-inf")
-        self._avoid_until = float("-inf")
+        self._avoid_until: dict[str, float] = {}
         self._fetcher: Fetcher | None = None
         self._fetcher_vm = ""
 
@@ -81,29 +81,49 @@
     async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
         """Return what follows a position, from a relay if there is one."""
         relays = self._list_relays()
-        relay = choose_own_relay(self._vm, relays)
-        if relays and relay is None:
-            wait_s = self._times.choose_relay_wait(self._interval_s, wait_s)
-        now = asyncio.get_running_loop().time()
-        if relay is None or now < self._avoid_until:
-            return await self._direct.read_after(position, wait_s=wait_s)
+        relay = choose_own_relay(self._own, relays, self._list_avoided())
+        if relay is None:
+            if any(other.vm == self._own.vm for other in relays):
+                wait_s = self._times.choose_relay_wait(self._interval_s, wait_s)
+            return await self._read_log(position, wait_s)
         try:
             return await self._ask(relay, position, wait_s)
         except LogUnavailableError as error:
-            LOG.info(
-                "relay avoided for %.0f s: %s",
-                AVOID_S,
-                error,
-                extra={"step": self._name, "peer": relay.vm},
-            )
-            self._avoid_until = now + AVOID_S
-            return await self._direct.read_after(position, wait_s=0.0)
+            self._avoid(relay, error)
+            return await self._read_log(position, 0.0)
+
+    async def _read_log(self, position: int, wait_s: float) -> RecordBatch:
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        batch = await self._direct.read_after(position, wait_s=wait_s)
+        return batch.note_wait(wait_s, loop.time() - asked_at)
+
+    def _avoid(self, relay: Member, error: LogUnavailableError) -> None:
+        """Ask another relay for a while, so that the log is read but once here."""
+        LOG.info(
+            "relay avoided for %.0f s: %s",
+            AVOID_S,
+            error,
+            extra={"step": self._name, "peer": relay.vm},
+        )
+        now = asyncio.get_running_loop().time()
+        self._avoid_until[relay.vm] = now + AVOID_S
+
+    def _list_avoided(self) -> set[str]:
+        now = asyncio.get_running_loop().time()
+        self._avoid_until = {
+            vm: until for vm, until in self._avoid_until.items() if now < until
+        }
+        return set(self._avoid_until)
 
     async def _ask(self, relay: Member, position: int, wait_s: float) -> RecordBatch:
         fetcher = self._open(relay)
-        asked_at = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         wait_s = self._times.choose_wait(asked_at - self._known_at, wait_s)
-        question = PeerQuestion(self._vm, {self._name: position}, int(wait_s * 1000))
+        question = PeerQuestion(
+            self._own.vm, {self._name: position}, int(wait_s * 1000)
+        )
         answer = await fetcher.post(
             RECORDS_TARGET,
             encode_question(question),
@@ -113,10 +133,12 @@
         self._check(state, position, relay)
         assert state is not None
         age_s = state.age_ms / 1000
-        # The answer may have been built at any time since the question left.
-        self._known_at = asked_at - age_s
         records = tuple(Record(r.key, r.value, r.offset) for r in state.records)
-        return RecordBatch(records, state.position, age_s, relayed=True)
+        batch = RecordBatch(records, state.position, age_s, relayed=True)
+        batch = batch.note_wait(wait_s, loop.time() - asked_at)
+        # An answer with news may have been built at any time since the question left.
+        self._known_at = asked_at + batch.waited_s - age_s
+        return batch
 
     def _check(self, state: TableState | None, position: int, relay: Member) -> None:
         known = state.position if state else None
@@ -135,7 +157,7 @@
 
 
 class RelayChoice:
-    """The relays of this VM's failure domain, by its list of members.
+    """The relays of the fleet, by this VM's list of members.
 
     Args:
         own: this VM.
@@ -151,4 +173,9 @@
     def list_relays(self) -> list[Member]:
         """Return the relays now."""
         now = asyncio.get_running_loop().time()
-        return choose_relays(self._own, self._members.list_live_near(now))
+        return choose_relays([self._own, *self._members.list_live(now)])
+
+    def is_spared(self) -> bool:
+        """Return whether others read the log for this VM."""
+        relays = self.list_relays()
+        return bool(relays) and all(relay.vm != self._own.vm for relay in relays)
--- a/src/ramppin/gateway/process/recovery/replica.py
+++ b/src/ramppin/gateway/process/recovery/replica.py
@@ -48,7 +48,7 @@
         self.confirmed_at = float("-inf")
         self._on_change = on_change
         self._records: dict[str, Record] = {}
-        self._waiting: list[Callable[[], None]] = []
+        self._waiting: dict[Callable[[], None], None] = {}
 
     def __len__(self) -> int:
         return sum(record.value is not None for record in self._records.values())
@@ -88,10 +88,18 @@
 
     def call_when_advanced(self, callback: Callable[[], None]) -> None:
         """Call back once when the position next moves."""
-        self._waiting.append(callback)
+        self._waiting[callback] = None
+
+    def forget_callback(self, callback: Callable[[], None]) -> None:
+        """Call back no more.
+
+        Without it, each question that ended its wait in vain would stay in memory
+        until the table next changes.
+        """
+        self._waiting.pop(callback, None)
 
     def _wake(self) -> None:
-        waiting, self._waiting = self._waiting, []
+        waiting, self._waiting = self._waiting, {}
         for callback in waiting:
             callback()
 
--- a/src/ramppin/gateway/process/recovery/sources.py
+++ b/src/ramppin/gateway/process/recovery/sources.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.routing.directory import BackendServer
@@ -23,12 +23,29 @@
         position: offset after the last record that the read covers.
         age_s: how long ago that was the log's end; 0 if read from the log itself.
         relayed: whether a relay passed them on; its reads are the paced ones.
+        waited_s: time after the question for which there was certainly no news.
     """
 
     records: tuple[Record, ...]
     position: int
     age_s: float = 0.0
     relayed: bool = False
+    waited_s: float = 0.0
+
+    def note_wait(self, wait_s: float, took_s: float) -> RecordBatch:
+        """Return the batch with the time for which it waited in vain.
+
+        An answer without records after the whole wait says that there was no news
+        until its end; one that came sooner says nothing of the time after the
+        question.
+
+        Args:
+            wait_s: the wait that was asked for.
+            took_s: time from the question to the answer.
+        """
+        if self.records or took_s < wait_s:
+            return self
+        return replace(self, waited_s=wait_s)
 
 
 class RecordSource(ABC):
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -1,6 +1,6 @@
 """The tables that a gateway follows: settings, backend servers, the fleet's VMs.
 
-They come from the shared log, through relays in large failure domains, and from
+They come from the shared log, through relays in all but the smallest fleets, and from
 peers while the log is away. Owns the replicas and what keeps them current; what
 their records change is in :mod:`~.changes`.
 """
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from prometheus_client import Counter
+
 from ramppin.gateway.process.config import GatewayConfig
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.membership.members import (
@@ -21,6 +23,7 @@
     announce,
 )
 from ramppin.gateway.process.recovery.changes import RecordChanges
+from ramppin.gateway.process.recovery.countedlog import CountedLog, CountedSource
 from ramppin.gateway.process.recovery.follower import FollowedTable, Follower
 from ramppin.gateway.process.recovery.peerchoice import list_candidates
 from ramppin.gateway.process.recovery.peerreader import PeerReader
@@ -47,6 +50,10 @@
 MEMBER_INTERVAL_S = 1.0
 """Seconds between two reads of the fleet's VMs, which change rarely."""
 
+MEMBER_BOUND_S = 50.0
+"""Seconds within which a new VM must be known to all: it is no relay and gets no hints
+before, and nothing else depends on it."""
+
 MEMBER_WAIT_S = 20.0
 """Seconds that a read of the fleet's VMs waits: heartbeats tell who is live, the
 table only who is new."""
@@ -70,6 +77,20 @@
     homes: RecordLog
     decoder: RecordDecoder
 
+    def count_calls(self, calls: Counter) -> GatewaySources:
+        """Return the same tables, whose calls are counted.
+
+        Args:
+            calls: the metric.
+        """
+        return GatewaySources(
+            CountedSource("settings", self.settings, calls),
+            CountedSource("servers", self.servers, calls),
+            CountedLog("members", self.members, calls),
+            CountedLog("homes", self.homes, calls),
+            self.decoder,
+        )
+
 
 class GatewayTables:
     """Replicas of the tables, and what keeps them current.
@@ -184,15 +205,14 @@
         )
 
     def _follow_members(self) -> FollowedTable:
-        replica = Replica("members", self._take_member)
-        follower = Follower(
-            replica,
+        return self._follow_through_relays(
+            Replica("members", self._take_member),
             self._sources.members,
+            bound_s=MEMBER_BOUND_S,
             interval_s=MEMBER_INTERVAL_S,
             wait_s=MEMBER_WAIT_S,
-            generator=self._generator,
+            read_cycle_s=MEMBER_BOUND_S,
         )
-        return FollowedTable(replica, follower, MEMBER_INTERVAL_S + MEMBER_WAIT_S)
 
     def _follow_through_relays(
         self,
@@ -206,7 +226,7 @@
     ) -> FollowedTable:
         relayed = RelayedSource(
             replica.name,
-            self._config.vm,
+            self._own,
             source,
             self._config.records.port,
             self._relays.list_relays,
@@ -219,6 +239,7 @@
             interval_s=interval_s,
             wait_s=wait_s,
             generator=self._generator,
+            is_spared=self._relays.is_spared,
         )
         return FollowedTable(replica, follower, read_cycle_s)
 
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -68,6 +68,12 @@
             ["table"],
             registry=registry,
         )
+        self.log_calls = Counter(
+            "ramppin_gateway_log_calls_total",
+            "Calls to the shared log by table, kind and outcome.",
+            ["table", "call", "outcome"],
+            registry=registry,
+        )
         self.open_servers = Gauge(
             "ramppin_gateway_open_servers",
             "Backend servers that may get new work, by service.",
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -133,7 +133,7 @@
 
     def _is_writer(self) -> bool:
         now = asyncio.get_running_loop().time()
-        live = [self._vm, *self._members.list_live(now)]
+        live = [self._vm, *(member.vm for member in self._members.list_live(now))]
         return rank_vms(SNAPSHOT_KEY, live)[0] == self._vm
 
     async def _write(self) -> None:
