Spare a log that is away; serve callers while the program starts

Cause 2: while the store turned both relays away every VM read it directly; while it was away all repeated refused reads. Ruled out: only longer pauses (the relay itself costs nothing to ask). Change: VMs tell in their datagrams whether the log serves them, those it turns away are no relays; after an own failed call the relay alone is asked for 3 s. Cause 3: of 1.0 s from a process's start to its first answer 0.8 s are imports, callers that come meanwhile are refused. Ruled out: reading the tables first (0.02 to 0.35 s of it).

--- a/features/gateway/relays.feature
+++ b/features/gateway/relays.feature
@@ -52,13 +52,38 @@
       | none    | 0.5  | 0.0    |
       | one     | 1.01 | 0.0    |
 
-  Scenario Outline: a VM that others read for asks the lost log rarely: <spared>
-    Then a reader that is "<spared>" asks a lost log at most each <longest> s
+  Scenario Outline: VMs that the log turns away are no relays: <vms>
+    Then with the VMs "<vms>" the relays of "a1" are "<relays>"
+
+    Examples:
+      | vms                               | relays |
+      | a1*2 a2 a3 a4*9:away a5*5         | a5 a1  |
+      | a1*2 a2 b1*9:away b2*8:away c1*3  | c1 a1  |
+      | a1:away a2*2:away a3:away a4:away a5*5:away | a5 a2  |
+
+  Scenario Outline: whether the log is up, by this VM's own calls: <calls>
+    Then after the calls "<calls>" the log is <state> to this VM <passed> s later
 
     Examples:
-      | spared     | longest |
-      | spared     | 2.6     |
-      | not spared | 0.78    |
+      | calls                | passed | state |
+      | none                 | 0      | up    |
+      | failed               | 0      | up    |
+      | failed failed        | 0      | down  |
+      | failed ok failed     | 0      | up    |
+      | failed failed ok     | 0      | up    |
+      | failed failed        | 11     | up    |
+
+  Scenario: while the log is away a VM asks its relay and spares the log
+    Given a gateway before two plain servers
+    And a table read through that gateway within a bound of 2 s
+    When the relay loses the log after an answer
+    And the log is lost to the reader too
+    Then 5 further questions cost at most 1 call to the log
+    And after the relay's return a question is answered by it
+
+  Scenario: VMs tell each other whether the log serves them
+    Then a VM that learns that the log is "down" tells it with its next message
+    And a VM that learns that the log is "up" tells it with its next message
 
   Scenario: a VM reads from a relay, and not from the log
     Given a gateway before two plain servers
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import os
+import socket
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -230,6 +231,7 @@
     records_port: int = 0
     operations_port: int = 0
     seeds: tuple[str, ...] = ()
+    callers_socket: socket.socket | None = None
     log_path: Path = Path(os.devnull)
     _log: int = -1
 
@@ -260,7 +262,9 @@
             decoder=TreeDecoder(),
         )
         decisions = DecisionLog(self.vm, descriptor=self._log)
-        self.gateway = Gateway(config, sources, decisions)
+        self.gateway = Gateway(
+            config, sources, decisions, callers_socket=self.callers_socket
+        )
         await self.gateway.start()
         return self
 
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -40,7 +40,8 @@
     encode_question,
 )
 from ramppin.gateway.process.reporting.decisions import DecisionLog
-from ramppin.gateway.process.reporting.metrics import GatewayMetrics
+from ramppin.gateway.process.reporting.exposition import build_family
+from ramppin.gateway.process.reporting.metrics import GatewayMetrics, HistogramTally
 from ramppin.gateway.process.routing.homesnapshot import SNAPSHOT_KEY, HomeSnapshot
 from ramppin.gateway.process.settingsfile import GatewayFile
 from ramppin.gateway.request.admission import Denial
@@ -128,6 +129,23 @@
     return sorted(found, key=lambda entry: str(entry["name"]))
 
 
+def describe_tallies(metrics: GatewayMetrics) -> list[dict[str, object]]:
+    """Return name, type, labels and buckets of each metric of a gateway."""
+    found = []
+    for tally in metrics.list_tallies():
+        family = build_family(tally)
+        entry: dict[str, object] = {
+            "name": family.name,
+            "type": family.type,
+            "labels": list(tally.labels),
+        }
+        if isinstance(tally, HistogramTally):
+            bounds = (*tally.buckets, float("inf"))
+            entry["buckets"] = [str(bound) for bound in bounds]
+        found.append(entry)
+    return sorted(found, key=lambda entry: str(entry["name"]))
+
+
 # what is listed
 
 
@@ -273,7 +291,7 @@
 LISTS = {
     "names of the package": list_package_names,
     "commands and options": list_commands,
-    "gateway's metrics": lambda: describe_metrics(GatewayMetrics()),
+    "gateway's metrics": lambda: describe_tallies(GatewayMetrics()),
     "router's metrics": list_router_metrics,
     "settings' fields": list_settings_fields,
     "platform's fields": list_platform_fields,
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -30,10 +30,12 @@
     Attributes:
         vm: who sends it.
         homes: homes of prefixes.
+        log_up: whether the shared log serves the sender.
     """
 
     vm: str
     homes: list[HomeHint]
+    log_up: bool = True
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -57,6 +57,7 @@
         live_vms: live VMs of the fleet, this one included.
         servers_confirmed_at: returns the loop's time at which the list of
             servers was last known to be current.
+        first_read: set once settings and servers have been read, or could not be.
         tasks: their tasks.
     """
 
@@ -76,6 +77,7 @@
     in_flight: int = 0
     live_vms: int = 1
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
+    first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -11,6 +11,7 @@
 import asyncio
 import logging
 import random
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -64,14 +65,21 @@
         config: the process's own settings.
         sources: where its tables lie.
         decisions: where decision lines go.
+        callers_socket: listens for callers already; None to open one at the start.
 
     .. versionadded:: 0.2
     """
 
     def __init__(
-        self, config: GatewayConfig, sources: GatewaySources, decisions: DecisionLog
+        self,
+        config: GatewayConfig,
+        sources: GatewaySources,
+        decisions: DecisionLog,
+        *,
+        callers_socket: socket.socket | None = None,
     ) -> None:
         self.config = config
+        self._callers_socket = callers_socket
         self.stopped = asyncio.Event()
         generator = random.Random(config.seed)
         directory = ServerDirectory()
@@ -90,11 +98,7 @@
         )
         self.context.listener.note_refused = self._note_refused
         self.tables = GatewayTables(
-            config,
-            sources.count_calls(self.context.metrics.log_calls),
-            self.context,
-            self.homes,
-            generator,
+            config, sources, self.context, self.homes, generator
         )
         self._hints: HintExchange | None = None
         self._inner_listener = ListenerState()
@@ -132,7 +136,7 @@
     async def start(self) -> None:
         """Listen, and begin to follow the log."""
         config = self.config
-        await self._listen("callers", config.callers, self._build_exchanges)
+        await self._listen_for_callers()
         await self._listen("readiness", config.readiness, self._build_readiness)
         await self._listen("records", config.records, self._build_records)
         await self._listen_for_operators()
@@ -140,7 +144,12 @@
             config.peers.host, config.peers.port, self._take_hints
         )
         self._hints = HintExchange(
-            config.vm, link, link.port, self.tables.members, self.homes
+            config.vm,
+            link,
+            link.port,
+            self.tables.members,
+            self.homes,
+            self.tables.contact.is_up,
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
             task = asyncio.create_task(work)
@@ -205,6 +214,17 @@
             backlog=LISTEN_BACKLOG,
         )
 
+    async def _listen_for_callers(self) -> None:
+        """Take the socket that listens already, or open one."""
+        if self._callers_socket is None:
+            await self._listen("callers", self.config.callers, self._build_exchanges)
+            return
+        self._servers["callers"] = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self.context.listener, self._build_exchanges),
+            sock=self._callers_socket,
+            backlog=LISTEN_BACKLOG,
+        )
+
     async def _listen_for_operators(self) -> None:
         """Listen for operators; a gateway serves callers without them as well."""
         address = self.config.operations
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -58,6 +58,7 @@
         capacity_weight: its capacity beside that of other VMs; the VMs with most
             read the log for others.
         tried_at: the loop's time at which it was last sent something.
+        log_up: whether the shared log served its last calls, by its own word.
     """
 
     vm: str
@@ -66,6 +67,7 @@
     failure_domain: str = ""
     capacity_weight: float = 1.0
     tried_at: float = float("-inf")
+    log_up: bool = True
 
 
 class FleetMembers:
@@ -102,12 +104,22 @@
             record.key, entry.host, now, entry.failure_domain, entry.weight
         )
 
-    def note_received(self, vm: str, host: str, now: float) -> bool:
-        """Note a message; return whether the sender is a known VM."""
+    def note_received(
+        self, vm: str, host: str, now: float, *, log_up: bool = True
+    ) -> bool:
+        """Note a message; return whether the sender is a known VM.
+
+        Args:
+            vm: the sender's name.
+            host: the address from which the message came.
+            now: the loop's time.
+            log_up: whether the log serves the sender.
+        """
         member = self._members.get(vm)
         if member is None or member.host != host:
             return False
         member.last_seen_at = now
+        member.log_up = log_up
         return True
 
     def choose_heartbeat_s(self, *, near: bool) -> float:
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -10,13 +10,12 @@
 import json
 from collections.abc import Callable
 
-from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
-
 from ramppin.gateway.connection.callerwire import CallerConnection, Responder
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.process.context import NEVER_S, GatewayContext
 from ramppin.gateway.process.recovery.follower import FollowedTable
 from ramppin.gateway.process.reporting.explanations import Explanations
+from ramppin.gateway.process.reporting.exposition import expose
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
 
 METRICS_TARGET = b"/metrics"
@@ -94,13 +93,13 @@
         for table in self._tables:
             name = table.replica.name
             age = _measure_age(now, table.replica.confirmed_at)
-            metrics.record_age_seconds.labels(name).set(age)
-            metrics.log_up.labels(name).set(table.follower.reachable)
+            metrics.record_age_seconds.set(age, name)
+            metrics.log_up.set(table.follower.reachable, name)
         for service in context.directory.list_services():
             states = context.directory.list_open(service)
             suspect = sum(state.health.is_suspect(now) for state in states)
-            metrics.open_servers.labels(service).set(len(states))
-            metrics.suspect_servers.labels(service).set(suspect)
+            metrics.open_servers.set(len(states), service)
+            metrics.suspect_servers.set(suspect, service)
 
 
 class OperationsResponder(Responder):
@@ -132,7 +131,8 @@
         now = asyncio.get_running_loop().time()
         if request.target == METRICS_TARGET:
             self._state.update(self._metrics, now)
-            self._send(generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
+            exposition = expose(self._metrics)
+            self._send(exposition.body, exposition.content_type)
         elif request.target == DUMP_TARGET:
             self._send_json(self._state.build_dump(now))
         elif request.target.startswith(EXPLAIN_PREFIX):
--- a/src/ramppin/gateway/process/recovery/follower.py
+++ b/src/ramppin/gateway/process/recovery/follower.py
@@ -24,12 +24,8 @@
 with the first version; no run varied it."""
 
 LONGEST_BACKOFF_S = 0.6
-"""Seconds of the longest pause between two failed reads of a VM on which others rely:
-settings must be in force again within 2 s of the log's return."""
-
-LONGEST_SPARED_BACKOFF_S = 2.0
-"""Seconds of the longest pause of a VM that has relays and peers to ask: while the log
-is away, its calls are refused and priced, and a relay that reads it again tells."""
+"""Seconds of the longest pause between two failed reads: settings must be in force
+again within 2 s of the log's return."""
 
 FIRST_READ_TIMEOUT_S = 3.0
 """Seconds that the first read may take; doubled at each failure.
@@ -57,7 +53,7 @@
         interval_s: shortest time between two reads.
         wait_s: longest time that a read waits at the end of the log.
         generator: spreads the retries of many VMs.
-        is_spared: returns whether others read the log for this VM.
+        note_first: called once, with whether the first read succeeded.
 
     .. versionadded:: 0.2
     """
@@ -70,9 +66,9 @@
         interval_s: float,
         wait_s: float,
         generator: random.Random,
-        is_spared: Callable[[], bool] = lambda: False,
+        note_first: Callable[[bool], None] | None = None,
     ) -> None:
-        self._is_spared = is_spared
+        self._note_first = note_first
         self._replica = replica
         self._source = source
         self._interval_s = interval_s
@@ -98,9 +94,11 @@
                 self._complete = False
                 relayed = False
             except LogUnavailableError as error:
+                self._note_outcome(succeeded=False)
                 self._note_lost(error)
                 await asyncio.sleep(self.choose_backoff_s())
                 continue
+            self._note_outcome(succeeded=True)
             self._note_regained()
             await self._pause(relayed=relayed)
 
@@ -137,10 +135,14 @@
     def choose_backoff_s(self) -> float:
         """Return the pause after one more failed read, in seconds."""
         pause_s = self._backoff_s * self._generator.uniform(0.7, 1.3)
-        longest_s = LONGEST_SPARED_BACKOFF_S if self._is_spared() else LONGEST_BACKOFF_S
-        self._backoff_s = min(longest_s, self._backoff_s * 2)
+        self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2)
         return pause_s
 
+    def _note_outcome(self, *, succeeded: bool) -> None:
+        if self._note_first is not None:
+            self._note_first(succeeded)
+            self._note_first = None
+
     def _note_lost(self, error: LogUnavailableError) -> None:
         if self._reachable:
             self._reachable = False
--- a/src/ramppin/gateway/process/recovery/relayrules.py
+++ b/src/ramppin/gateway/process/recovery/relayrules.py
@@ -117,7 +117,8 @@
 
     The VMs with most capacity of each failure domain in turn, so that small links
     carry little and the loss of a domain leaves relays; among equal ones by hash,
-    which every VM computes alike.
+    which every VM computes alike. VMs that the log turns away come only if it turns
+    away all.
 
     Args:
         live: the live VMs of the fleet, the own one among them.
@@ -128,8 +129,9 @@
     if len(live) < MIN_VMS:
         return []
     count = max(MIN_RELAYS, math.ceil(len(live) / VMS_PER_RELAY))
+    candidates = [vm for vm in live if vm.log_up] or live
     domains: dict[str, list[Member]] = {}
-    for vm in sorted(live, key=_rank):
+    for vm in sorted(candidates, key=_rank):
         domains.setdefault(vm.failure_domain, []).append(vm)
     in_turn = [
         vm for row in zip_longest(*domains.values()) for vm in row if vm is not None
--- a/src/ramppin/gateway/process/recovery/relays.py
+++ b/src/ramppin/gateway/process/recovery/relays.py
@@ -17,6 +17,7 @@
 from ramppin.errors import LogUnavailableError
 from ramppin.gateway.connection.fetch import Fetcher
 from ramppin.gateway.process.membership.members import FleetMembers, Member
+from ramppin.gateway.process.recovery.logcontact import LogContact
 from ramppin.gateway.process.recovery.peermessages import (
     RECORDS_TARGET,
     PeerQuestion,
@@ -33,6 +34,11 @@
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import RecordBatch, RecordSource
 
+SPARE_LOG_S = 3.0
+"""Seconds after a failed call of its own for which a VM leaves the log to its relays,
+even if they have lost it too: each call is priced, also one that is refused, and while
+the log is away every VM would make two or three a second."""
+
 LOG = logging.getLogger(__name__)
 
 
@@ -45,6 +51,7 @@
         direct: the table in the shared log.
         port: the port on which relays answer.
         list_relays: returns the relays of the fleet.
+        contact: what this VM's own calls to the log show.
         times: how old records may grow on their way.
         interval_s: the reader's pause between two reads of the log.
 
@@ -58,6 +65,7 @@
         direct: RecordSource,
         port: int,
         list_relays: Callable[[], list[Member]],
+        contact: LogContact,
         *,
         times: RelayTimes,
         interval_s: float = 0.0,
@@ -67,6 +75,7 @@
         self._direct = direct
         self._port = port
         self._list_relays = list_relays
+        self._contact = contact
         self._times = times
         self._interval_s = interval_s
         self._known_at = float("-inf")
@@ -89,10 +98,15 @@
         try:
             return await self._ask(relay, position, wait_s)
         except LogUnavailableError as error:
+            now = asyncio.get_running_loop().time()
+            if self._contact.failed_within(SPARE_LOG_S, now):
+                # The log fails here too: the relay is still the one that costs least.
+                raise
             self._avoid(relay, error)
             return await self._read_log(position, 0.0)
 
     async def _read_log(self, position: int, wait_s: float) -> RecordBatch:
+        """Read the log itself."""
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         batch = await self._direct.read_after(position, wait_s=wait_s)
@@ -110,7 +124,10 @@
         self._avoid_until[relay.vm] = now + AVOID_S
 
     def _list_avoided(self) -> set[str]:
+        """Return relays to pass over; none while the log fails here as well."""
         now = asyncio.get_running_loop().time()
+        if self._contact.failed_within(SPARE_LOG_S, now):
+            return set()
         self._avoid_until = {
             vm: until for vm, until in self._avoid_until.items() if now < until
         }
@@ -162,20 +179,18 @@
     Args:
         own: this VM.
         members: the other VMs.
+        contact: what this VM's own calls to the log show.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, own: Member, members: FleetMembers) -> None:
+    def __init__(self, own: Member, members: FleetMembers, contact: LogContact) -> None:
         self._own = own
         self._members = members
+        self._contact = contact
 
     def list_relays(self) -> list[Member]:
         """Return the relays now."""
         now = asyncio.get_running_loop().time()
+        self._own.log_up = self._contact.is_up(now)
         return choose_relays([self._own, *self._members.list_live(now)])
-
-    def is_spared(self) -> bool:
-        """Return whether others read the log for this VM."""
-        relays = self.list_relays()
-        return bool(relays) and all(relay.vm != self._own.vm for relay in relays)
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -9,12 +9,10 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
-from prometheus_client import Counter
-
 from ramppin.gateway.process.config import GatewayConfig
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.membership.members import (
@@ -23,8 +21,12 @@
     announce,
 )
 from ramppin.gateway.process.recovery.changes import RecordChanges
-from ramppin.gateway.process.recovery.countedlog import CountedLog, CountedSource
 from ramppin.gateway.process.recovery.follower import FollowedTable, Follower
+from ramppin.gateway.process.recovery.logcontact import (
+    LogContact,
+    WatchedLog,
+    WatchedSource,
+)
 from ramppin.gateway.process.recovery.peerchoice import list_candidates
 from ramppin.gateway.process.recovery.peerreader import PeerReader
 from ramppin.gateway.process.recovery.relayrules import RelayTimes
@@ -77,17 +79,17 @@
     homes: RecordLog
     decoder: RecordDecoder
 
-    def count_calls(self, calls: Counter) -> GatewaySources:
-        """Return the same tables, whose calls are counted.
+    def watch(self, contact: LogContact) -> GatewaySources:
+        """Return the same tables, whose calls are watched.
 
         Args:
-            calls: the metric.
+            contact: takes their outcomes.
         """
         return GatewaySources(
-            CountedSource("settings", self.settings, calls),
-            CountedSource("servers", self.servers, calls),
-            CountedLog("members", self.members, calls),
-            CountedLog("homes", self.homes, calls),
+            WatchedSource("settings", self.settings, contact),
+            WatchedSource("servers", self.servers, contact),
+            WatchedLog("members", self.members, contact),
+            WatchedLog("homes", self.homes, contact),
             self.decoder,
         )
 
@@ -114,14 +116,16 @@
         generator: random.Random,
     ) -> None:
         self._config = config
-        self._sources = sources
+        self.contact = LogContact(context.metrics.log_calls)
+        self._sources = sources.watch(self.contact)
         self._context = context
         self._generator = generator
         self.members = FleetMembers(config.vm, config.failure_domain)
         self._own = Member(
             config.vm, config.peers.host, 0.0, config.failure_domain, config.weight
         )
-        self._relays = RelayChoice(self._own, self.members)
+        self._first_reads_due = 2
+        self._relays = RelayChoice(self._own, self.members, self.contact)
         changes = RecordChanges(
             config.settings_key, sources.decoder, context, self._find_hold_end
         )
@@ -132,7 +136,11 @@
             config.vm, config.records.port, self.followed, self.list_peers, generator
         )
         self.snapshots = HomeSnapshots(
-            config.vm, sources.homes, self.members, homes, lambda: self.servers.started
+            config.vm,
+            self._sources.homes,
+            self.members,
+            homes,
+            lambda: self.servers.started,
         )
         context.servers_confirmed_at = lambda: self.servers.confirmed_at
 
@@ -191,6 +199,7 @@
             interval_s=SETTINGS_INTERVAL_S,
             wait_s=config.settings_wait_s,
             read_cycle_s=config.settings_wait_s,
+            note_first=self._note_first_read,
         )
 
     def _follow_servers(self, changes: RecordChanges) -> FollowedTable:
@@ -202,6 +211,7 @@
             interval_s=config.server_pace_s,
             wait_s=SERVER_WAIT_S,
             read_cycle_s=config.server_pace_s + SERVER_WAIT_S,
+            note_first=self._note_first_read,
         )
 
     def _follow_members(self) -> FollowedTable:
@@ -223,6 +233,7 @@
         interval_s: float,
         wait_s: float,
         read_cycle_s: float,
+        note_first: Callable[[bool], None] | None = None,
     ) -> FollowedTable:
         relayed = RelayedSource(
             replica.name,
@@ -230,6 +241,7 @@
             source,
             self._config.records.port,
             self._relays.list_relays,
+            self.contact,
             times=RelayTimes.from_bound(bound_s),
             interval_s=interval_s,
         )
@@ -239,10 +251,16 @@
             interval_s=interval_s,
             wait_s=wait_s,
             generator=self._generator,
-            is_spared=self._relays.is_spared,
+            note_first=note_first,
         )
         return FollowedTable(replica, follower, read_cycle_s)
 
+    def _note_first_read(self, succeeded: bool) -> None:
+        """Let requests go on once settings and servers are known, or one is not."""
+        self._first_reads_due -= 1
+        if self._first_reads_due == 0 or not succeeded:
+            self._context.first_read.set()
+
     def _find_hold_end(self, now: float) -> float | None:
         follower = self.server_follower
         return find_hold_end(
--- /dev/null
+++ b/src/ramppin/gateway/process/reporting/exposition.py
@@ -0,0 +1,93 @@
+"""Writes a gateway's metrics in the text form that Prometheus reads.
+
+Relies on prometheus_client, which is imported at the first question only (see
+:mod:`~.metrics`): that answer takes some 0.1 s longer on a small VM.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+from typing import TYPE_CHECKING
+
+from ramppin.gateway.process.reporting.metrics import (
+    CounterTally,
+    GatewayMetrics,
+    GaugeTally,
+    HistogramTally,
+    Tally,
+)
+
+if TYPE_CHECKING:
+    from prometheus_client import Metric
+
+
+@dataclass(frozen=True, slots=True)
+class Exposition:
+    """Metrics as text.
+
+    Attributes:
+        body: the text.
+        content_type: its type and version.
+    """
+
+    body: bytes
+    content_type: str
+
+
+class MetricsCollector:
+    """Turns tallies into prometheus_client's families.
+
+    Args:
+        metrics: the tallies.
+    """
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """Return a family for each metric."""
+        for tally in self._metrics.list_tallies():
+            yield build_family(tally)
+
+
+def build_family(tally: Tally) -> Metric:
+    """Return prometheus_client's family of a tally."""
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+    if isinstance(tally, HistogramTally):
+        return _build_histogram(tally)
+    if isinstance(tally, CounterTally):
+        counter = CounterMetricFamily(
+            tally.name, tally.documentation, labels=tally.labels
+        )
+        for labels, value in tally.values.items():
+            counter.add_metric(labels, value)
+        return counter
+    assert isinstance(tally, GaugeTally)
+    gauge = GaugeMetricFamily(tally.name, tally.documentation, labels=tally.labels)
+    for labels, value in tally.values.items():
+        gauge.add_metric(labels, value)
+    return gauge
+
+
+def _build_histogram(tally: HistogramTally) -> Metric:
+    from prometheus_client.core import HistogramMetricFamily
+
+    family = HistogramMetricFamily(tally.name, tally.documentation, labels=tally.labels)
+    bounds = [*map(str, tally.buckets), "+Inf"]
+    for labels, counts in tally.counts.items():
+        buckets = list(zip(bounds, accumulate(counts), strict=True))
+        family.add_metric(labels, buckets, sum_value=tally.sums[labels])
+    return family
+
+
+def expose(metrics: GatewayMetrics) -> Exposition:
+    """Return metrics in Prometheus' text form."""
+    from prometheus_client import CollectorRegistry
+    from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+    registry = CollectorRegistry()
+    registry.register(MetricsCollector(metrics))
+    return Exposition(generate_latest(registry), CONTENT_TYPE_LATEST)
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -1,98 +1,172 @@
 """The metrics of one gateway process, by Prometheus conventions.
 
-Names and labels are an interface of operators (features/interfaces).
+Names and labels are an interface of operators (features/interfaces). Counts are kept in
+plain numbers, and prometheus_client writes them out when they are asked for: its import
+takes 45 ms of the 195 ms of processor that a start takes, and 3 MB, on VMs that most
+often are not asked.
 """
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from bisect import bisect_left
 
-SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
-"""Upper bounds of the histogram's buckets, in seconds: up to the longest deadline of
-the sites played."""
+SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Upper bounds of the histogram's buckets, in seconds: up to usual deadlines."""
+
+LabelValues = tuple[str, ...]
+
+
+class Tally:
+    """A metric's values by the values of its labels.
+
+    Args:
+        name: the metric's name.
+        documentation: what it counts, for operators.
+        labels: names of its labels.
+    """
+
+    def __init__(
+        self, name: str, documentation: str, labels: tuple[str, ...] = ()
+    ) -> None:
+        self.name = name
+        self.documentation = documentation
+        self.labels = labels
+
+
+class CounterTally(Tally):
+    """Counts events."""
+
+    def __init__(
+        self, name: str, documentation: str, labels: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(name, documentation, labels)
+        self.values: dict[LabelValues, float] = {}
+
+    def inc(self, *labels: str) -> None:
+        """Count one event."""
+        self.values[labels] = self.values.get(labels, 0.0) + 1.0
+
+
+class GaugeTally(Tally):
+    """Keeps the last value."""
+
+    def __init__(
+        self, name: str, documentation: str, labels: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(name, documentation, labels)
+        self.values: dict[LabelValues, float] = {}
+
+    def set(self, value: float, *labels: str) -> None:
+        """Take a value."""
+        self.values[labels] = float(value)
+
+
+class HistogramTally(Tally):
+    """Counts values by size.
+
+    Args:
+        name: the metric's name.
+        documentation: what it counts, for operators.
+        labels: names of its labels.
+        buckets: upper bounds, rising; one without bound follows.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        documentation: str,
+        labels: tuple[str, ...],
+        buckets: tuple[float, ...],
+    ) -> None:
+        super().__init__(name, documentation, labels)
+        self.buckets = buckets
+        self.counts: dict[LabelValues, list[int]] = {}
+        self.sums: dict[LabelValues, float] = {}
+
+    def observe(self, value: float, *labels: str) -> None:
+        """Count a value."""
+        counts = self.counts.get(labels)
+        if counts is None:
+            counts = self.counts[labels] = [0] * (len(self.buckets) + 1)
+        counts[bisect_left(self.buckets, value)] += 1
+        self.sums[labels] = self.sums.get(labels, 0.0) + value
 
 
 class GatewayMetrics:
-    """Metrics of a process; each process has a registry of its own.
+    """Metrics of a process.
 
     .. versionadded:: 0.2
     """
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        registry = self.registry
-        self.requests = Counter(
+        self._count_requests()
+        self._measure_state()
+
+    def list_tallies(self) -> list[Tally]:
+        """Return all metrics."""
+        return [value for value in vars(self).values() if isinstance(value, Tally)]
+
+    def _count_requests(self) -> None:
+        self.requests = CounterTally(
             "ramppin_gateway_requests_total",
             "Requests by service and final status; 0 if the caller disconnected.",
-            ["service", "status"],
-            registry=registry,
+            ("service", "status"),
         )
-        self.attempts = Counter(
+        self.attempts = CounterTally(
             "ramppin_gateway_attempts_total",
             "Attempts at backend servers by service and end.",
-            ["service", "end"],
-            registry=registry,
+            ("service", "end"),
         )
-        self.first_byte_seconds = Histogram(
+        self.first_byte_seconds = HistogramTally(
             "ramppin_gateway_first_byte_seconds",
             "Time from a request's arrival to the first byte of its answer.",
-            ["service"],
-            buckets=SECONDS_BUCKETS,
-            registry=registry,
+            ("service",),
+            SECONDS_BUCKETS,
         )
-        self.retries_refused = Counter(
+        self.retries_refused = CounterTally(
             "ramppin_gateway_retries_refused_total",
             "Retries that the fleet's budget did not allow.",
-            ["service"],
-            registry=registry,
+            ("service",),
         )
-        self.in_flight = Gauge(
-            "ramppin_gateway_requests_in_flight",
-            "Requests in flight.",
-            registry=registry,
+        self.log_calls = CounterTally(
+            "ramppin_gateway_log_calls_total",
+            "Calls to the shared log by table, kind and outcome.",
+            ("table", "call", "outcome"),
+        )
+
+    def _measure_state(self) -> None:
+        self.in_flight = GaugeTally(
+            "ramppin_gateway_requests_in_flight", "Requests in flight."
         )
-        self.version = Gauge(
+        self.version = GaugeTally(
             "ramppin_gateway_settings_version",
             "Version of the settings in force; -1 before the first.",
-            registry=registry,
         )
-        self.record_age_seconds = Gauge(
+        self.record_age_seconds = GaugeTally(
             "ramppin_gateway_record_age_seconds",
             "Time since a table was last known to be current.",
-            ["table"],
-            registry=registry,
+            ("table",),
         )
-        self.log_up = Gauge(
+        self.log_up = GaugeTally(
             "ramppin_gateway_log_up",
             "Whether the last read of a table succeeded.",
-            ["table"],
-            registry=registry,
-        )
-        self.log_calls = Counter(
-            "ramppin_gateway_log_calls_total",
-            "Calls to the shared log by table, kind and outcome.",
-            ["table", "call", "outcome"],
-            registry=registry,
+            ("table",),
         )
-        self.open_servers = Gauge(
+        self.open_servers = GaugeTally(
             "ramppin_gateway_open_servers",
             "Backend servers that may get new work, by service.",
-            ["service"],
-            registry=registry,
+            ("service",),
         )
-        self.suspect_servers = Gauge(
+        self.suspect_servers = GaugeTally(
             "ramppin_gateway_servers_aside",
             "Open backend servers that are ejected or unresponsive, by service.",
-            ["service"],
-            registry=registry,
+            ("service",),
         )
-        self.homes = Gauge(
+        self.homes = GaugeTally(
             "ramppin_gateway_prefix_homes",
             "Prefixes whose backend server is known.",
-            registry=registry,
         )
-        self.connections_opened = Gauge(
+        self.connections_opened = GaugeTally(
             "ramppin_gateway_connections_opened",
             "Connections opened to backend servers since the start.",
-            registry=registry,
         )
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ramppin.gateway.connection.datagrams import DatagramLink, HomeHint, PeerHints
 from ramppin.gateway.process.membership.members import FleetMembers
@@ -34,6 +35,7 @@
         port: the port of every VM's link.
         members: the other VMs.
         homes: where prefixes are.
+        is_log_up: returns whether the shared log serves this VM.
 
     .. versionadded:: 0.2
     """
@@ -45,12 +47,15 @@
         port: int,
         members: FleetMembers,
         homes: PrefixHomes,
+        is_log_up: Callable[[float], bool] = lambda now: True,
     ) -> None:
         self._vm = vm
         self._link = link
         self._port = port
         self._members = members
         self._homes = homes
+        self._is_log_up = is_log_up
+        self._told_log_up = True
         self._sent_at = dict.fromkeys((True, False), float("-inf"))
 
     async def run(self) -> None:
@@ -65,7 +70,8 @@
     def take(self, hints: PeerHints, host: str) -> None:
         """Take a message of another VM."""
         now = asyncio.get_running_loop().time()
-        if not self._members.note_received(hints.vm, host, now):
+        known = self._members.note_received(hints.vm, host, now, log_up=hints.log_up)
+        if not known:
             return
         for hint in hints.homes:
             notice = HomeNotice(hint.key, hint.server, hint.age_ms / 1000)
@@ -82,10 +88,13 @@
             HomeHint(notice.key, notice.server, int(notice.age_s * 1000))
             for notice in notices
         ]
+        log_up = self._is_log_up(now)
+        has_news = bool(notices) or log_up != self._told_log_up
+        self._told_log_up = log_up
         for near in (True, False):
             due_s = self._members.choose_heartbeat_s(near=near)
-            if not notices and now - self._sent_at[near] < due_s:
+            if not has_news and now - self._sent_at[near] < due_s:
                 continue
             self._sent_at[near] = now
             hosts = self._members.list_hosts(now, near=near)
-            self._link.send(PeerHints(self._vm, homes), hosts, self._port)
+            self._link.send(PeerHints(self._vm, homes, log_up), hosts, self._port)
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from ramppin.errors import NotSentError
 from ramppin.gateway.connection.callerwire import CallerConnection, Responder
@@ -39,6 +40,11 @@
 )
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
 
+FIRST_READ_WAIT_S = 0.5
+"""Seconds for which a request waits for the first read of settings and servers, which
+takes 0.02 to 0.35 s after a VM listens, with 300 VMs starting at once. A refusal would
+cost its caller one of its one or two retries, which meets a VM that starts as well."""
+
 _LENGTH = frozenset({b"content-length"})
 
 
@@ -125,6 +131,10 @@
         context = self._context
         context.in_flight += 1
         try:
+            if not context.first_read.is_set():
+                await self._wait_for_first_read()
+            if self._disconnected:
+                return
             admitted = self._admit()
             if isinstance(admitted, Denial):
                 self._report.note_denied(admitted)
@@ -140,6 +150,12 @@
         finally:
             context.in_flight -= 1
 
+    async def _wait_for_first_read(self) -> None:
+        """Wait while settings and servers are read for the first time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_READ_WAIT_S):
+                await self._context.first_read.wait()
+
     def _admit(self) -> Admission | Denial:
         context = self._context
         admitted = admit(
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -105,18 +105,18 @@
 
     def count_request(self, service: str, status: int) -> None:
         """Count a request that has ended; status 0 if its caller disconnected."""
-        self._context.metrics.requests.labels(service, str(status)).inc()
+        self._context.metrics.requests.inc(service, str(status))
 
     def count_refused_retry(self, service: str) -> None:
         """Count a retry that the budget did not allow."""
-        self._context.metrics.retries_refused.labels(service).inc()
+        self._context.metrics.retries_refused.inc(service)
 
     def _count_attempt(self, service: str, result: AttemptResult) -> None:
         metrics = self._context.metrics
-        metrics.attempts.labels(service, result.end.value).inc()
+        metrics.attempts.inc(service, result.end.value)
         if result.first_byte_at is not None:
             taken_s = result.first_byte_at - self._arrived
-            metrics.first_byte_seconds.labels(service).observe(taken_s)
+            metrics.first_byte_seconds.observe(taken_s, service)
 
 
 def _round_bound(bound: float) -> float | None:
