Lines name the rule that ended a request; ramppin losses; silent connections; Retry-After

Cause: given_up did not name its rule and left out answers that were relayed or cut; a connection that went silent was found out after 10 s of unacknowledged bytes, or never while it waited; Retry-After was 0.25 s whatever was known. Ruled out: a time-out on silent answers alone (it can't tell a slow server from a dead connection); Retry-After from the route's target (callers wait for servers, not for it). Change: attempt_failed and given_up carry the rule, times and the last server; given_up stands for every request that no attempt delivered. ramppin losses sums lines up by rule, route, server, VM and second. A refusal tells the time until a server is likely to be open, spread, shorter for the urgent, a third of the time left at most.

--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -177,6 +177,40 @@
       | far:1 far:0          | s1     |
       | near:1 near:1        | s0 s1  |
 
+  Scenario Outline: in how long a server is likely to be open: <servers>
+    Then among servers "<servers>" one is likely to be open in <opening> s
+
+    Examples:
+      | servers                   | opening |
+      | none                      | 0.5     |
+      | open ejected:2            | 0       |
+      | ejected:2 ejected:0.25    | 0.25    |
+      | silent ejected:2          | 0.8     |
+
+  Scenario Outline: when a refused request may come back: open in <opening>, <left> left
+    Then with a server open in <opening> s, <left> s left, rank <rank> and the point <point> a refused request comes back after <pause> s
+
+    Examples:
+      | opening | left | rank | point | pause |
+      | 0       | 9    | 0    | 0     | 0.1   |
+      | 0       | 9    | 0    | 0.5   | 0.125 |
+      | 0.4     | 9    | 0    | 0     | 0.4   |
+      | 0.4     | 9    | 1    | 0     | 0.5   |
+      | 0.4     | 9    | 7    | 0     | 0.7   |
+      | 0.4     | 0.6  | 0    | 0     | 0.2   |
+      | 0.4     | -1   | 0    | 0     | 0     |
+
+  Scenario Outline: the mean load of servers: <servers>
+    Then servers with loads "<servers>" have the mean <mean>
+
+    Examples:
+      | servers                                     | mean |
+      | none                                        | 0    |
+      | 1 2 3                                       | 2    |
+      | 0 0 0 0 5:reported 4:reported               | 1.5  |
+      | 0 0 0 0 5:reported 4:reported 3:reported    | 4    |
+      | 9 9 9 1:reported 1:reported 1:reported      | 5    |
+
   Scenario Outline: a server's load: <reported> reported with <then> in flight, now <now>, <age> s later
     Then a load of <reported> reported with <then> in flight counts as <load> with <now> in flight <age> s later
 
--- a/features/steps/gateway_rule_steps.py
+++ b/features/steps/gateway_rule_steps.py
@@ -33,6 +33,7 @@
     NearestSelection,
     PrefixSelection,
     SelectionRequest,
+    measure_loads,
 )
 from ramppin.gateway.request.admission import (
     Admission,
@@ -55,6 +56,7 @@
     judge_takeover,
     judge_try,
 )
+from ramppin.gateway.request.retryafter import choose_retry_after_s, find_opening_s
 from ramppin.gateway.version.routing import (
     Route,
     RouteKind,
@@ -240,7 +242,7 @@
 def check_ending(decide, runs, last, more, ending):
     words = read_words(more)
     progress = build_progress(runs, words)
-    final = decide(progress, build_last(last, words), Verdict.NO_SERVER)
+    final = decide(progress, build_last(last, words), Verdict.NO_SERVER, 0.25)
     assert show_ending(final) == ending, show_ending(final)
     assert final.reason is Verdict.NO_SERVER
     assert (final.server_answer is not None) == ending.startswith("RELAY")
@@ -276,6 +278,34 @@
     assert show_ending(answer_denied(Denial[denial])) == ending
 
 
+@then(
+    "with a server open in {opening:g} s, {left:g} s left, rank {rank:d} and the point "
+    "{point:g} a refused request comes back after {pause:g} s"
+)
+def step_retry_after(context, opening, left, rank, point, pause):
+    found = choose_retry_after_s(
+        opening_s=opening, time_left_s=left, rank=rank, point=point
+    )
+    assert abs(found - pause) < 1e-9, found
+
+
+def build_resting(text: str) -> ServerState:
+    """Return a server that is ``open``, ``ejected:S`` or ``silent``."""
+    state = build_server(text, 0)
+    kind, _, seconds = text.partition(":")
+    if kind == "ejected":
+        state.health.ejected_until = NOW + float(seconds)
+    elif kind == "silent":
+        state.health.note_sent(NOW - 5.0)
+    return state
+
+
+@then('among servers "{servers}" one is likely to be open in {opening:g} s')
+def step_opening(context, servers, opening):
+    states = [build_resting(text) for text in servers.split() if text != "none"]
+    assert find_opening_s(states, NOW) == opening
+
+
 HEADERS = {
     "signed": (NAMES.signature, b"s"),
     "encoded": (b"Content-Encoding", b"gzip"),
@@ -478,3 +508,15 @@
 @then("in a planned stop a connection that is {age:g} s old may be closed: {closed}")
 def step_close(context, age, closed):
     assert Drain(DrainTimes(), NOW).may_close(NOW - age, NOW) is is_yes(closed)
+
+
+@then('servers with loads "{servers}" have the mean {mean:g}')
+def step_mean(context, servers, mean):
+    states = []
+    for number, text in enumerate(read_names(servers)):
+        load, _, reported = text.partition(":")
+        state = build_server(f"s{number}", 0 if reported else int(load))
+        if reported:
+            state.note_load(int(load), 0, NOW)
+        states.append(state)
+    assert measure_loads(states, NOW).mean == mean
--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import signal
+import sys
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
@@ -31,6 +32,7 @@
 from ramppin.gateway.process.settingsfile import GatewayFile, load_gateway_file
 from ramppin.gateway.version.routingfile import TreeDecoder
 from ramppin.logs import start_logging
+from ramppin.losses import Grouping, LossReport
 from ramppin.router.connection.operator import OperatorClient
 from ramppin.router.process.config import RouterConfig, load_config
 from ramppin.router.process.router import Router
@@ -216,6 +218,37 @@
     _print(found, as_json, formatting.show_explanation(found))
 
 
+@app.command()
+def losses(
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Files of decision lines; standard input without any."),
+    ] = None,
+    by: Annotated[
+        list[Grouping] | None,
+        typer.Option(help="Sum up by this; may be given again. All if not given."),
+    ] = None,
+    top: Annotated[int, typer.Option(min=1, help="Rows of each table.")] = 12,
+) -> None:
+    """Sum up the requests that gateways lost, refused or answered late.
+
+    Reads decision lines as a stream; lines that are none are counted and the first
+    is named.
+
+    .. versionadded:: 0.2
+    """
+    report = LossReport()
+    for file in files or []:
+        try:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                report.take_lines(str(file), lines)
+        except OSError as error:
+            _exit(RamppinError(str(error), hint="a file of decision lines"))
+    if not files:
+        report.take_lines("standard input", sys.stdin)
+    typer.echo(formatting.show_losses(report, by or list(Grouping), top))
+
+
 @app.command()
 def dump(url: Url = DEFAULT_URL, key: Key = "") -> None:
     """Print the state of one router VM as JSON."""
--- a/src/ramppin/formatting.py
+++ b/src/ramppin/formatting.py
@@ -4,8 +4,11 @@
 
 import difflib
 import json
+from collections.abc import Sequence
 from typing import Any
 
+from ramppin.losses import Grouping, Loss, LossReport
+
 
 def show_verdict(found: dict[str, Any]) -> str:
     """Return what became of a change."""
@@ -68,3 +71,38 @@
         owner = "nobody" if lease["released"] else lease["owner"]
         lines.append(f"shard   {shard:<24} owned by {owner}, epoch {lease['epoch']}")
     return "\n".join(lines)
+
+
+def show_losses(report: LossReport, groupings: Sequence[Grouping], top: int) -> str:
+    """Return a table of losses for each grouping."""
+    parts = [_show_loss_totals(report)]
+    for grouping in groupings:
+        parts.append(_show_loss_table(report, grouping, top))
+    return "\n\n".join(parts)
+
+
+def _show_loss_totals(report: LossReport) -> str:
+    lines = [f"{report.lines} decision lines, {report.answered} requests answered"]
+    if report.dropped:
+        lines.append(f"{report.dropped} lines were dropped: counts are too low by them")
+    if report.first_bad is not None:
+        bad = report.first_bad
+        lines.append(
+            f"{report.bad_lines} lines are no decision lines; "
+            f"the first: {bad.source}:{bad.number}: {bad.reason}"
+        )
+    return "\n".join(lines)
+
+
+def _show_loss_table(report: LossReport, grouping: Grouping, top: int) -> str:
+    names = [loss.value for loss in Loss]
+    rows = list(report.list_worst(grouping))
+    width = max([len(grouping.value), *(len(key) for key, _ in rows[:top])])
+    lines = [f"{grouping.value:<{width}} " + " ".join(f"{n:>8}" for n in names)]
+    lines[0] += "  example"
+    for key, count in rows[:top]:
+        numbers = " ".join(f"{count.counts.get(loss, 0):>8}" for loss in Loss)
+        lines.append(f"{key:<{width}} {numbers}  {count.example}")
+    if len(rows) > top:
+        lines.append(f"({len(rows) - top} more)")
+    return "\n".join(lines)
--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -27,6 +27,7 @@
     RequestReader,
     RequestTaker,
 )
+from ramppin.gateway.connection.silence import FROM_CALLERS, limit_silence
 from ramppin.gateway.version.routing import CallerLimits
 
 MAX_QUEUED = 2
@@ -125,6 +126,7 @@
         """Begin to be idle."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        limit_silence(transport, FROM_CALLERS)
         self._state.connections.add(self)
         self._begin_idle()
 
--- a/src/ramppin/gateway/connection/pool.py
+++ b/src/ramppin/gateway/connection/pool.py
@@ -58,6 +58,20 @@
         self.opened += 1
         return await open_connection(host, port, peer, timeout_s=CONNECT_TIMEOUT_S)
 
+    def note_silent(self, connection: UpstreamConnection) -> int:
+        """Close what rests to the peer of a connection that went silent.
+
+        What took one connection to a peer took most likely those that rested beside
+        it: they would each cost a request a second.
+
+        Returns:
+            How many were closed.
+        """
+        idle = self._idle.pop(connection.peer, [])
+        for other in idle:
+            other.abort()
+        return len(idle)
+
     def release(
         self, connection: UpstreamConnection, *, spare_connections: int | None = None
     ) -> None:
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -9,8 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
+import errno
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -18,9 +17,7 @@
 
 from ramppin.errors import BrokenAnswerError, NotSentError
 from ramppin.gateway.connection.httpwire import Headers, find_header
-
-USER_TIMEOUT_MS = 10_000
-"""Unacknowledged bytes end a connection after this long (TCP_USER_TIMEOUT)."""
+from ramppin.gateway.connection.silence import TO_SERVERS, limit_silence
 
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses whose answers have no body (RFC 9112, section 6.3)."""
@@ -72,6 +69,7 @@
         idle_since: the loop's time at which the last answer ended.
         keep_alive_s: seconds for which the server said that it keeps the connection
             idle; None if it did not say.
+        was_silent: whether it ended because the peer acknowledged nothing.
 
     .. versionadded:: 0.2
     """
@@ -80,6 +78,7 @@
         self.peer = peer
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
+        self.was_silent = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._receiver: AnswerReceiver | None = None
@@ -107,13 +106,7 @@
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        raw = transport.get_extra_info("socket")
-        if raw is not None:
-            # Only a limit for dead peers: a connection without it works as well.
-            with contextlib.suppress(OSError):
-                raw.setsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-                )
+        limit_silence(transport, TO_SERVERS)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the answer."""
@@ -140,6 +133,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in flight."""
         self._reusable = False
+        self.was_silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
         self._fail(f"connection lost: {exc or 'closed by the peer'}")
 
     # the caller's side
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -108,6 +108,12 @@
         """Return whether other servers should be preferred."""
         return now < self.ejected_until or self.is_unresponsive(now)
 
+    def measure_rest_s(self, now: float) -> float:
+        """Return for how long the server is likely to be passed over, in seconds."""
+        if self.is_unresponsive(now):
+            return UNRESPONSIVE_AFTER_S
+        return max(0.0, self.ejected_until - now)
+
     def _eject(self, now: float) -> None:
         self.ejected_until = now + self._ejection_s
         self._ejection_s = min(LONGEST_EJECTION_S, self._ejection_s * 2)
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -82,12 +82,16 @@
         self._reported_at = now
         self._in_flight_at_report = self.in_flight
 
+    def has_report(self, now: float) -> bool:
+        """Return whether a load report is fresh enough to count."""
+        return now - self._reported_at <= REPORT_TRUST_S
+
     def estimate_load(self, now: float) -> int:
         """Return how many requests the server is likely to hold.
 
         Its last report and what this VM has sent since; at least this VM's own.
         """
-        if now - self._reported_at > REPORT_TRUST_S:
+        if not self.has_report(now):
             return self.in_flight
         since = self.in_flight - self._in_flight_at_report
         return max(self.in_flight, self._reported + since)
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -72,6 +72,11 @@
     copy_from: str | None = None
 
 
+MIN_REPORTS = 3
+"""Servers with a load report from which on their mean counts for all: a single one may
+be the busiest."""
+
+
 @dataclass(slots=True)
 class LoadView:
     """Loads of a service's open servers at one moment, in requests."""
@@ -81,9 +86,19 @@
 
 
 def measure_loads(states: Sequence[ServerState], now: float) -> LoadView:
-    """Return the estimated loads of servers and their mean."""
+    """Return the estimated loads of servers and their mean.
+
+    Where many VMs share the servers, a VM has a report of a few and sees its own
+    requests alone at the rest: the mean over all would be far too low, and each server
+    that has just reported would look overloaded. So the servers that reported stand
+    for the others.
+    """
     loads = {state.id: state.estimate_load(now) for state in states}
-    return LoadView(loads, sum(loads.values()) / max(1, len(loads)))
+    mean = sum(loads.values()) / max(1, len(loads))
+    reported = [loads[state.id] for state in states if state.has_report(now)]
+    if len(reported) >= MIN_REPORTS:
+        mean = max(mean, sum(reported) / len(reported))
+    return LoadView(loads, mean)
 
 
 class SelectionStrategy(ABC):
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -38,6 +38,7 @@
     judge_takeover,
     judge_try,
 )
+from ramppin.gateway.request.retryafter import choose_retry_after_s, find_opening_s
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
 
 FIRST_READ_WAIT_S = 0.5
@@ -106,6 +107,7 @@
         self._attempt: Attempt | None = None
         self._disconnected = False
         self._tried: set[str] = set()
+        self._last_server = ""
         self._progress = Progress()
         self._ends_at = 0.0
         self._request_id = request.find(context.names.request_id) or b""
@@ -178,20 +180,25 @@
         while not self._disconnected:
             selection = self._select(admission)
             if isinstance(selection, Verdict):
-                final = answer_stopped(self._progress, last, selection)
+                pause_s = self._choose_retry_after_s(admission)
+                final = answer_stopped(self._progress, last, selection, pause_s)
                 self._end(admission, final)
                 return
             last = await self._try(admission, selection, builder)
-            self._report.note_attempt(admission, selection, last, self._loop.time())
+            now = self._loop.time()
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
+                self._report.note_attempt(admission, selection, last, now)
                 status = 0 if self._disconnected else last.status
                 self._report.count_request(admission.service, status)
                 return
             if last.last_event_id is not None:
                 builder.resume_after(last.last_event_id)
             verdict = self._judge_retry(admission, last)
+            self._report.note_attempt(admission, selection, last, now, verdict)
             if not verdict.allows:
-                self._end(admission, answer_failed(self._progress, last, verdict))
+                pause_s = self._choose_retry_after_s(admission)
+                final = answer_failed(self._progress, last, verdict, pause_s)
+                self._end(admission, final)
                 return
 
     # choosing and sending
@@ -218,6 +225,7 @@
         state = selection.state
         self._progress.tries += 1
         self._tried.add(state.id)
+        self._last_server = state.id
         # Counted before the connection is there: other requests must see it.
         state.in_flight += 1
         try:
@@ -228,6 +236,8 @@
                 self._context.pool.release_unused(connection)
                 return AttemptResult(AttemptEnd.NOT_SENT, message="too late")
             result = await self._send(admission, selection, builder, connection)
+            if connection.was_silent:
+                self._context.pool.note_silent(connection)
             share = self._context.share_connections(admission.service)
             spare = None if share is None else share - state.in_flight
             self._context.pool.release(connection, spare_connections=spare)
@@ -311,13 +321,30 @@
 
     # ends
 
+    def _choose_retry_after_s(self, admission: Admission) -> float:
+        """Return when the caller may come back if no server ran its request."""
+        context, now = self._context, self._loop.time()
+        states = context.directory.list_open(admission.service)
+        return choose_retry_after_s(
+            opening_s=find_opening_s(states, now),
+            time_left_s=self._ends_at - now,
+            rank=admission.route.priority,
+            point=context.generator.random(),
+        )
+
     def _end(self, admission: Admission, final: FinalAnswer) -> None:
         """End a request that no attempt has delivered."""
         if self._disconnected:
             return
-        if final.ending is Ending.REFUSE:
-            now = self._loop.time()
-            self._report.note_given_up(admission, self._progress, final.status, now)
+        now = self._loop.time()
+        self._report.note_given_up(
+            admission,
+            self._progress,
+            final,
+            server=self._last_server,
+            time_left_s=self._ends_at - now,
+            now=now,
+        )
         self._report.count_request(admission.service, final.status)
         self._answer(final)
 
--- a/src/ramppin/gateway/request/finalanswer.py
+++ b/src/ramppin/gateway/request/finalanswer.py
@@ -16,11 +16,6 @@
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.retry import Progress, Verdict
 
-RETRY_AFTER_S = 0.25
-"""Seconds after which a request that no server ran may come back. The platform's
-clients wait up to a third of the time that they have left, so this serves deadlines
-of 0.75 s and more. Chosen with the first version; no run varied it."""
-
 START_RETRY_AFTER_S = 0.5
 """Seconds for a VM that has just started to read its settings; they were in force
 0.02 to 0.35 s after it listened, with 300 VMs starting at once (commit 9e531e7)."""
@@ -81,7 +76,10 @@
 
 
 def answer_stopped(
-    progress: Progress, last: AttemptResult | None, reason: Verdict
+    progress: Progress,
+    last: AttemptResult | None,
+    reason: Verdict,
+    retry_after_s: float,
 ) -> FinalAnswer:
     """Return the answer to a request for which no further server can be tried.
 
@@ -89,18 +87,19 @@
         progress: how far the request has come.
         last: its last attempt, after which a retry was allowed; None before any.
         reason: the rule that stopped it.
+        retry_after_s: when it may come back if no server ran it.
     """
     if progress.answer_started:
         return FinalAnswer(Ending.CUT, last.status if last else 0, reason)
     if progress.runs == 0:
-        return FinalAnswer(Ending.REFUSE, NOT_RUN_STATUS, reason, RETRY_AFTER_S)
+        return FinalAnswer(Ending.REFUSE, NOT_RUN_STATUS, reason, retry_after_s)
     if last is not None and last.end is AttemptEnd.TIMED_OUT:
         return FinalAnswer(Ending.REFUSE, TIMED_OUT_STATUS, reason)
     return FinalAnswer(Ending.REFUSE, MAY_HAVE_RUN_STATUS, reason)
 
 
 def answer_failed(
-    progress: Progress, last: AttemptResult, reason: Verdict
+    progress: Progress, last: AttemptResult, reason: Verdict, retry_after_s: float
 ) -> FinalAnswer:
     """Return the answer to a request that may not be sent again.
 
@@ -108,8 +107,9 @@
         progress: how far the request has come.
         last: the attempt after which no retry is allowed.
         reason: the rule that forbids it.
+        retry_after_s: when it may come back if no server ran it.
     """
     has_answer = last.answer is not None and last.end is AttemptEnd.FAILED
     if has_answer and not progress.answer_started:
         return FinalAnswer(Ending.RELAY, last.status, reason, server_answer=last.answer)
-    return answer_stopped(progress, last, reason)
+    return answer_stopped(progress, last, reason, retry_after_s)
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -11,8 +11,9 @@
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.routing.selection import Selection
 from ramppin.gateway.request.admission import Admission, Denial
+from ramppin.gateway.request.finalanswer import FinalAnswer
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
-from ramppin.gateway.request.retry import Progress
+from ramppin.gateway.request.retry import Progress, Verdict
 
 MAX_REPORT_AGE_S = 999.0
 """Seconds that stand for a load report that never came, in log lines."""
@@ -62,8 +63,18 @@
         selection: Selection,
         result: AttemptResult,
         now: float,
+        verdict: Verdict | None = None,
     ) -> None:
-        """Write and count what became of one attempt."""
+        """Write and count what became of one attempt.
+
+        Args:
+            admission: of the request.
+            selection: the server that was tried, and why.
+            result: what became of it.
+            now: the loop's time.
+            verdict: the rule that allowed or forbade another attempt; None if it was
+                delivered or its caller left.
+        """
         fields: dict[str, object] = {
             "request_id": self._request_id,
             "route": admission.route.name,
@@ -77,6 +88,9 @@
             "status": result.status,
             "message": result.message,
             "took_ms": round((now - self._arrived) * 1000),
+            "first_ms": self._measure_first_ms(result),
+            "target_ms": _to_ms(admission.route.target_s),
+            "rule": verdict.name.lower() if verdict else "",
         }
         self._count_attempt(admission.service, result)
         self._context.explanations.add(self._request_id, fields)
@@ -86,15 +100,37 @@
             self._context.decisions.note("attempt_failed", **fields)
 
     def note_given_up(
-        self, admission: Admission, progress: Progress, status: int, now: float
+        self,
+        admission: Admission,
+        progress: Progress,
+        final: FinalAnswer,
+        *,
+        server: str,
+        time_left_s: float,
+        now: float,
     ) -> None:
-        """Write that the gateway answers the request itself."""
+        """Write how a request ended that no attempt delivered, and by which rule.
+
+        Args:
+            admission: of the request.
+            progress: how far it had come.
+            final: how it is ended.
+            server: the last server tried, or empty.
+            time_left_s: time until it would have been given up in any case.
+            now: the loop's time.
+        """
         context = self._context
         fields: dict[str, object] = {
             "request_id": self._request_id,
             "route": admission.route.name,
             "version": admission.table.version,
-            "status": status,
+            "ending": final.ending.name.lower(),
+            "rule": final.reason.name.lower(),
+            "status": final.status,
+            "server": server,
+            "retry_after_s": final.retry_after_s,
+            "time_left_ms": round(time_left_s * 1000),
+            "took_ms": round((now - self._arrived) * 1000),
             "tries": progress.tries,
             "runs": progress.runs,
             "open_servers": len(context.directory.list_open(admission.service)),
@@ -111,6 +147,12 @@
         """Count a retry that the budget did not allow."""
         self._context.metrics.retries_refused.inc(service)
 
+    def _measure_first_ms(self, result: AttemptResult) -> int | None:
+        """Return the time from arrival to the first byte of the answer."""
+        if result.first_byte_at is None:
+            return None
+        return round((result.first_byte_at - self._arrived) * 1000)
+
     def _count_attempt(self, service: str, result: AttemptResult) -> None:
         metrics = self._context.metrics
         metrics.attempts.inc(service, result.end.value)
@@ -119,5 +161,9 @@
             metrics.first_byte_seconds.observe(taken_s, service)
 
 
+def _to_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
+
+
 def _round_bound(bound: float) -> float | None:
     return round(bound, 1) if bound != float("inf") else None
--- /dev/null
+++ b/src/ramppin/gateway/request/retryafter.py
@@ -0,0 +1,61 @@
+"""When a caller whose request did not run may come back.
+
+It should find a server that takes it, not meet all others refused at the same
+moment, and have time left for its answer. So the pause lasts until a server is likely
+to be open, is spread, is shorter for the more urgent, and takes no more than a third
+of the time that is left, which is what callers honour. No I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ramppin.gateway.process.routing.directory import ServerState
+
+SHORTEST_S = 0.1
+"""Seconds of the shortest pause, where a server is open now: a few answers of a server,
+so that the place that was missing is free."""
+
+NO_SERVER_S = 0.5
+"""Seconds until a service without servers is looked at again: its list is read each 0.8
+to 1.8 s."""
+
+SPREAD = 0.5
+"""Part of the pause by which it is spread."""
+
+RANK_STEP = 0.25
+"""Part of the pause by which each rank of priority adds to it."""
+
+LAST_RANK = 3
+"""Rank from which on all wait alike."""
+
+LONGEST_SHARE = 1 / 3
+"""Part of the time left that a pause may take."""
+
+
+def find_opening_s(states: Sequence[ServerState], now: float) -> float:
+    """Return in how many seconds a server is likely to take a request.
+
+    Args:
+        states: the open servers of a service.
+        now: the loop's time.
+    """
+    if not states:
+        return NO_SERVER_S
+    return min(state.health.measure_rest_s(now) for state in states)
+
+
+def choose_retry_after_s(
+    *, opening_s: float, time_left_s: float, rank: int, point: float
+) -> float:
+    """Return the pause to ask for, in seconds.
+
+    Args:
+        opening_s: from :func:`find_opening_s`.
+        time_left_s: time until the request is given up.
+        rank: the route's priority; 0 is the most urgent.
+        point: a random number from 0 up to 1.
+    """
+    base_s = max(SHORTEST_S, opening_s)
+    factor = 1 + RANK_STEP * min(max(rank, 0), LAST_RANK) + SPREAD * point
+    return max(0.0, min(base_s * factor, LONGEST_SHARE * time_left_s))
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -49,6 +49,8 @@
         priority: rank among routes; 0 is the most urgent.
         public: whether requests need no key.
         keeps_prefix: whether backend servers cache prompt prefixes.
+        target_s: time within which callers want the first byte; None if none is
+            set. Requests after it count as late in ``ramppin losses``.
     """
 
     name: str
@@ -62,6 +64,7 @@
     priority: int = 0
     public: bool = False
     keeps_prefix: bool = False
+    target_s: float | None = None
 
     @property
     def repeatable(self) -> bool:
