--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -153,7 +153,8 @@
     Examples:
       | loads     | home  | tried        | chosen | rank | source | after  |
       | 0 0 0 0   | none  | none         | first  | 1    | none   | first  |
-      | 3 1 0 0   | none  | none         | second | 2    | none   | second |
+      | 3 1 0 0   | none  | none         | first  | 1    | none   | first  |
+      | 4 1 2 2   | none  | none         | second | 2    | none   | second |
       | 1 3 0 0   | none  | none         | first  | 1    | none   | first  |
       | 9 9 0 0   | none  | none         | first  | 1    | none   | first  |
       | 30 0 0 0  | none  | none         | second | 2    | none   | second |
@@ -187,6 +188,83 @@
       | ejected:2 ejected:0.25    | 0.25    |
       | silent ejected:2          | 0.8     |
 
+  Scenario Outline: a server's load by another VM's word: <told>, <age> s old, own <own>
+    Then a server told to hold <told>, <age> s ago, with own report <own> <own_age> s ago and <more> sent since is told to hold <found>
+
+    Examples:
+      | told | age | own  | own_age | more | found |
+      | 9    | 0.5 | none | 0       | 0    | 9     |
+      | 9    | 0.5 | none | 0       | 2    | 11    |
+      | 9    | 1.6 | none | 0       | 0    | none  |
+      | 9    | 0.5 | 2    | 0.4     | 0    | none  |
+      | 9    | 0.5 | 2    | 0.6     | 0    | 9     |
+
+  Scenario Outline: a home that others find full: told <told>, own <own>
+    Then a home told to hold <told> with <own> of our own gets <low> to <high> of 1000 prompts
+
+    Examples:
+      | told | own | low  | high |
+      | 1    | 0   | 1000 | 1000 |
+      | 4    | 0   | 450  | 550  |
+      | 8    | 0   | 200  | 300  |
+      | 9    | 9   | 0    | 0    |
+
+  Scenario Outline: a server that the fleet sees failing: <told>, <rate> requests/s
+    Then a server with the failures "<told>" of <rate> requests/s is passed over: <bad>
+
+    Examples:
+      | told                | rate | bad |
+      | none                | 5    | no  |
+      | a:2@0               | 1    | no  |
+      | a:3@0               | 1    | yes |
+      | a:3@0               | 5    | no  |
+      | a:5@0               | 5    | yes |
+      | a:5@2               | 5    | no  |
+      | a:2@0 a:4@1         | 5    | yes |
+      | b:9@0               | 5    | no  |
+      | b:5@0 c:4@0         | 5    | yes |
+      | a:1@0 b:5@0         | 5    | yes |
+      | a:0.5@0 b:9@0       | 5    | no  |
+
+  Scenario Outline: the fleet never passes over much of a service: <failing> of <count>
+    Then of <count> servers with <failing> that fail <bad> are passed over
+
+    Examples:
+      | count | failing | bad |
+      | 9     | 1       | 1   |
+      | 9     | 3       | 3   |
+      | 9     | 4       | 0   |
+      | 2     | 1       | 0   |
+
+  Scenario Outline: a VM with bad links tells nothing of servers: <failing> of <count>
+    Then among <count> servers a VM that saw <failing> fail tells of <told>
+
+    Examples:
+      | count | failing | told |
+      | 6     | 0       | 0    |
+      | 6     | 2       | 2    |
+      | 6     | 3       | 0    |
+      | 1     | 1       | 1    |
+
+  Scenario Outline: a silent server's unanswered requests are told: silent <silent> s
+    Then a request that ends unanswered at a server silent for <silent> s is told: <told>
+
+    Examples:
+      | silent | told |
+      | 0.5    | no   |
+      | 0.9    | yes  |
+
+  Scenario: many VMs find a server out by few requests in all
+    Then 20 VMs that each see one failure find a server out after 5
+
+  Scenario: loads near the bound are told once, by who heard them, and not passed on
+    Then a VM that hears loads "9 1 1 1" tells "s0:9", and nothing a moment later
+    And a VM that was told "s0:9" tells nothing
+
+  Scenario: what was just placed is told at once, within the budget of datagrams
+    Then with 80 other VMs a home placed 0.1 s after a message is told in 0.1 s
+    And with 80 other VMs and no datagrams left it is told in the turn
+
   Scenario Outline: when a refused request may come back: open in <opening>, <left> left
     Then with a server open in <opening> s, <left> s left, rank <rank> and the point <point> a refused request comes back after <pause> s
 
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import random
 
 from behave import then
 from hypothesis import given as generated
@@ -155,10 +156,15 @@
     return places
 
 
+def build_strategy(directory: ServerDirectory, **bounds: float) -> PrefixSelection:
+    homes = PrefixHomes(directory.is_open)
+    return PrefixSelection(homes, generator=random.Random(1), **bounds)
+
+
 @then("{count:d} prefixes placed on {servers:d} servers stay when {more:d} more join")
 def step_join(context, count, servers, more):
     directory = build_states(servers)
-    strategy = PrefixSelection(PrefixHomes(directory.is_open))
+    strategy = build_strategy(directory)
     keys = range(1, count + 1)
     before = place_all(strategy, directory, keys, 1.0)
     for number in range(servers, servers + more):
@@ -169,7 +175,7 @@
 @then("{count:d} prefixes on {servers:d} servers move only from the one that leaves")
 def step_leave(context, count, servers):
     directory = build_states(servers)
-    strategy = PrefixSelection(PrefixHomes(directory.is_open))
+    strategy = build_strategy(directory)
     keys = range(1, count + 1)
     before = place_all(strategy, directory, keys, 1.0)
     directory.put(BackendServer("s0", "m", "127.0.0.1", 0, draining=True))
@@ -182,7 +188,7 @@
 @then("{count:d} generated placements leave no server above the bound")
 def step_bound(context, count):
     directory = build_states(6)
-    strategy = PrefixSelection(PrefixHomes(directory.is_open), bound=1.8, slack=2.0)
+    strategy = build_strategy(directory, bound=1.8, slack=2.0)
 
     @GENERATION
     @generated(st.lists(st.integers(0, 9), min_size=30, max_size=80))
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -26,8 +26,10 @@
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import RecordBatch
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
+from ramppin.gateway.process.routing.servernews import ServerNews
 from standins.common import wait_for
 from standins.tables import TableStandIn
 
@@ -213,7 +215,13 @@
 
     members = build_members("a1", "a1 a2 b1")
     hints = HintExchange(
-        "a1", Link(), 1, members, PrefixHomes(lambda server: True), lambda now: is_up
+        "a1",
+        Link(),
+        1,
+        members,
+        PrefixHomes(lambda server: True),
+        ServerNews(ServerDirectory(), "a"),
+        lambda now: is_up,
     )
     hints._told_log_up = not is_up
     hints._sent_at = dict.fromkeys((True, False), float("inf"))
--- a/features/steps/gateway_rule_steps.py
+++ b/features/steps/gateway_rule_steps.py
@@ -5,20 +5,27 @@
 import json
 import random
 
+import msgspec
 from behave import then
 
 from features.gateway_support import HOST, KEY, build_tree
+from ramppin.gateway.connection.datagrams import FailureHint, LoadHint
 from ramppin.gateway.connection.httpwire import HeaderNames
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.connection.reuse import choose_idle_limit_s, may_keep, may_reuse
 from ramppin.gateway.connection.upstream import AnswerHead
 from ramppin.gateway.process.limits.drain import Drain, DrainTimes
+from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import (
     UNRESPONSIVE_AFTER_S,
     Outcome,
     ServerHealth,
 )
-from ramppin.gateway.process.membership.members import Member
+from ramppin.gateway.process.membership.members import (
+    FleetMembers,
+    Member,
+    MemberRecord,
+)
 from ramppin.gateway.process.recovery.peerchoice import (
     choose_peers,
     is_stale,
@@ -26,8 +33,16 @@
 )
 from ramppin.gateway.process.recovery.relayrules import RelayTimes, choose_own_relay
 from ramppin.gateway.process.recovery.replica import Record
-from ramppin.gateway.process.routing.directory import BackendServer, ServerState
-from ramppin.gateway.process.routing.eligibility import list_eligible
+from ramppin.gateway.process.routing.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerState,
+)
+from ramppin.gateway.process.routing.eligibility import (
+    find_bad_servers,
+    list_eligible,
+)
+from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.gateway.process.routing.selection import (
     NearestSelection,
@@ -35,6 +50,7 @@
     SelectionRequest,
     measure_loads,
 )
+from ramppin.gateway.process.routing.servernews import ServerNews, ServerTold
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
@@ -381,7 +397,8 @@
         homes.note_placed(PREFIX, by_name[home], NOW)
     excluded = frozenset(by_name[name] for name in read_names(tried))
     request = SelectionRequest(PREFIX, excluded)
-    selection = PrefixSelection(homes).choose(request, states, NOW)
+    strategy = PrefixSelection(homes, generator=random.Random(1))
+    selection = strategy.choose(request, states, NOW)
     found = (selection.state.id, selection.rank, selection.copy_from)
     assert found == (by_name[chosen], rank, by_name[source]), (found, by_name)
     assert homes.find(PREFIX) == by_name[after]
@@ -520,3 +537,154 @@
             state.note_load(int(load), 0, NOW)
         states.append(state)
     assert measure_loads(states, NOW).mean == mean
+
+
+@then(
+    "a server told to hold {told:d}, {age:g} s ago, with own report {own} "
+    "{own_age:g} s ago and {more:d} sent since is told to hold {found}"
+)
+def step_told(context, told, age, own, own_age, more, found):
+    state = build_server("s0", 0)
+    if own != "none":
+        state.note_load(int(own), 0, NOW - own_age)
+    state.note_told_load(told, age, NOW)
+    state.in_flight += more
+    shown = state.find_told_load(NOW)
+    assert str(shown).lower() == found, shown
+
+
+@then(
+    "a home told to hold {told:d} with {own:d} of our own gets {low:d} to {high:d} of "
+    "1000 prompts"
+)
+def step_told_home(context, told, own, low, high):
+    states = [build_server(f"s{n}", 0) for n in range(4)]
+    states[0].in_flight = own
+    states[0].note_told_load(told - own, 0.1, NOW)
+    homes = PrefixHomes(lambda server: True)
+    homes.note_placed(PREFIX, "s0", NOW)
+    strategy = PrefixSelection(homes, generator=random.Random(1))
+    request = SelectionRequest(PREFIX)
+    chosen = [strategy.choose(request, states, NOW).state.id for _ in range(1000)]
+    assert low <= chosen.count("s0") <= high, chosen.count("s0")
+
+
+def build_directory(loads: str) -> ServerDirectory:
+    directory = ServerDirectory()
+    for number, load in enumerate(loads.split()):
+        state = directory.put(BackendServer(f"s{number}", "plain", "127.0.0.1", 1))
+        state.note_load(int(load), 0, NOW)
+    return directory
+
+
+@then('a VM that hears loads "{loads}" tells "{told}", and nothing a moment later')
+def step_tells_loads(context, loads, told):
+    news = ServerNews(build_directory(loads), "a")
+    found = [f"{hint.server}:{hint.load}" for hint in news.collect(NOW).loads]
+    assert found == told.split(), found
+    assert not news.collect(NOW + 0.1)
+
+
+@then('a VM that was told "{told}" tells nothing')
+def step_tells_no_echo(context, told):
+    directory = build_directory("1 1 1 1")
+    news = ServerNews(directory, "a")
+    news.collect(NOW)
+    server, _, load = told.partition(":")
+    hint = LoadHint(server, int(load), 10)
+    news.take(ServerTold([hint], [FailureHint(server, 2)]), "b", NOW + 0.1)
+    assert directory.find(server).find_told_load(NOW + 0.1) == int(load)
+    assert not news.collect(NOW + 0.2)
+
+
+def build_hints(others: int) -> tuple[HintExchange, PrefixHomes]:
+    members = FleetMembers("vm", "a")
+    for number in range(others):
+        entry = msgspec.json.encode(MemberRecord(f"h{number}", "a"))
+        members.take_record(Record(f"vm-{number}", entry, number), NOW)
+    homes = PrefixHomes(lambda server: True)
+    news = ServerNews(ServerDirectory(), "a")
+    return HintExchange("vm", None, 1, members, homes, news), homes
+
+
+@then(
+    "with {others:d} other VMs a home placed {after:g} s after a message is told in "
+    "{soon:g} s"
+)
+def step_told_at_once(context, others, after, soon):
+    hints, homes = build_hints(others)
+    assert hints.is_due(NOW)
+    assert not hints.is_due(NOW + after)
+    homes.note_placed(PREFIX, "s0", NOW + after)
+    assert hints.is_due(NOW + after + soon)
+
+
+@then("with {others:d} other VMs and no datagrams left it is told in the turn")
+def step_told_in_turn(context, others):
+    hints, homes = build_hints(others)
+    assert hints.is_due(NOW)
+    hints._datagrams_left = 0.0
+    homes.note_placed(PREFIX, "s0", NOW)
+    assert not hints.is_due(NOW + 0.2)
+    assert hints.is_due(NOW + others / 100)
+
+
+def build_evidence(text: str) -> FleetEvidence:
+    """Return evidence from words ``DOMAIN:COUNT@AGE``."""
+    evidence = FleetEvidence()
+    told = []
+    for word in text.split():
+        domain, _, rest = word.partition(":")
+        count, _, age = rest.partition("@")
+        told.append((NOW - float(age), domain, float(count)))
+    for at, domain, count in sorted(told):
+        evidence.note_failures(count, domain, at)
+    return evidence
+
+
+@then(
+    'a server with the failures "{told}" of {rate:g} requests/s is passed over: {bad}'
+)
+def step_evidence(context, told, rate, bad):
+    found = build_evidence(told.replace("none", "")).is_bad("a", rate, NOW)
+    assert found is is_yes(bad), found
+
+
+@then("of {count:d} servers with {failing:d} that fail {bad:d} are passed over")
+def step_bad_servers(context, count, failing, bad):
+    states = [build_server(f"s{n}", 0) for n in range(count)]
+    for state in states[:failing]:
+        state.evidence.note_failures(9.0, "a", NOW)
+    assert len(find_bad_servers(states, "a", 5.0, NOW)) == bad
+
+
+@then("among {count:d} servers a VM that saw {failing:d} fail tells of {told:d}")
+def step_tells_failures(context, count, failing, told):
+    directory = build_directory(" ".join(["0"] * count))
+    for state in list(directory)[:failing]:
+        state.health.note_outcome(Outcome.FAILED, NOW)
+    found = ServerNews(directory, "a").collect(NOW)
+    assert len(found.failures) == told, found
+    assert [state.evidence.is_bad("a", 0.1, NOW) for state in directory] == (
+        [False] * count
+    )
+
+
+@then(
+    "a request that ends unanswered at a server silent for {silent:g} s is told: {told}"
+)
+def step_unanswered(context, silent, told):
+    state = build_server("s0", 0)
+    state.health.note_sent(NOW - silent)
+    state.health.note_unanswered(NOW)
+    assert bool(state.health.take_untold_failures()) is is_yes(told)
+
+
+@then("{count:d} VMs that each see one failure find a server out after {needed:d}")
+def step_found_out(context, count, needed):
+    directory = build_directory("0 0 0 0 0 0")
+    news = ServerNews(directory, "a")
+    for number in range(1, count + 1):
+        news.take(ServerTold([], [FailureHint("s0", 1)]), "a", NOW + 0.01 * number)
+        bad = find_bad_servers(list(directory), "a", 30.0, NOW + 0.01 * number)
+        assert bool(bad) is (number >= needed), (number, bad)
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from ramppin.gateway.connection.callerwire import ListenerState
@@ -20,8 +20,11 @@
 from ramppin.gateway.process.reporting.decisions import DecisionLog
 from ramppin.gateway.process.reporting.explanations import Explanations
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
-from ramppin.gateway.process.routing.directory import ServerDirectory
-from ramppin.gateway.process.routing.eligibility import share_connections
+from ramppin.gateway.process.routing.directory import ServerDirectory, ServerState
+from ramppin.gateway.process.routing.eligibility import (
+    find_bad_servers,
+    share_connections,
+)
 from ramppin.gateway.process.routing.selection import (
     NearestSelection,
     PrefixSelection,
@@ -54,6 +57,7 @@
         table: the routing settings in force; None before the first.
         drain: the planned stop that has begun, or None.
         in_flight: exchanges that run.
+        failure_domain: where this VM stands.
         live_vms: live VMs of the fleet, this one included.
         servers_confirmed_at: returns the loop's time at which the list of
             servers was last known to be current.
@@ -75,6 +79,7 @@
     table: RoutingTable | None = None
     drain: Drain | None = None
     in_flight: int = 0
+    failure_domain: str = ""
     live_vms: int = 1
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
@@ -96,6 +101,19 @@
             return None
         return share_connections(spec.max_connections, self.live_vms)
 
+    def find_bad_servers(
+        self, service: str, states: Sequence[ServerState], now: float
+    ) -> frozenset[str]:
+        """Return the ids of servers that the fleet sees failing.
+
+        The fleet's requests are worked out from this VM's own: callers spread evenly
+        enough over VMs.
+        """
+        own_per_s = self.retry_budget.measure_requests_per_s(service, now)
+        return find_bad_servers(
+            states, self.failure_domain, own_per_s * self.live_vms, now
+        )
+
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
         """Return the strategy for a request."""
         return self.prefix_selection if keeps_prefix else self.plain_selection
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -37,6 +37,7 @@
 from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.selection import NearestSelection, PrefixSelection
+from ramppin.gateway.process.routing.servernews import ServerNews
 from ramppin.gateway.request.exchange import ExchangeResponder
 
 SWEEP_S = 0.25
@@ -89,12 +90,13 @@
             decisions=decisions,
             directory=directory,
             pool=ConnectionPool(),
-            prefix_selection=PrefixSelection(self.homes),
+            prefix_selection=PrefixSelection(self.homes, generator=generator),
             plain_selection=NearestSelection(
                 config.failure_domain, generator=generator
             ),
             generator=generator,
             retry_budget=RetryBudget(config.retry_rules),
+            failure_domain=config.failure_domain,
         )
         self.context.listener.note_refused = self._note_refused
         self.tables = GatewayTables(
@@ -149,6 +151,7 @@
             link.port,
             self.tables.members,
             self.homes,
+            ServerNews(self.context.directory, config.failure_domain),
             self.tables.contact.is_up,
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
--- a/src/ramppin/gateway/process/limits/retrybudget.py
+++ b/src/ramppin/gateway/process/limits/retrybudget.py
@@ -68,6 +68,11 @@
         self._retries.append(now)
         return True
 
+    def measure_requests_per_s(self, now: float) -> float:
+        """Return the requests of callers in a second, over the window."""
+        self._forget(self._requests, now)
+        return len(self._requests) / self._window_s
+
     def _forget(self, times: deque[float], now: float) -> None:
         while times and times[0] < now - self._window_s:
             times.popleft()
@@ -109,6 +114,10 @@
         """Return whether a retry of a service may be made, and count it."""
         return self._find_window(service).take(now)
 
+    def measure_requests_per_s(self, service: str, now: float) -> float:
+        """Return a service's requests in a second, over the window."""
+        return self._find_window(service).measure_requests_per_s(now)
+
     def _find_window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -59,6 +59,17 @@
         self.ejected_until = float("-inf")
         self._ejection_s = FIRST_EJECTION_S
         self._awaited_since: float | None = None
+        self._untold_failures = 0
+
+    def take_untold_failures(self) -> int:
+        """Return the failures since the last call, to be told to other VMs."""
+        count, self._untold_failures = self._untold_failures, 0
+        return count
+
+    def note_unanswered(self, now: float) -> None:
+        """Note a request that ended without an answer while the server was silent."""
+        if self.is_unresponsive(now):
+            self._untold_failures += 1
 
     def note_sent(self, now: float) -> None:
         """Note that a request left for the server."""
@@ -79,6 +90,8 @@
         if outcome is Outcome.REJECTED:
             self.ejected_until = max(self.ejected_until, now + BUSY_EJECTION_S)
             return
+        if outcome is not Outcome.ANSWERED:
+            self._untold_failures += 1
         if outcome is Outcome.UNREACHABLE:
             self._eject(now)
             return
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -122,6 +122,11 @@
         member.log_up = log_up
         return True
 
+    def find_failure_domain(self, vm: str) -> str:
+        """Return where a known VM stands; empty if it is not known."""
+        member = self._members.get(vm)
+        return member.failure_domain if member else ""
+
     def choose_heartbeat_s(self, *, near: bool) -> float:
         """Return the time between heartbeats to near VMs, or to far ones.
 
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -9,11 +9,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
 
 REPORT_TRUST_S = 4.0
-"""Seconds after which a load report says nothing any more. Chosen with the first
-version; no run varied it."""
+"""Seconds after which a load report says nothing any more."""
+
+TOLD_TRUST_S = 1.5
+"""Seconds after which another VM's word on a load says nothing any more: about as long
+as a request is at work, so that a server that was full is used again as it empties."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +52,8 @@
     Attributes:
         server: its newest entry.
         in_flight: requests of this VM that it has.
-        health: the evidence about it.
+        health: what this VM saw of it.
+        evidence: what all VMs saw of it.
         missing: whether its entry has vanished.
         held_until: the loop's time until which an entry that vanished around an
             outage of the log still counts, or None.
@@ -60,11 +65,15 @@
         self.server = server
         self.in_flight = 0
         self.health = ServerHealth()
+        self.evidence = FleetEvidence()
         self.missing = False
         self.held_until: float | None = None
         self._reported = 0
         self._reported_at = float("-inf")
         self._in_flight_at_report = 0
+        self._told = 0
+        self._told_at = float("-inf")
+        self._in_flight_when_told = 0
 
     @property
     def id(self) -> str:
@@ -82,6 +91,30 @@
         self._reported_at = now
         self._in_flight_at_report = self.in_flight
 
+    def note_told_load(self, load: int, age_s: float, now: float) -> None:
+        """Take another VM's word on the server's load, in requests.
+
+        Args:
+            load: as the server reported it to that VM.
+            age_s: how long ago.
+            now: the loop's time.
+        """
+        reported_at = now - age_s
+        if reported_at > max(self._told_at, self._reported_at):
+            self._told = load
+            self._told_at = reported_at
+            self._in_flight_when_told = self.in_flight
+
+    def find_told_load(self, now: float) -> int | None:
+        """Return the load that another VM told, if it is the last word; else None."""
+        if self._told_at <= self._reported_at or now - self._told_at > TOLD_TRUST_S:
+            return None
+        return max(0, self._told + self.in_flight - self._in_flight_when_told)
+
+    def was_reported_after(self, moment: float) -> bool:
+        """Return whether the last load report came after a moment of the loop."""
+        return self._reported_at > moment
+
     def has_report(self, now: float) -> bool:
         """Return whether a load report is fresh enough to count."""
         return now - self._reported_at <= REPORT_TRUST_S
--- a/src/ramppin/gateway/process/routing/eligibility.py
+++ b/src/ramppin/gateway/process/routing/eligibility.py
@@ -18,11 +18,17 @@
 it."""
 
 
+MAX_BAD_SHARE = 1 / 3
+"""Part of a service's servers that may be passed over for what the fleet saw: more are
+a trouble of the service, and the rest could not carry its load."""
+
+
 def list_eligible(
     states: Sequence[ServerState],
     tried: Collection[str],
     max_in_flight: int | None,
     now: float,
+    bad: Collection[str] = (),
 ) -> list[ServerState]:
     """Return the servers to choose from; empty only if every one was tried.
 
@@ -32,16 +38,38 @@
         max_in_flight: requests that this VM should have at one server; None for
             any number.
         now: the loop's time.
+        bad: ids from :func:`find_bad_servers`.
     """
     untried = [state for state in states if state.id not in tried]
     healthy = [state for state in untried if not state.health.is_suspect(now)]
-    preferred = healthy or untried
+    good = [state for state in healthy if state.id not in bad]
+    preferred = good or healthy or untried
     if max_in_flight is None:
         return preferred
     with_room = [state for state in preferred if state.in_flight < max_in_flight]
     return with_room or preferred
 
 
+def find_bad_servers(
+    states: Sequence[ServerState], own_domain: str, requests_per_s: float, now: float
+) -> frozenset[str]:
+    """Return the ids of servers that the fleet sees failing.
+
+    None if they are too many to be passed over.
+
+    Args:
+        states: the open servers of a service.
+        own_domain: this VM's failure domain.
+        requests_per_s: requests that the fleet sends to the service.
+        now: the loop's time.
+    """
+    share = requests_per_s / max(1, len(states))
+    bad = frozenset(
+        state.id for state in states if state.evidence.is_bad(own_domain, share, now)
+    )
+    return bad if len(bad) <= MAX_BAD_SHARE * len(states) else frozenset()
+
+
 def has_healthy_server(
     states: Sequence[ServerState], tried: Collection[str], now: float
 ) -> bool:
--- a/src/ramppin/gateway/process/routing/homes.py
+++ b/src/ramppin/gateway/process/routing/homes.py
@@ -71,6 +71,7 @@
 
     Attributes:
         changes: how often a prefix got another home, for the snapshot.
+        has_placed: whether a prefix was placed here that is not announced yet.
 
     .. versionadded:: 0.2
     """
@@ -81,6 +82,7 @@
         self._old: dict[int, Home] = {}
         self._notices: dict[int, Home] = {}
         self.changes = 0
+        self.has_placed = False
 
     def __len__(self) -> int:
         return len(self._young) + len(self._old)
@@ -102,6 +104,7 @@
         home = Home(server, now, now)
         self._put(key, home)
         self._notices[key] = home
+        self.has_placed = True
 
     def note_used(self, key: int, now: float) -> None:
         """Note that a home was used; announce it again in time."""
@@ -131,6 +134,7 @@
     def collect_notices(self, now: float, limit: int) -> list[HomeNotice]:
         """Return what should be announced now, at most ``limit`` homes."""
         keys = list(self._notices)[:limit]
+        self.has_placed = self.has_placed and len(self._notices) > limit
         return [
             HomeNotice(key, home.server, max(0.0, now - home.placed_at))
             for key in keys
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -18,16 +18,19 @@
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.ranking import RendezvousRanking
 
-BOUND_RATIO = 1.8
-"""Multiple of the mean load of a service's servers that one of them may hold. Runs of
-quiet-1 on agenda-coral (commit 68421f8), before homes were announced: 681,764 prompt
-tokens read again, 601,040 with 1.9 and a slack of 2.5, 412,733 with no bound, which
-breaks the platform's rule on load in bursts. Kept below that rule's 2 and 3; no hunt
-since has broken it."""
+BOUND_RATIO = 1.6
+"""Multiple of the mean load of a service's servers that one of them may hold. Callers
+of a home at the bound go elsewhere, where their prefix must be copied or read; a server
+past it slows all that it runs. Kept below the 2 and 3 that the platform allows, since
+what a VM knows is up to some seconds old."""
 
 BOUND_SLACK = 2.0
 """Requests that a server may hold beyond that; see :data:`BOUND_RATIO`."""
 
+HOME_LOAD_MARGIN = 2
+"""Requests by which the second server of a prefix must be less loaded than the first to
+become its home: a difference below is within what a VM's knowledge errs by."""
+
 REMOTE_PENALTY = 1
 """Requests by which a server of another failure domain must be less loaded than a
 near one to be chosen: bytes between failure domains have a price. Chosen with the
@@ -43,11 +46,13 @@
         exclude: ids of servers that this request has tried.
         max_in_flight: requests that this VM should have at one server; None for
             any number.
+        bad: ids of servers that the fleet sees failing.
     """
 
     prefix_key: int | None = None
     exclude: frozenset[str] = frozenset()
     max_in_flight: int | None = None
+    bad: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +119,9 @@
             states: the open servers of its service.
             now: the loop's time.
         """
-        eligible = list_eligible(states, request.exclude, request.max_in_flight, now)
+        eligible = list_eligible(
+            states, request.exclude, request.max_in_flight, now, request.bad
+        )
         if not eligible:
             return None
         return self._choose_among(request, eligible, measure_loads(states, now), now)
@@ -140,14 +147,16 @@
 class PrefixSelection(SelectionStrategy):
     """Returns prompts to the server that has their prefix, below a bound.
 
-    A prompt goes to the home of its prefix. One without a home goes to the lesser
-    of its first two servers by rendezvous hashing, which becomes the home. A
+    A prompt goes to the home of its prefix. One without a home goes to its first
+    server by rendezvous hashing, or to the second if that is clearly less loaded; it
+    becomes the home. A
     server at or above the bound is passed over for the next in the prefix's
     order; the home stays, for the next prompt. With every server at the bound,
     the least loaded one gets the prompt.
 
     Args:
         homes: where prefixes are.
+        generator: draws which prompts pass over a server that others find full.
         bound: multiple of the mean load that a server may hold.
         slack: requests that it may hold beyond that.
 
@@ -158,10 +167,12 @@
         self,
         homes: PrefixHomes,
         *,
+        generator: random.Random,
         bound: float = BOUND_RATIO,
         slack: float = BOUND_SLACK,
     ) -> None:
         self._homes = homes
+        self._generator = generator
         self._bound = bound
         self._slack = slack
         self._ranking = RendezvousRanking()
@@ -178,15 +189,19 @@
         by_id = {state.id: state for state in eligible}
         key = request.prefix_key if request.prefix_key is not None else 0
         home, last_home = self._homes.find(key), self._homes.find_last(key)
-        if home in by_id and view.loads[home] < bound:
+        if home in by_id and self._has_room(by_id[home], view, bound, now):
             self._homes.note_used(key, now)
             return self._select(by_id[home], 0, view, bound, now)
         ranked = self._ranking.rank(key, list(by_id))
-        below = [server_id for server_id in ranked if view.loads[server_id] < bound]
+        below = [
+            server_id
+            for server_id in ranked
+            if self._has_room(by_id[server_id], view, bound, now)
+        ]
         if not below:
             chosen = min(ranked, key=lambda server_id: view.loads[server_id])
         elif home is None:
-            chosen = min(below[:2], key=lambda server_id: view.loads[server_id])
+            chosen = _choose_home(below, view)
             self._homes.note_placed(key, chosen, now)
         else:
             chosen = below[0]
@@ -195,6 +210,22 @@
         copy_from = last_home if last_home != chosen else None
         return replace(selection, copy_from=copy_from)
 
+    def _has_room(
+        self, state: ServerState, view: LoadView, bound: float, now: float
+    ) -> bool:
+        """Return whether a server may get one more request.
+
+        Past the bound by this VM's own knowledge it gets none. Past it by the word of
+        others it gets the share that the bound allows: all VMs hear that word, and a
+        server that none used would be empty a second later, and overrun after that.
+        """
+        if view.loads[state.id] >= bound:
+            return False
+        told = state.find_told_load(now)
+        if told is None or told < bound:
+            return True
+        return self._generator.random() * told < bound
+
     def _select(
         self, state: ServerState, rank: int, view: LoadView, bound: float, now: float
     ) -> Selection:
@@ -202,6 +233,18 @@
         return Selection(state, rank, view.loads[state.id], bound, age)
 
 
+def _choose_home(below: Sequence[str], view: LoadView) -> str:
+    """Return the server that becomes a prefix's home, of those in its order.
+
+    The first, which every VM finds alike, so that VMs that place a prefix at the same
+    time need no word of each other; the second if it is clearly less loaded.
+    """
+    first = below[0]
+    if len(below) > 1 and view.loads[below[1]] + HOME_LOAD_MARGIN < view.loads[first]:
+        return below[1]
+    return first
+
+
 class NearestSelection(SelectionStrategy):
     """Prefers servers of the own failure domain, then the least loaded.
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -143,6 +143,7 @@
         """Give the attempt up; the server sees its connection close."""
         if self._connection is not None:
             self._connection.abort()
+        self._state.health.note_unanswered(self._loop.time())
         self._note_received(due=False)
         self._finish(end)
 
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -209,12 +209,13 @@
         verdict = judge_try(self._progress, self._ends_at - now)
         if not verdict.allows:
             return verdict
+        states = context.directory.list_open(admission.service)
         request = SelectionRequest(
             admission.prefix_key,
             frozenset(self._tried),
             context.share_connections(admission.service),
+            context.find_bad_servers(admission.service, states, now),
         )
-        states = context.directory.list_open(admission.service)
         strategy = context.choose_strategy(admission.prefix_key is not None)
         return strategy.choose(request, states, now) or Verdict.NO_SERVER
 
