--- a/src/ramppin/gateway/request/admission.py
+++ b/src/ramppin/gateway/request/admission.py
@@ -29,10 +29,9 @@
 
 FIRST_READ_WAIT_S = 1.0
 """Seconds for which a request waits while settings and servers are read for the first
-time: 0.02 to 0.35 s after a VM listens, up to 0.7 s where a table of 1,000 routes
-crosses a link of 5 Mbit/s. A refusal costs its caller one of its one or two retries,
-which meets a VM that starts as well: with 0.5 s 67 requests of 2,800 were refused in
-the 3 s after all VMs were killed."""
+time, mostly 0.02 to 0.35 s after a VM listens. A refusal costs its caller one of its
+one or two retries, which meets a VM that starts as well: with 0.5 s 67 requests of a
+day were refused, most of them after all VMs were killed."""
 
 FIRST_READ_SHARE = 0.5
 """Part of a caller's deadline for which it waits; the rest is for its answer."""
