VMs tell each other servers' loads; old news of a relay counts once

Rules on load have one package, process/load.

Cause, 2: calls to the store. A relay that hears of a change late in its wait holds knowledge as old as its question. Change: news is accepted from a relay once up to the bound's age, the question after it waits 0.1 of the bound, and a relay's read after news hardly waits.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,9 +1,10 @@
-"""Measures: ``python -m bench placement|latency|capacity|all``."""
+"""Measures: ``python -m bench placement|latency|capacity|vms|all``."""
 
 from __future__ import annotations
 
 import asyncio
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
@@ -14,6 +15,8 @@
 from bench.model import Scenario
 from bench.policies import POLICIES
 from bench.replay import Replay, Result
+from bench.vms import fleet as vms_fleet
+from bench.vms import pattern as vms_pattern
 
 app = typer.Typer(add_completion=False, help="Measurements; seeds are printed.")
 
@@ -116,6 +119,40 @@
     capacity_page.redraw()
 
 
+VMS_SHOWN = (
+    "pattern",
+    "policy",
+    "vms",
+    "worst_share",
+    "busiest",
+    "mean_load",
+    "moved_gb",
+    "read_again_k",
+    "homes_kept",
+    "far_bytes_s",
+    "vm_bytes_s",
+    "first_p99_s",
+)
+
+
+@app.command()
+def vms(
+    seeds: Annotated[int, typer.Option(help="Runs of each pattern.")] = 1,
+    sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "195",
+) -> None:
+    """Replay load at its worst through many gateways' rules on one clock."""
+    jobs = [
+        (replace(pattern, vms=int(size)), policy)
+        for size in sizes.split(",")
+        for seed in range(1, seeds + 1)
+        for pattern in vms_pattern.list_patterns(seed)
+        for policy in vms_fleet.POLICIES
+    ]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        rows = report.write_rows("vms", list(pool.map(vms_fleet.play, jobs)))
+    typer.echo(report.format_table(rows, VMS_SHOWN))
+
+
 @app.command(name="all")
 def run_everything() -> None:
     """Measure everything."""
--- /dev/null
+++ b/features/gateway/fleet.feature
@@ -0,0 +1,21 @@
+Feature: many VMs before few model engines, replayed on one clock
+
+  Scenario Outline: <pattern> at <vms> VMs
+    When the pattern "<pattern>" is played with <vms> VMs
+    Then in the worst 5 s at most <share> of the choices are over the limit
+    And a VM sends at most <bytes> bytes a second
+
+    Examples: a platform's limit is a share of 0.03
+      | pattern                     | vms | share | bytes |
+      | calm                        | 195 | 0.02  | 15000 |
+      | hot subject                 | 195 | 0.025 | 15000 |
+      | replacement                 | 195 | 0.02  | 15000 |
+      | slow engines                | 195 | 0.02  | 15000 |
+
+  Scenario: engines of a hot subject are overrun where no VM tells loads
+    When the pattern "hot subject" is played with 195 VMs that tell no loads
+    Then in the worst 5 s at least 0.06 of the choices are over the limit
+
+  Scenario: slow engines are overrun where no VM tells loads
+    When the pattern "slow engines" is played with 195 VMs that tell no loads
+    Then in the worst 5 s at least 0.06 of the choices are over the limit
--- a/features/gateway/relays.feature
+++ b/features/gateway/relays.feature
@@ -109,6 +109,13 @@
       | old     |
       | behind  |
 
+  Scenario: news that reached a relay late in its wait does not send VMs to the log
+    Given a gateway before two plain servers
+    And a table read through that gateway within a bound of 4 s
+    When the relay's knowledge is 2.5 s old as version 7 is published
+    Then the table soon gives version 7 without a read of the log
+    And the next question comes from the relay as well
+
   Scenario Outline: where one relay fails another is asked: the first <first>, the other <other>
     Given a gateway before two plain servers
     And a table read through two relays, the first <first>, the other <other>
@@ -128,15 +135,17 @@
 
   Scenario Outline: how old records may grow on their way, bound <bound> s
     Then a table with the bound <bound> s is relayed as a relay's read waits <relay>
+    And a table with the bound <bound> s is relayed as a relay's read after news waits 0.0
     And a table with the bound <bound> s is relayed as a first question waits 0.0
+    And a table with the bound <bound> s is relayed as a question after old news waits <settle>
     And a table with the bound <bound> s is relayed as a question with 0.5 s old knowledge waits <question>
 
     Examples:
-      | bound | relay | question |
-      | 1     | 0.0   | 0.0      |
-      | 2     | 0.0   | 0.5      |
-      | 3     | 0.4   | 1.0      |
-      | 8     | 2.0   | 2.0      |
+      | bound | relay | question | settle |
+      | 1     | 0.0   | 0.0      | 0.1    |
+      | 2     | 0.0   | 0.5      | 0.2    |
+      | 3     | 0.4   | 1.0      | 0.3    |
+      | 8     | 2.0   | 2.0      | 0.8    |
 
   Scenario Outline: heartbeats stay bounded in any fleet: <vms>
     Then among "<vms>" the VM "a1" sends heartbeats to near VMs each <near> s
--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -163,14 +163,14 @@
     Examples:
       | loads     | home  | tried        | chosen | rank | source | after  |
       | 0 0 0 0   | none  | none         | first  | 1    | none   | first  |
-      | 3 1 0 0   | none  | none         | first  | 1    | none   | first  |
+      | 3 2 1 0   | none  | none         | first  | 1    | none   | first  |
       | 4 1 2 2   | none  | none         | second | 2    | none   | second |
       | 1 3 0 0   | none  | none         | first  | 1    | none   | first  |
       | 2 2 0 0   | none  | none         | first  | 1    | none   | first  |
       | 30 0 0 0  | none  | none         | second | 2    | none   | second |
       | 0 0 0 0   | third | none         | third  | 0    | none   | third  |
       | 0 0 6 0   | third | none         | first  | 1    | third  | third  |
-      | 2 2 6 2   | third | none         | third  | 0    | none   | third  |
+      | 2 2 5 2   | third | none         | third  | 0    | none   | third  |
       | 9 0 0 0   | first | none         | second | 2    | first  | first  |
       | 0 0 0 0   | first | first        | second | 1    | first  | first  |
       | 30 31 0 0 | none  | third fourth | first  | 1    | none   | none   |
@@ -266,32 +266,6 @@
       | 0.4     | 0.6  | 0    | 0     | 0.2   |
       | 0.4     | -1   | 0    | 0     | 0     |
 
-  Scenario Outline: the mean load of servers: <servers>
-    Then servers with loads "<servers>" have the mean <mean>
-
-    Examples:
-      | servers                                     | mean |
-      | none                                        | 0    |
-      | 1 2 3                                       | 2    |
-      | 0 0 0 0 5:reported 4:reported               | 1.5  |
-      | 0 0 0 0 4:reported 4:reported 4:reported    | 4    |
-      | 0 0 0 0 2:reported 6:reported 3:reported    | 3    |
-      | 0 0 0 0 0:reported 1:reported 1:reported    | 1    |
-      | 9 9 9 1:reported 1:reported 1:reported      | 5    |
-
-  Scenario Outline: a server's load: <reported> reported with <then> in flight, now <now>, <age> s later
-    Then a load of <reported> reported with <then> in flight counts as <load> with <now> in flight <age> s later
-
-    Examples:
-      | reported | then | now | age | load |
-      | 5        | 2    | 2   | 1.0 | 5    |
-      | 5        | 2    | 4   | 1.0 | 7    |
-      | 5        | 2    | 0   | 1.0 | 3    |
-      | 0        | 3    | 3   | 1.0 | 3    |
-      | 5        | 2    | 2   | 4.0 | 5    |
-      | 5        | 2    | 2   | 4.1 | 2    |
-      | none     | 0    | 3   | 1.0 | 3    |
-
   Scenario Outline: a connection idle for <idle> s, a route that is <kind>, <announced> announced
     Then a connection idle for <idle> s on a "<kind>" route with <announced> announced is used: <used>
 
@@ -347,16 +321,22 @@
       | 2     | 2     |
       | 9     | 2     |
 
-  Scenario Outline: a relay's answer within a bound of 2 s: position <position>, <age> s old
-    Then a relay's answer at position <position> that is <age> s old is accepted after position 7: <accepted>
-
-    Examples:
-      | position | age  | accepted |
-      | 7        | 0.0  | yes      |
-      | 9        | 1.0  | yes      |
-      | 9        | 1.01 | no       |
-      | 6        | 0.0  | no       |
-      | none     | 0.0  | no       |
+  Scenario Outline: a relay's answer within a bound of 2 s: position <position>, <age> s old, after <last>
+    Then after <last> a relay's answer at position <position> that is <age> s old is accepted after position 7: <accepted>
+
+    Examples: news may be old once
+      | position | age  | last     | accepted |
+      | 7        | 0.0  | any      | yes      |
+      | 7        | 1.0  | any      | yes      |
+      | 7        | 1.01 | any      | no       |
+      | 9        | 1.0  | any      | yes      |
+      | 9        | 1.01 | any      | yes      |
+      | 9        | 2.0  | any      | yes      |
+      | 9        | 2.01 | any      | no       |
+      | 9        | 1.01 | old news | no       |
+      | 9        | 1.0  | old news | yes      |
+      | 6        | 0.0  | any      | no       |
+      | none     | 0.0  | any      | no       |
 
   Scenario Outline: which relay "<vm>" asks among "<relays>"
     Then among relays "<relays>" the VM "<vm>" asks <count> one
--- /dev/null
+++ b/features/steps/gateway_load_steps.py
@@ -0,0 +1,203 @@
+"""Steps: what a VM knows of the load of backend servers."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+
+import msgspec
+from behave import then
+
+from ramppin.gateway.connection.datagrams import LoadHint
+from ramppin.gateway.process.load.lifetime import RequestLifetime
+from ramppin.gateway.process.load.news import LoadNews
+from ramppin.gateway.process.load.view import measure_loads, weigh_mean
+from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
+from ramppin.gateway.process.recovery.replica import Record
+from ramppin.gateway.process.routing.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerState,
+)
+from ramppin.gateway.process.routing.hints import HintExchange
+from ramppin.gateway.process.routing.homes import PrefixHomes
+from ramppin.gateway.process.routing.servernews import ServerNews
+
+NOW = 100.0
+MEAN = 2.0
+
+
+def build_state(server_id: str) -> ServerState:
+    return ServerState(BackendServer(server_id, "m", "127.0.0.1", 1))
+
+
+def build_directory(count: int) -> ServerDirectory:
+    directory = ServerDirectory()
+    for number in range(count):
+        directory.put(BackendServer(f"s{number}", "m", "127.0.0.1", 1))
+    return directory
+
+
+def read_words(text: str) -> list[str]:
+    return [] if text == "none" else text.split()
+
+
+@then(
+    "a load of {reported} reported with {then_:d} in flight counts as {load:g} "
+    "with {now:d} in flight {age:g} s later"
+)
+def step_load(context, reported, then_, load, now, age):
+    state = build_state("s0")
+    state.in_flight = then_
+    if reported != "none":
+        state.note_load(int(reported), 0, NOW)
+    state.in_flight = now
+    found = state.estimate_load(NOW + age, MEAN)
+    assert math.isclose(found, load, abs_tol=0.01), found
+
+
+@then('servers with loads "{servers}" have the mean {mean:g}')
+def step_mean(context, servers, mean):
+    states = []
+    for number, text in enumerate(read_words(servers)):
+        load, _, reported = text.partition(":")
+        states.append(build_state(f"s{number}"))
+        if reported:
+            states[-1].note_load(int(load), 0, NOW)
+        else:
+            states[-1].in_flight = int(load)
+    found = measure_loads(states, NOW).mean
+    assert math.isclose(found, mean, abs_tol=0.001), found
+
+
+DRAWS = 30
+
+
+@then(
+    "of {servers:d} servers with loads drawn around 4 the mean of {seen:d} that were "
+    "met errs by at most {error:g} in the mean"
+)
+def step_weigh(context, servers, seen, error):
+    errors = []
+    for seed in range(DRAWS):
+        draw = random.Random(seed).random
+        loads = [1 + sum(draw() < 0.3 for _ in range(10)) for _ in range(servers)]
+        chances = [draw() ** (1 / load) for load in loads]
+        met = sorted(range(servers), key=lambda n: -chances[n])[:seen]
+        found = weigh_mean([loads[n] for n in met], servers)
+        errors.append(found - sum(loads) / servers)
+    assert abs(sum(errors)) / DRAWS <= error, errors
+
+
+@then(
+    "a report of 3 requests {known} s ago and one of 9 told as {told:g} s old "
+    "leave {load:d} known"
+)
+def step_take_told(context, known, told, load):
+    directory = build_directory(1)
+    [state] = directory
+    if known != "none":
+        state.note_load(3, 0, NOW - float(known))
+    LoadNews(directory).take([LoadHint("s0", 9, round(told * 1000))], NOW)
+    assert state.find_known_load(NOW) == load
+
+
+@then('of reports "{reports}" those of "{near}" are told near and those of "{far}" far')
+def step_collect(context, reports, near, far):
+    words = [word.split(":") for word in reports.split()]
+    directory = build_directory(len(words))
+    for server_id, load in words:
+        directory.find(server_id).note_load(int(load), 0, NOW)
+    found = LoadNews(directory).collect(NOW)
+    assert sorted(hint.server for hint in found.near) == read_words(near), found
+    assert sorted(hint.server for hint in found.far) == read_words(far), found
+
+
+@then("a VM tells its own report once, and none that it was told")
+def step_tell_once(context):
+    directory = build_directory(2)
+    news = LoadNews(directory)
+    directory.find("s0").note_load(5, 1, NOW)
+    news.take([LoadHint("s1", 4, 10)], NOW)
+    assert news.collect(NOW + 0.02).near == [LoadHint("s0", 6, 20)]
+    assert news.collect(NOW + 0.03).near == []
+
+
+class RecordingLink:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[str] = []
+
+    def send(self, hints, hosts, port):
+        if hints.loads:
+            self.sent.extend(hosts)
+
+
+def build_exchange(near: int, far: int):
+    members = FleetMembers("vm", "here")
+    domains = itertools.chain(["here"] * near, ["there"] * far)
+    for number, domain in enumerate(domains):
+        entry = msgspec.json.encode(MemberRecord(f"{domain}-{number}", domain))
+        members.take_record(Record(f"vm-{number}", entry, number), NOW)
+    directory = build_directory(5)
+    link = RecordingLink()
+    hints = HintExchange(
+        "vm",
+        link,
+        1,
+        members,
+        PrefixHomes(directory.is_open),
+        ServerNews(directory, "here"),
+        LoadNews(directory),
+    )
+    # What is told in turn has just been told.
+    hints.send_due(NOW)
+    hints.send_due(NOW)
+    return hints, link, directory
+
+
+@then(
+    "with {near:d} near VMs and {far:d} far ones a low report is told in {period:g} s "
+    "to the near ones alone"
+)
+def step_period(context, near, far, period):
+    hints, link, directory = build_exchange(near, far)
+    directory.find("s0").note_load(1, 0, NOW)
+    if period > 0.08:
+        hints.send_due(NOW + period - 0.01)
+        assert link.sent == []
+    hints.send_due(NOW + period)
+    assert len(link.sent) == near, link.sent
+    assert all(host.startswith("here") for host in link.sent)
+
+
+def note_high(directory: ServerDirectory) -> None:
+    for number, load in enumerate((1, 1, 1, 1, 9)):
+        directory.find(f"s{number}").note_load(load, 0, NOW)
+
+
+@then("a high report is told to {near:d} near VMs and {far:d} far ones in {period:g} s")
+def step_high(context, near, far, period):
+    hints, link, directory = build_exchange(near, far)
+    note_high(directory)
+    hints.send_due(NOW + period)
+    assert len(link.sent) == near + far, len(link.sent)
+
+
+@then("with no datagrams left it is told to the near ones alone")
+def step_high_no_budget(context):
+    hints, link, directory = build_exchange(31, 163)
+    hints._datagrams_left = 0.0
+    note_high(directory)
+    hints.send_due(NOW + 0.08)
+    assert len(link.sent) == 31, len(link.sent)
+
+
+@then('after "{stayed}" a request is said to stay {mean:g} s')
+def step_lifetime(context, stayed, mean):
+    lifetime = RequestLifetime()
+    for text in read_words(stayed):
+        lifetime.note_ended(float(text))
+    assert math.isclose(lifetime.mean_s, mean, abs_tol=0.001), lifetime.mean_s
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -11,6 +11,7 @@
 from features.gateway_support import build_tree
 from ramppin.errors import LogUnavailableError
 from ramppin.gateway.connection.datagrams import PeerHints
+from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.membership.members import (
     FleetMembers,
     Member,
@@ -222,21 +223,14 @@
         members,
         PrefixHomes(lambda server: True),
         ServerNews(ServerDirectory(), "a"),
+        LoadNews(ServerDirectory()),
         lambda now: is_up,
     )
     hints._told_log_up = not is_up
     hints._sent_at = dict.fromkeys((True, False), float("inf"))
-
-    async def send():
-        hints._send()
-
-    run(context, send())
+    hints.send_due(NOW)
     assert [up for up, _ in sent] == [is_up, is_up], sent
-
-    async def take():
-        hints.take(PeerHints("b1", [], is_up), "b1")
-
-    run(context, take())
+    hints.take(PeerHints("b1", [], is_up), "b1", NOW)
     [other] = [vm for vm in members.list_last_seen_first() if vm.vm == "b1"]
     assert other.log_up is is_up
 
@@ -361,6 +355,30 @@
         context.direct.put("settings", json.dumps(build_tree(number + 1)).encode())
 
 
+@when("the relay's knowledge is {age:g} s old as version {version:d} is published")
+def step_late_news(context, age, version):
+    replica = context.fixture.gateway.tables.settings
+    position = replica.position
+    confirmed_at = replica.confirmed_at
+
+    async def publish():
+        context.fixture.publish(build_tree(version))
+        await wait_for(lambda: replica.position > position, "the relay has the news")
+        replica.confirmed_at = min(
+            confirmed_at, asyncio.get_running_loop().time() - age
+        )
+
+    run(context, publish())
+
+
+@then("the next question comes from the relay as well")
+def step_next_question(context):
+    position = context.fixture.gateway.tables.settings.position
+    batch = run(context, context.relayed.read_after(position, wait_s=LONG_WAIT_S))
+    assert batch.relayed
+    assert context.direct.reads == 0
+
+
 @when("the relay loses the log after an answer")
 def step_loses(context):
     async def lose():
@@ -390,6 +408,10 @@
     times = RelayTimes.from_bound(bound)
     found = {
         "a relay's read waits": times.choose_relay_wait(0.8, 2.0),
+        "a relay's read after news waits": times.choose_relay_wait(bound, 2.0),
+        "a question after old news waits": times.choose_wait(
+            bound, 2.0, after_old_news=True
+        ),
         "a first question waits": times.choose_wait(float("inf"), 2.0),
         "a question with 0.5 s old knowledge waits": times.choose_wait(0.5, 2.0),
     }
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams between VMs: where prefixes are, in small hints that may be lost.
+"""Datagrams between VMs: hints on homes, failures and loads, which may be lost.
 
 MessagePack through msgspec in place of CBOR over WebSockets: a hint needs no
 connection, and msgspec checks each message against its type while decoding.
@@ -31,6 +31,14 @@
     count: int
 
 
+class LoadHint(msgspec.Struct, array_like=True, frozen=True):
+    """A backend server, the requests that it held, and the age of that in ms."""
+
+    server: str
+    requests: int
+    age_ms: int
+
+
 class PeerHints(msgspec.Struct, array_like=True, frozen=True):
     """One datagram.
 
@@ -39,12 +47,14 @@
         homes: homes of prefixes.
         log_up: whether the shared log serves the sender.
         failures: of servers that failed the sender's requests.
+        loads: of servers that answered the sender's requests.
     """
 
     vm: str
     homes: list[HomeHint]
     log_up: bool = True
     failures: list[FailureHint] = []
+    loads: list[LoadHint] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -29,6 +29,7 @@
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.limits.readiness import ReadinessResponder
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
+from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.operations import GatewayState, OperationsResponder
 from ramppin.gateway.process.recovery.peeranswers import RecordsResponder
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
@@ -151,6 +152,7 @@
             self.tables.members,
             self.homes,
             ServerNews(self.context.directory, config.failure_domain),
+            LoadNews(self.context.directory),
             self.tables.contact.is_up,
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
@@ -277,7 +279,7 @@
 
     def _take_hints(self, hints: PeerHints, host: str) -> None:
         if self._hints is not None:
-            self._hints.take(hints, host)
+            self._hints.take(hints, host, asyncio.get_running_loop().time())
 
     async def _sweep(self) -> None:
         """Close what is idle too long, and write decision lines."""
--- /dev/null
+++ b/src/ramppin/gateway/process/load/news.py
@@ -0,0 +1,85 @@
+"""What VMs tell each other of the load of backend servers.
+
+A VM among many meets each server once in a minute or so, and by its own sight alone it
+chooses blind: many VMs that each send a little overrun the home of a prefix that is
+hot, or that has just moved. So each VM tells the load reports that its answers brought.
+All of them go to the VMs of its own failure domain, where bytes cost nothing: together
+these meet each server some times a second. Reports near the bound go to all VMs, for
+the servers that others must know of now. What was told is never told on. No I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ramppin.gateway.connection.datagrams import LoadHint
+from ramppin.gateway.process.load.estimate import REPORT_TRUST_S
+from ramppin.gateway.process.load.view import measure_loads
+from ramppin.gateway.process.routing.directory import ServerDirectory, ServerState
+
+HIGH_SHARE = 0.8
+"""Part of the bound from which on a report is told to all VMs: below it a server takes
+what comes, above it a few more requests put it past the bound."""
+
+SERVERS_PER_MESSAGE = 24
+"""Servers in one message, 500 bytes: with the rest it is not split."""
+
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class LoadNotices:
+    """Reports to tell.
+
+    Attributes:
+        near: for the VMs of the own failure domain.
+        far: those of them for all others as well.
+    """
+
+    near: list[LoadHint]
+    far: list[LoadHint]
+
+
+class LoadNews:
+    """Collects the load reports to tell, and takes those that others tell.
+
+    Args:
+        directory: the backend servers.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(self, directory: ServerDirectory) -> None:
+        self._directory = directory
+
+    def collect(self, now: float) -> LoadNotices:
+        """Return the reports of this VM's own answers since the last call."""
+        fresh = [state for state in self._directory if state.load.take_untold()]
+        fresh.sort(key=lambda state: -state.load.requests)
+        near = [_describe(state, now) for state in fresh[:SERVERS_PER_MESSAGE]]
+        high = {
+            state.id
+            for service in {state.server.service for state in fresh}
+            for state in self._list_high(service, now)
+        }
+        return LoadNotices(near, [hint for hint in near if hint.server in high])
+
+    def take(self, hints: Sequence[LoadHint], now: float) -> None:
+        """Take the reports that another VM got."""
+        for hint in hints:
+            state = self._directory.find(hint.server)
+            if state is not None and 0 <= hint.age_ms <= REPORT_TRUST_S * MS_PER_S:
+                at = now - hint.age_ms / MS_PER_S
+                state.load.take_told(hint.requests, state.in_flight, at)
+
+    def _list_high(self, service: str, now: float) -> list[ServerState]:
+        """Return the servers of a service whose newest report is near the bound."""
+        states = self._directory.list_open(service)
+        limit = HIGH_SHARE * measure_loads(states, now).bound
+        return [state for state in states if state.load.requests >= limit]
+
+
+def _describe(state: ServerState, now: float) -> LoadHint:
+    age_ms = round(state.load.measure_age(now) * MS_PER_S)
+    return LoadHint(state.id, state.load.requests, age_ms)
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -133,8 +133,11 @@
         """
         if near:
             return NEAR_HEARTBEAT_S
-        far = sum(not self._is_near(member) for member in self._members.values())
-        return max(NEAR_HEARTBEAT_S, far / FAR_HEARTBEATS_PER_S)
+        return max(NEAR_HEARTBEAT_S, self.count(near=False) / FAR_HEARTBEATS_PER_S)
+
+    def count(self, *, near: bool) -> int:
+        """Return how many VMs stand in this failure domain, or in others."""
+        return sum(self._is_near(m) == near for m in self._members.values())
 
     def list_hosts(self, now: float, *, near: bool) -> list[str]:
         """Return the addresses of near VMs, or of far ones, to send messages to.
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -70,8 +70,8 @@
                     "failure_domain": state.server.failure_domain,
                     "open": state.open,
                     "in_flight": state.in_flight,
-                    "load": state.estimate_load(now),
-                    "report_age_s": _shorten(state.measure_report_age(now)),
+                    "load": state.find_known_load(now),
+                    "report_age_s": _shorten(state.load.measure_age(now)),
                     "failure_rate": round(state.health.failure_rate, 2),
                     # The key's name is older than the code's word for it.
                     "aside": state.health.is_suspect(now),
--- a/src/ramppin/gateway/process/recovery/relays.py
+++ b/src/ramppin/gateway/process/recovery/relays.py
@@ -53,7 +53,6 @@
         list_relays: returns the relays of the fleet.
         contact: what this VM's own calls to the log show.
         times: how old records may grow on their way.
-        interval_s: the reader's pause between two reads of the log.
 
     .. versionadded:: 0.2
     """
@@ -68,7 +67,6 @@
         contact: LogContact,
         *,
         times: RelayTimes,
-        interval_s: float = 0.0,
     ) -> None:
         self._name = name
         self._own = own
@@ -77,8 +75,8 @@
         self._list_relays = list_relays
         self._contact = contact
         self._times = times
-        self._interval_s = interval_s
         self._known_at = float("-inf")
+        self._after_old_news = False
         self._avoid_until: dict[str, float] = {}
         self._fetcher: Fetcher | None = None
         self._fetcher_vm = ""
@@ -93,7 +91,8 @@
         relay = choose_own_relay(self._own, relays, self._list_avoided())
         if relay is None:
             if any(other.vm == self._own.vm for other in relays):
-                wait_s = self._times.choose_relay_wait(self._interval_s, wait_s)
+                age_s = asyncio.get_running_loop().time() - self._known_at
+                wait_s = self._times.choose_relay_wait(age_s, wait_s)
             return await self._read_log(position, wait_s)
         try:
             return await self._ask(relay, position, wait_s)
@@ -123,7 +122,10 @@
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         batch = await self._direct.read_after(position, wait_s=wait_s)
-        return batch.note_wait(wait_s, loop.time() - asked_at)
+        batch = batch.note_wait(wait_s, loop.time() - asked_at)
+        self._known_at = asked_at + batch.waited_s
+        self._after_old_news = False
+        return batch
 
     def _avoid(self, relay: Member, error: LogUnavailableError) -> None:
         """Ask another relay for a while, so that the log is read but once here."""
@@ -150,7 +152,9 @@
         fetcher = self._open(relay)
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
-        wait_s = self._times.choose_wait(asked_at - self._known_at, wait_s)
+        wait_s = self._times.choose_wait(
+            asked_at - self._known_at, wait_s, after_old_news=self._after_old_news
+        )
         question = PeerQuestion(
             self._own.vm, {self._name: position}, int(wait_s * 1000)
         )
@@ -173,9 +177,12 @@
     def _check(self, state: TableState | None, position: int, relay: Member) -> None:
         known = state.position if state else None
         age_s = state.age_ms / 1000 if state else 0.0
-        fault = self._times.find_fault(known, position, age_s)
+        fault = self._times.find_fault(
+            known, position, age_s, after_old_news=self._after_old_news
+        )
         if fault is not None:
             raise LogUnavailableError(fault, step="relay", peer=relay.vm)
+        self._after_old_news = age_s > self._times.max_age_s
 
     def _open(self, relay: Member) -> Fetcher:
         if self._fetcher is None or self._fetcher_vm != relay.vm:
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -243,7 +243,6 @@
             self._relays.list_relays,
             self.contact,
             times=RelayTimes.from_bound(bound_s),
-            interval_s=interval_s,
         )
         follower = Follower(
             replica,
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -9,12 +9,11 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ramppin.gateway.process.load.estimate import ServerLoad
+from ramppin.gateway.process.load.lifetime import RequestLifetime
 from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
 
-REPORT_TRUST_S = 4.0
-"""Seconds after which a load report says nothing any more."""
-
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -44,10 +43,13 @@
 
     Args:
         server: as it announced itself.
+        lifetime: of its service's requests; None for one of its own.
 
     Attributes:
         server: its newest entry.
         in_flight: requests of this VM that it has.
+        load: its newest load report.
+        lifetime: of its service's requests.
         health: what this VM saw of it.
         evidence: what all VMs saw of it.
         missing: whether its entry has vanished.
@@ -57,16 +59,17 @@
     .. versionadded:: 0.2
     """
 
-    def __init__(self, server: BackendServer) -> None:
+    def __init__(
+        self, server: BackendServer, lifetime: RequestLifetime | None = None
+    ) -> None:
         self.server = server
         self.in_flight = 0
+        self.load = ServerLoad()
+        self.lifetime = lifetime or RequestLifetime()
         self.health = ServerHealth()
         self.evidence = FleetEvidence()
         self.missing = False
         self.held_until: float | None = None
-        self._reported = 0
-        self._reported_at = float("-inf")
-        self._in_flight_at_report = 0
 
     @property
     def id(self) -> str:
@@ -80,27 +83,23 @@
 
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take the load that an answer reported, in requests."""
-        self._reported = running + waiting
-        self._reported_at = now
-        self._in_flight_at_report = self.in_flight
+        self.load.note_report(running + waiting, self.in_flight, now)
 
-    def has_report(self, now: float) -> bool:
-        """Return whether a load report is fresh enough to count."""
-        return now - self._reported_at <= REPORT_TRUST_S
+    def find_known_load(self, now: float) -> int:
+        """Return the load of its newest report, at least this VM's own requests."""
+        reported = self.load.requests if self.load.has_report(now) else 0
+        return max(reported, self.in_flight)
 
-    def estimate_load(self, now: float) -> int:
+    def estimate_load(self, now: float, mean: float) -> float:
         """Return how many requests the server is likely to hold.
 
-        Its last report and what this VM has sent since; at least this VM's own.
+        Args:
+            now: the loop's time.
+            mean: mean load of the service's servers.
         """
-        if not self.has_report(now):
-            return self.in_flight
-        since = self.in_flight - self._in_flight_at_report
-        return max(self.in_flight, self._reported + since)
-
-    def measure_report_age(self, now: float) -> float:
-        """Return the age of the last load report in seconds."""
-        return now - self._reported_at
+        return self.load.estimate(
+            self.in_flight, now, mean=mean, lifetime_s=self.lifetime.mean_s
+        )
 
 
 class ServerDirectory:
@@ -112,6 +111,7 @@
     def __init__(self) -> None:
         self._states: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
+        self._lifetimes: dict[str, RequestLifetime] = {}
 
     def __iter__(self) -> Iterator[ServerState]:
         return iter(self._states.values())
@@ -127,7 +127,8 @@
         """Add a backend server, or take what changed of one."""
         state = self._states.get(server.id)
         if state is None:
-            state = self._states[server.id] = ServerState(server)
+            lifetime = self._lifetimes.setdefault(server.service, RequestLifetime())
+            state = self._states[server.id] = ServerState(server, lifetime)
         elif state.server.service != server.service:
             self._by_service[state.server.service].pop(server.id, None)
         state.server = server
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -1,7 +1,8 @@
-"""Announces to other VMs where prefixes are, and takes their announcements.
+"""Tells other VMs what this one learnt, and takes what they tell.
 
-A datagram without homes is the heartbeat by which VMs know each other live. Owns the
-times of the last messages to near and to far VMs.
+Told are homes of prefixes, failures of servers and loads of servers, in datagrams. One
+without any of these is the heartbeat by which VMs know each other live. Owns the times
+of the last messages to near and to far VMs, and how many datagrams may still be sent.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from collections.abc import Callable
 
 from ramppin.gateway.connection.datagrams import DatagramLink, HomeHint, PeerHints
+from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.membership.members import FleetMembers
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.gateway.process.routing.servernews import ServerNews
@@ -20,10 +22,15 @@
 DATAGRAMS_PER_S = 100
 """Datagrams that one VM sends in the mean; with many VMs the period grows instead."""
 
+LOAD_DATAGRAMS_PER_S = 400
+"""Datagrams with loads that one VM may send to its failure domain, beside the others:
+with 32 VMs there a report is told within 0.08 s. What is sent is one round for each
+report at most, some 60 datagrams a second at two answers a second."""
+
 BURST_DATAGRAMS = 400
 """Datagrams that a VM may send at once: a prefix that was just placed is told at once
 while there are some left, since each VM that does not know it places it anew and reads
-it again."""
+it again. So is a server that is near the bound."""
 
 HINTS_PER_DATAGRAM = 24
 """Homes in one datagram, 684 bytes with the ids of the sites played: below the usual
@@ -39,7 +46,8 @@
         port: the port of every VM's link.
         members: the other VMs.
         homes: where prefixes are.
-        servers: what VMs tell each other of servers.
+        servers: what VMs tell each other of servers that fail.
+        loads: what VMs tell each other of servers' loads.
         is_log_up: returns whether the shared log serves this VM.
 
     .. versionadded:: 0.2
@@ -53,6 +61,7 @@
         members: FleetMembers,
         homes: PrefixHomes,
         servers: ServerNews,
+        loads: LoadNews,
         is_log_up: Callable[[float], bool] = lambda now: True,
     ) -> None:
         self._vm = vm
@@ -61,11 +70,13 @@
         self._members = members
         self._homes = homes
         self._servers = servers
+        self._loads = loads
         self._is_log_up = is_log_up
         self._told_log_up = True
         self._datagrams_left = float(BURST_DATAGRAMS)
         self._looked_at = float("-inf")
         self._due_at = float("-inf")
+        self._loads_due_at = float("-inf")
         self._sent_at = dict.fromkeys((True, False), float("-inf"))
 
     async def run(self) -> None:
@@ -73,25 +84,36 @@
         try:
             while True:
                 await asyncio.sleep(SHORTEST_PERIOD_S)
-                now = asyncio.get_running_loop().time()
-                if self.is_due(now):
-                    self._send()
+                self.send_due(asyncio.get_running_loop().time())
         finally:
             self._link.close()
 
-    def take(self, hints: PeerHints, host: str) -> None:
-        """Take a message of another VM."""
-        now = asyncio.get_running_loop().time()
+    def take(self, hints: PeerHints, host: str, now: float) -> None:
+        """Take a message of another VM.
+
+        Args:
+            hints: the message.
+            host: the address from which it came.
+            now: the loop's time.
+        """
         known = self._members.note_received(hints.vm, host, now, log_up=hints.log_up)
         if not known:
             return
         for hint in hints.homes:
             notice = HomeNotice(hint.key, hint.server, hint.age_ms / 1000)
             self._homes.take_notice(notice, now)
+        self._loads.take(hints.loads, now)
         if hints.failures:
             domain = self._members.find_failure_domain(hints.vm)
             self._servers.take(hints.failures, domain, now)
 
+    def send_due(self, now: float) -> None:
+        """Send what is due: all news and heartbeats, or loads alone."""
+        if self.is_due(now):
+            self._send(now)
+        elif self.are_loads_due(now):
+            self._send_loads(now)
+
     def is_due(self, now: float) -> bool:
         """Return whether to send now: in turn, or at once what was just placed."""
         passed_s = min(now - self._looked_at, BURST_DATAGRAMS / DATAGRAMS_PER_S)
@@ -102,29 +124,54 @@
         if now >= self._due_at:
             self._due_at = now + self._choose_period()
             return True
-        return self._homes.has_placed and self._datagrams_left >= len(self._members)
+        return self._homes.has_placed and self._may_tell_all()
+
+    def are_loads_due(self, now: float) -> bool:
+        """Return whether to tell loads now, beside what is told in turn."""
+        if now < self._loads_due_at:
+            return False
+        near = self._members.count(near=True)
+        self._loads_due_at = now + max(SHORTEST_PERIOD_S, near / LOAD_DATAGRAMS_PER_S)
+        return True
 
     def _choose_period(self) -> float:
         return max(SHORTEST_PERIOD_S, len(self._members) / DATAGRAMS_PER_S)
 
-    def _send(self) -> None:
+    def _may_tell_all(self) -> bool:
+        return self._datagrams_left >= len(self._members)
+
+    def _send(self, now: float) -> None:
         """Send what is new to all VMs, or a heartbeat to those it is due to."""
-        now = asyncio.get_running_loop().time()
         notices = self._homes.collect_notices(now, HINTS_PER_DATAGRAM)
         homes = [
             HomeHint(notice.key, notice.server, int(notice.age_s * 1000))
             for notice in notices
         ]
         failures = self._servers.collect(now)
+        loads = self._loads.collect(now)
         log_up = self._is_log_up(now)
         has_news = bool(notices or failures) or log_up != self._told_log_up
         self._told_log_up = log_up
-        for near in (True, False):
+        for near, told in ((True, loads.near), (False, loads.far)):
             due_s = self._members.choose_heartbeat_s(near=near)
-            if not has_news and now - self._sent_at[near] < due_s:
+            waits = now - self._sent_at[near] < due_s
+            if not has_news and not told and waits:
                 continue
-            self._sent_at[near] = now
-            hosts = self._members.list_hosts(now, near=near)
+            hints = PeerHints(self._vm, homes, log_up, failures, told)
+            self._send_to(hints, near, now)
+
+    def _send_loads(self, now: float) -> None:
+        """Tell loads to near VMs; to far ones those near the bound, while it may."""
+        loads = self._loads.collect(now)
+        log_up = self._told_log_up
+        if loads.near:
+            self._send_to(PeerHints(self._vm, [], log_up, [], loads.near), True, now)
+        if loads.far and self._may_tell_all():
+            self._send_to(PeerHints(self._vm, [], log_up, [], loads.far), False, now)
+
+    def _send_to(self, hints: PeerHints, near: bool, now: float) -> None:
+        self._sent_at[near] = now
+        hosts = self._members.list_hosts(now, near=near)
+        if not near or hints.homes:
             self._datagrams_left -= len(hosts)
-            hints = PeerHints(self._vm, homes, log_up, failures)
-            self._link.send(hints, hosts, self._port)
+        self._link.send(hints, hosts, self._port)
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -11,23 +11,19 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
-
+from dataclasses import dataclass, replace
+
+from ramppin.gateway.process.load.view import (
+    BOUND_RATIO,
+    BOUND_SLACK,
+    LoadView,
+    measure_loads,
+)
 from ramppin.gateway.process.routing.directory import ServerState
 from ramppin.gateway.process.routing.eligibility import list_eligible
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.ranking import RendezvousRanking
 
-BOUND_RATIO = 1.8
-"""Multiple of the mean load of a service's servers that one of them may hold. Callers
-of a home at the bound go elsewhere, where their prefix must be copied or read; a server
-past it slows all that it runs. Kept below the 2 and 3 that the platform allows, since
-what a VM knows is up to some seconds old."""
-
-BOUND_SLACK = 2.0
-"""Requests that a server may hold beyond that; see :data:`BOUND_RATIO`."""
-
-
 HOME_LOAD_MARGIN = 2
 """Requests by which the second server of a prefix must be less loaded than the first to
 become its home: a difference below is within what a VM's knowledge errs by."""
@@ -71,46 +67,12 @@
 
     state: ServerState
     rank: int
-    load: int
+    load: float
     bound: float
     report_age_s: float
     copy_from: str | None = None
 
 
-MIN_REPORTS = 3
-"""Servers with a load report from which on their mean counts for all: a single one may
-be the busiest."""
-
-
-@dataclass(slots=True)
-class LoadView:
-    """Loads of a service's open servers at one moment, in requests."""
-
-    loads: dict[str, int] = field(default_factory=dict)
-    mean: float = 0.0
-
-
-def harmonic_mean(loads: Sequence[int]) -> float:
-    """Return the harmonic mean of loads, none of them 0."""
-    return len(loads) / sum(1 / load for load in loads)
-
-
-def measure_loads(states: Sequence[ServerState], now: float) -> LoadView:
-    """Return the estimated loads of servers and their mean.
-
-    Where many VMs share the servers, a VM has a report of a few and sees its own
-    requests alone at the rest: the mean over all would be far too low, and each server
-    that has just reported would look overloaded. So the servers that reported stand
-    for the others, by their harmonic mean: a server is met as often as it is loaded.
-    """
-    loads = {state.id: state.estimate_load(now) for state in states}
-    mean = sum(loads.values()) / max(1, len(loads))
-    reported = [max(1, loads[state.id]) for state in states if state.has_report(now)]
-    if len(reported) >= MIN_REPORTS:
-        mean = max(mean, harmonic_mean(reported))
-    return LoadView(loads, mean)
-
-
 class SelectionStrategy(ABC):
     """Chooses a backend server for a request."""
 
@@ -129,7 +91,11 @@
         )
         if not eligible:
             return None
-        return self._choose_among(request, eligible, measure_loads(states, now), now)
+        return self._choose_among(request, eligible, self._measure(states, now), now)
+
+    def _measure(self, states: Sequence[ServerState], now: float) -> LoadView:
+        """Return the loads of all open servers."""
+        return measure_loads(states, now)
 
     @abstractmethod
     def _choose_among(
@@ -187,13 +153,13 @@
         now: float,
     ) -> Selection:
         """Return the prefix's home, or the next server that is below the bound."""
-        bound = self._bound * view.mean + self._slack
+        bound = view.bound
         by_id = {state.id: state for state in eligible}
         key = request.prefix_key if request.prefix_key is not None else 0
         home, last_home = self._homes.find(key), self._homes.find_last(key)
         if home in by_id and view.loads[home] < bound:
             self._homes.note_used(key, now)
-            return self._select(by_id[home], 0, view, bound, now)
+            return self._select(by_id[home], 0, view, now)
         ranked = self._ranking.rank(key, list(by_id))
         below = [server_id for server_id in ranked if view.loads[server_id] < bound]
         if not below:
@@ -204,15 +170,18 @@
         else:
             chosen = below[0]
         rank = 1 + ranked.index(chosen)
-        selection = self._select(by_id[chosen], rank, view, bound, now)
+        selection = self._select(by_id[chosen], rank, view, now)
         copy_from = last_home if last_home != chosen else None
         return replace(selection, copy_from=copy_from)
 
+    def _measure(self, states: Sequence[ServerState], now: float) -> LoadView:
+        return measure_loads(states, now, ratio=self._bound, slack=self._slack)
+
     def _select(
-        self, state: ServerState, rank: int, view: LoadView, bound: float, now: float
+        self, state: ServerState, rank: int, view: LoadView, now: float
     ) -> Selection:
-        age = state.measure_report_age(now)
-        return Selection(state, rank, view.loads[state.id], bound, age)
+        age = state.load.measure_age(now)
+        return Selection(state, rank, view.loads[state.id], view.bound, age)
 
 
 def _choose_home(below: Sequence[str], view: LoadView) -> str:
@@ -250,10 +219,10 @@
     ) -> Selection:
         """Return the least loaded server, near ones before remote ones."""
         chosen = min(eligible, key=lambda state: self._weigh(state, view))
-        age = chosen.measure_report_age(now)
+        age = chosen.load.measure_age(now)
         return Selection(chosen, 0, view.loads[chosen.id], math.inf, age)
 
-    def _weigh(self, state: ServerState, view: LoadView) -> tuple[int, float]:
+    def _weigh(self, state: ServerState, view: LoadView) -> tuple[float, float]:
         remote = state.server.failure_domain != self._failure_domain
         penalty = REMOTE_PENALTY if remote else 0
         return view.loads[state.id] + penalty, self._generator.random()
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -232,6 +232,7 @@
         self._last_server = state.id
         # Counted before the connection is there: other requests must see it.
         state.in_flight += 1
+        started = self._loop.time()
         try:
             connection = await self._connect(admission, selection)
             if isinstance(connection, AttemptResult):
@@ -240,6 +241,8 @@
                 self._context.pool.release_unused(connection)
                 return AttemptResult(AttemptEnd.NOT_SENT, message="too late")
             result = await self._send(admission, selection, builder, connection)
+            if result.end is AttemptEnd.DELIVERED:
+                state.lifetime.note_ended(self._loop.time() - started)
             if connection.was_silent:
                 self._context.pool.note_silent(connection)
             share = self._context.share_connections(admission.service)
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -81,7 +81,7 @@
             "version": admission.table.version,
             "server": selection.state.id,
             "rank": selection.rank,
-            "load": selection.load,
+            "load": round(selection.load),
             "bound": _round_bound(selection.bound),
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
             "end": result.end.value,
