Mean of loads: one step for each load, not for each server

Cause: the mean weighs each seen server in some thirty steps of a search; with 910 servers a choice took 6.8 ms. Loads are few small numbers, so they are counted first: 2.9 ms, with 80 servers 0.59 to 0.19 ms, with 9 the same within noise (100 choices each, on a machine with a load of 10). The result is the same. Ruled out: fewer steps, which would make the mean less exact. load.feature: 39 passed, 0 failed.

--- a/src/ramppin/gateway/process/load/view.py
+++ b/src/ramppin/gateway/process/load/view.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -105,21 +106,24 @@
     """
     if len(loads) >= servers:
         return sum(loads) / len(loads)
+    # Loads are few small numbers: 910 servers have some twenty.
+    counts = Counter(loads)
     low, high = 0.0, 1.0
-    while _count_servers(loads, high) > servers:
+    while _count_servers(counts, high) > servers:
         low, high = high, high * 2
     for _ in range(MEAN_STEPS):
         middle = (low + high) / 2
-        if _count_servers(loads, middle) > servers:
+        if _count_servers(counts, middle) > servers:
             low = middle
         else:
             high = middle
-    return sum(load / _chance(load, high) for load in loads) / servers
+    total = sum(count * load / _chance(load, high) for load, count in counts.items())
+    return total / servers
 
 
-def _count_servers(loads: Sequence[int], rate: float) -> float:
+def _count_servers(counts: Counter[int], rate: float) -> float:
     """Return for how many servers those that were seen stand."""
-    return sum(1 / _chance(load, rate) for load in loads)
+    return sum(count / _chance(load, rate) for load, count in counts.items())
 
 
 def _chance(load: int, rate: float) -> float:
