Model of many VMs: what a run gave in a module of its own

A move: fleet.py had 400 lines and two jobs; result.py has the counts and their sum, and a choice knows itself whether it was over the limit.

--- a/bench/vms/fleet.py
+++ b/bench/vms/fleet.py
@@ -6,13 +6,14 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 import msgspec
 
 from bench.vms.engine import Engine
 from bench.vms.pattern import Pattern, Prompt, draw_prompts
+from bench.vms.result import Choice, Result, Tally
 from ramppin.gateway.connection.datagrams import PeerHints
 from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
@@ -44,79 +45,9 @@
 DRAIN_S = 4.0
 """Seconds for which an engine that leaves still serves."""
 
-BYTES_PER_TOKEN = 131_072
-"""Of prompt memory, as an 8-billion-parameter model keeps it."""
-
 WARM_UP_S = 6.0
 """Seconds at the start that are not counted: no prefix has a home yet."""
 
-WINDOW_S = 5.0
-"""Span in which the share of choices over the limit is looked at."""
-
-LIMIT_RATIO, LIMIT_SLACK = 2.0, 3.0
-"""An engine is over the limit when it holds more than the ratio times the mean of all
-engines and the slack."""
-
-
-@dataclass
-class Result:
-    """What one run gave.
-
-    Attributes:
-        pattern: its name.
-        policy: the policy's name.
-        vms: how many.
-        seed: of the run.
-        choices: counted.
-        worst_share: share of choices over the limit in the worst window.
-        busiest: load of the engine chosen over the mean, 99th percentile.
-        mean_load: of engines, over the run.
-        moved_gb: prompt memory moved between engines.
-        read_again_k: thousand tokens of prefixes that some engine had read before.
-        homes_kept: share of choices that went to the prefix's home.
-        far_bytes_s: bytes a second between failure domains, of all VMs.
-        vm_bytes_s: bytes a second that one VM sends, in the mean.
-        first_p99_s: from arrival to first token.
-    """
-
-    pattern: str
-    policy: str
-    vms: int
-    seed: int
-    choices: int = 0
-    worst_share: float = 0.0
-    busiest: float = 0.0
-    mean_load: float = 0.0
-    moved_gb: float = 0.0
-    read_again_k: float = 0.0
-    homes_kept: float = 0.0
-    far_bytes_s: float = 0.0
-    vm_bytes_s: float = 0.0
-    first_p99_s: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """One choice: when, whether over the limit, its load over the mean."""
-
-    at: float
-    is_over: bool
-    load: int
-    mean: float
-    is_home: bool
-
-
-@dataclass
-class Tally:
-    """Counts of a run."""
-
-    choices: list[Choice] = field(default_factory=list)
-    first_s: list[float] = field(default_factory=list)
-    moved_tokens: int = 0
-    read_again_tokens: int = 0
-    near_bytes: int = 0
-    far_bytes: int = 0
-
 
 class Link:
     """Carries one VM's datagrams, in place of a socket."""
@@ -218,7 +149,7 @@
         for prompt in draw_prompts(pattern):
             self._run_until(prompt.at)
             self._place(prompt)
-        return self._sum_up()
+        return self._tally.sum_up(pattern, self._policy.name)
 
     def deliver(self, sender: str, hints: PeerHints, hosts: list[str]) -> None:
         """Deliver a message to VMs by name, a moment later."""
@@ -340,9 +271,8 @@
             return
         loads = [other.load for other in self._engines.values()]
         mean = sum(loads) / len(loads)
-        is_over = engine.load > LIMIT_RATIO * mean + LIMIT_SLACK
         self._tally.choices.append(
-            Choice(self._now, is_over, engine.load, mean, selection.rank == 0)
+            Choice(self._now, engine.load, mean, selection.rank == 0)
         )
 
     # the clock
@@ -371,42 +301,7 @@
             for other in self._vms:
                 other.members.take_record(Record(vm.name, entry, offset), 0.0)
 
-    # the result
-
-    def _sum_up(self) -> Result:
-        tally = self._tally
-        choices = tally.choices
-        ratios = sorted(c.load / max(1.0, c.mean) for c in choices)
-        firsts = sorted(tally.first_s)
-        sent = tally.near_bytes + tally.far_bytes
-        return Result(
-            self.pattern.name,
-            self._policy.name,
-            self.pattern.vms,
-            self.pattern.seed,
-            choices=len(choices),
-            worst_share=find_worst_share(choices),
-            busiest=ratios[int(0.99 * len(ratios))],
-            mean_load=sum(c.mean for c in choices) / len(choices),
-            moved_gb=tally.moved_tokens * BYTES_PER_TOKEN / 1e9,
-            read_again_k=tally.read_again_tokens / 1000,
-            homes_kept=sum(c.is_home for c in choices) / len(choices),
-            far_bytes_s=tally.far_bytes / self.pattern.seconds,
-            vm_bytes_s=sent / self.pattern.seconds / self.pattern.vms,
-            first_p99_s=firsts[int(0.99 * len(firsts))],
-        )
-
 
 def play(job: tuple[Pattern, Policy]) -> Result:
     """Play one pattern with one policy."""
     return Fleet(*job).run()
-
-
-def find_worst_share(choices: list[Choice]) -> float:
-    """Return the share of choices over the limit in the worst window."""
-    worst = 0.0
-    for half in range(int(2 * choices[0].at), int(2 * choices[-1].at)):
-        window = [c for c in choices if half / 2 <= c.at < half / 2 + WINDOW_S]
-        if window:
-            worst = max(worst, sum(c.is_over for c in window) / len(window))
-    return worst
