--- a/src/ramppin/gateway/process/load/view.py
+++ b/src/ramppin/gateway/process/load/view.py
@@ -15,10 +15,10 @@
 BOUND_RATIO = 1.5
 """Multiple of the mean load of a service's servers that one of them may hold. Callers
 of a home at the bound go elsewhere, where their prefix must be copied or read; a server
-past it slows all that it runs. Of the choices in the worst 5 s of a hot subject 0.045
-met a server over twice the mean and 3 with 1.8 and 2 here, 0.013 with 1.5 and 1.5, for
-three times the memory moved; 1.3 and 1 gave 0.004 for twice as much again (195 VMs, 37
-servers, mean of two seeds, `python -m bench vms`)."""
+past it slows all that it runs. Of the choices in the worst 5 s of a hot subject 0.027
+met a server over twice the mean and 3 with 1.8 and 2 here, 0.012 with 1.5 and 1.5, for
+46 GB of prompt memory moved in 18 s in place of 18; 1.3 and 1 gave 0.001 for 91 GB (195
+VMs, 37 servers, mean of two seeds of the model of many VMs)."""
 
 BOUND_SLACK = 1.5
 """Requests that a server may hold beyond that; see :data:`BOUND_RATIO`."""
