--- a/bench/vms/pattern.py
+++ b/bench/vms/pattern.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, replace
 
 TOKENS_PER_EVENT = 11
+"""Tokens of one event of an answer, as the users' engines send them."""
+
 STEP_S = 0.0022
 """Time between two tokens of an answer."""
 
--- a/src/ramppin/gateway/process/load/news.py
+++ b/src/ramppin/gateway/process/load/news.py
@@ -28,6 +28,7 @@
 """Servers in one message, 500 bytes: with the rest it is not split."""
 
 MS_PER_S = 1000
+"""Milliseconds of a second: hints carry ages in milliseconds, the rules use seconds."""
 
 
 @dataclass(frozen=True, slots=True)
