A first read that a silent log took is made anew after 0.5 s; requests wait for knowledge

Also the wait of requests for the first read ended when one read failed, and did not end when a peer told what the log would not. Ruled out: a shorter limit on the whole answer, which a log that sends 80 KB a second to all never meets; a second question beside the first, which doubles what such a log sends. Change: limits of a read are one rule without I/O (readlimits): 3 s for the whole, doubled at each failure, and a limit on silence, 0.5 s or half of the time since the first try. Requests wait until settings and servers are known, from the log or a peer. Replay (features/gateway/starts.feature; the last of 195 VMs after the log's return), with limits on the whole alone and now: silent 0.9 s after the start 2.54 and 0.75 s, 1.2 s 2.24 and 0.48, 4 s 5.68 and 2.62. A log whose answers take 1 s: 1.0 and 3.57 s, 2.5 s: 2.5 and 10.0 s, the price of it.

--- a/features/gateway/starts.feature
+++ b/features/gateway/starts.feature
@@ -23,3 +23,37 @@
       | 6.0  | 2.0   |
       | 0.3  | 0.1   |
       | -1.0 | 0.0   |
+
+  Scenario Outline: a first read after a silence of <silent> s, answers take <answer> s
+    When 195 VMs start together while the log is silent for <silent> s
+    And the log's answers take <answer> s
+    Then all VMs have read it <within> s after its return
+    And with limits on the whole answer alone they would within <before> s
+
+    Examples: a question that a silent log took is lost
+      | silent | answer | within | before |
+      | 0.0    | 0.02   | 0.1    | 0.1    |
+      | 0.0    | 0.25   | 0.3    | 0.3    |
+      | 0.0    | 1.0    | 3.6    | 1.0    |
+      | 0.0    | 2.5    | 10.1   | 2.5    |
+      | 0.9    | 0.02   | 0.8    | 2.6    |
+      | 1.2    | 0.02   | 0.5    | 2.3    |
+      | 1.8    | 0.02   | 1.1    | 1.7    |
+      | 4.0    | 0.02   | 2.7    | 5.7    |
+
+  Scenario Outline: when a first read is given up: <failures> failures, <tried> s
+    Then after <failures> failures in <tried> s a first read has <whole> s and <silence> s of silence
+
+    Examples:
+      | failures | tried | whole | silence |
+      | 0        | 0.0   | 3     | 0.5     |
+      | 1        | 0.6   | 6     | 0.5     |
+      | 2        | 1.2   | 12    | 0.6     |
+      | 5        | 8.0   | 12    | 4       |
+      | 9        | 60    | 12    | 12      |
+
+  Scenario: a log that goes on sending is not given up, a silent one is
+    Given a log that sends 12 pieces of an answer, each after 0.1 s
+    Then a read with 3 s and 1 s of silence gets the whole answer
+    Given a log that sends nothing
+    Then a read with 3 s and 0.2 s of silence fails with "no byte within 0.2 s"
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable
+from random import Random
 
-from behave import then, when
+from behave import given, then, when
 
+from ramppin.errors import LogUnavailableError
+from ramppin.gateway.connection.fetch import FetchedAnswer, Fetcher
+from ramppin.gateway.process.recovery.follower import Follower
+from ramppin.gateway.process.recovery.readlimits import ReadLimits, limit_first_read
+from ramppin.gateway.process.recovery.replica import Replica
 from ramppin.gateway.request.admission import Denial, choose_first_read_wait_s
 from ramppin.gateway.request.finalanswer import answer_denied
+from standins.tables import TableStandIn
 
 CALLERS = 400
+STARTS_WITHIN_S = 0.3
+"""Span in which VMs that lost power together start."""
+
 READ_S = 0.1
 """Seconds from the log's return until a VM knows its settings."""
 
@@ -67,3 +78,133 @@
     time_left_s = None if left == "none" else float(left)
     found = answer_denied(Denial.NO_SETTINGS, time_left_s).retry_after_s
     assert math.isclose(found, pause, abs_tol=1e-9), found
+
+
+def limit_whole(failures: int, tried_for_s: float) -> ReadLimits:
+    """Return limits on the whole answer alone."""
+    whole_s = limit_first_read(failures, tried_for_s).whole_s
+    return ReadLimits(whole_s, whole_s)
+
+
+def find_read_at(
+    started_at: float,
+    silent_s: float,
+    answer_s: float,
+    limit: Callable[[int, float], ReadLimits],
+    seed: int,
+) -> float:
+    """Return when a VM that started at a moment has read the log."""
+    follower = Follower(
+        Replica("settings", lambda record: None),
+        TableStandIn(),
+        interval_s=0.0,
+        wait_s=0.0,
+        generator=Random(seed),
+    )
+    now, failures = started_at, 0
+    while True:
+        limits = limit(failures, now - started_at)
+        limit_s = min(limits.whole_s, limits.silence_s)
+        if now >= silent_s and answer_s <= limit_s:
+            return now + answer_s
+        failures += 1
+        now += limit_s + follower.choose_backoff_s()
+
+
+@when("{vms:d} VMs start together while the log is silent for {silent:g} s")
+def step_start_silent(context, vms, silent):
+    context.silent_s = silent
+    context.starts = [STARTS_WITHIN_S * number / vms for number in range(vms)]
+
+
+@when("the log's answers take {answer:g} s")
+def step_answers_take(context, answer):
+    context.answer_s = answer
+
+
+def measure_last(context, limit) -> float:
+    """Return how long after the log's return the last VM has read it."""
+    read_at = [
+        find_read_at(at, context.silent_s, context.answer_s, limit, seed)
+        - max(at, context.silent_s)
+        for seed, at in enumerate(context.starts)
+    ]
+    return max(read_at)
+
+
+@then("all VMs have read it {within:g} s after its return")
+def step_read_within(context, within):
+    last_s = measure_last(context, limit_first_read)
+    assert last_s <= within, last_s
+
+
+@then("with limits on the whole answer alone they would within {before:g} s")
+def step_read_before(context, before):
+    last_s = measure_last(context, limit_whole)
+    assert before - 0.2 <= last_s <= before, last_s
+
+
+@then(
+    "after {failures:d} failures in {tried:g} s a first read has {whole:g} s and "
+    "{silence:g} s of silence"
+)
+def step_limits(context, failures, tried, whole, silence):
+    found = limit_first_read(failures, tried)
+    assert found == ReadLimits(whole, silence), found
+
+
+async def send_in_pieces(context, pieces: int, pause_s: float) -> None:
+    """Listen, and answer the first question in pieces; never if there are none."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if not pieces:
+            await asyncio.Event().wait()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % pieces)
+        for _ in range(pieces):
+            await asyncio.sleep(pause_s)
+            writer.write(b"x")
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    context.log_port = server.sockets[0].getsockname()[1]
+
+    async def stop():
+        server.close()
+
+    context.cleanups.append(stop)
+
+
+@given("a log that sends {pieces:d} pieces of an answer, each after {pause:g} s")
+def step_log_in_pieces(context, pieces, pause):
+    context.loop.run_until_complete(send_in_pieces(context, pieces, pause))
+
+
+@given("a log that sends nothing")
+def step_log_silent(context):
+    context.loop.run_until_complete(send_in_pieces(context, 0, 0.0))
+
+
+async def read_log(context, whole: float, silence: float) -> FetchedAnswer:
+    fetcher = Fetcher("127.0.0.1", context.log_port, "log")
+    try:
+        return await fetcher.get("/", timeout_s=whole, silence_s=silence)
+    finally:
+        fetcher.close()
+
+
+@then("a read with {whole:g} s and {silence:g} s of silence gets the whole answer")
+def step_read_whole(context, whole, silence):
+    answer = context.loop.run_until_complete(read_log(context, whole, silence))
+    assert answer.body == b"x" * 12, answer
+
+
+@then('a read with {whole:g} s and {silence:g} s of silence fails with "{text}"')
+def step_read_fails(context, whole, silence, text):
+    found = ""
+    try:
+        context.loop.run_until_complete(read_log(context, whole, silence))
+    except LogUnavailableError as error:
+        found = error.message
+    assert text in found, found
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -61,7 +61,7 @@
         live_vms: live VMs of the fleet, this one included.
         servers_confirmed_at: returns the loop's time at which the list of
             servers was last known to be current.
-        first_read: set once settings and servers have been read, or could not be.
+        first_read: set once settings and servers are known, from the log or a peer.
         tasks: their tasks.
     """
 
--- a/src/ramppin/gateway/process/recovery/relays.py
+++ b/src/ramppin/gateway/process/recovery/relays.py
@@ -25,6 +25,7 @@
     decode_answer,
     encode_question,
 )
+from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.relayrules import (
     AVOID_S,
     RelayTimes,
@@ -81,9 +82,9 @@
         self._fetcher: Fetcher | None = None
         self._fetcher_vm = ""
 
-    async def read_newest(self, *, timeout_s: float) -> RecordBatch:
+    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
         """Return the newest record of each key, from the log itself."""
-        return await self._direct.read_newest(timeout_s=timeout_s)
+        return await self._direct.read_newest(limits=limits)
 
     async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
         """Return what follows a position, from a relay if there is one."""
--- a/src/ramppin/gateway/process/recovery/sources.py
+++ b/src/ramppin/gateway/process/recovery/sources.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, replace
 
+from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.routing.directory import BackendServer
 from ramppin.gateway.version.routing import RoutingTable
@@ -55,11 +56,11 @@
     """
 
     @abstractmethod
-    async def read_newest(self, *, timeout_s: float) -> RecordBatch:
+    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
         """Return the newest record of each key.
 
         Args:
-            timeout_s: how long each answer may take.
+            limits: when the read is given up.
 
         Raises:
             LogUnavailableError: the log could not be read.
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -124,7 +124,6 @@
         self._own = Member(
             config.vm, config.peers.host, 0.0, config.failure_domain, config.weight
         )
-        self._first_reads_due = 2
         self._relays = RelayChoice(self._own, self.members, self.contact)
         changes = RecordChanges(
             config.settings_key, sources.decoder, context, self._find_hold_end
@@ -210,25 +209,23 @@
     def _follow_settings(self, changes: RecordChanges) -> FollowedTable:
         config = self._config
         return self._follow_through_relays(
-            Replica("settings", changes.take_settings),
+            Replica("settings", changes.take_settings, self._note_started),
             self._sources.settings,
             bound_s=config.settings_bound_s,
             interval_s=SETTINGS_INTERVAL_S,
             wait_s=config.settings_wait_s,
             read_cycle_s=config.settings_wait_s,
-            note_first=self._note_first_read,
         )
 
     def _follow_servers(self, changes: RecordChanges) -> FollowedTable:
         config = self._config
         return self._follow_through_relays(
-            Replica("servers", changes.take_server),
+            Replica("servers", changes.take_server, self._note_started),
             self._sources.servers,
             bound_s=config.leaving_bound_s,
             interval_s=config.server_pace_s,
             wait_s=SERVER_WAIT_S,
             read_cycle_s=config.server_pace_s + SERVER_WAIT_S,
-            note_first=self._note_first_read,
         )
 
     def _follow_members(self) -> FollowedTable:
@@ -250,7 +247,6 @@
         interval_s: float,
         wait_s: float,
         read_cycle_s: float,
-        note_first: Callable[[bool], None] | None = None,
     ) -> FollowedTable:
         relayed = RelayedSource(
             replica.name,
@@ -267,14 +263,12 @@
             interval_s=interval_s,
             wait_s=wait_s,
             generator=self._generator,
-            note_first=note_first,
         )
         return FollowedTable(replica, follower, read_cycle_s)
 
-    def _note_first_read(self, succeeded: bool) -> None:
-        """Let requests go on once settings and servers are known, or one is not."""
-        self._first_reads_due -= 1
-        if self._first_reads_due == 0 or not succeeded:
+    def _note_started(self) -> None:
+        """Let requests go on once settings and servers are known, whoever told them."""
+        if self.settings.started and self.servers.started:
             self._context.first_read.set()
 
     def _find_hold_end(self, now: float) -> float | None:
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -20,6 +20,7 @@
 from ramppin.errors import LogUnavailableError
 from ramppin.gateway.connection.datagrams import HomeHint
 from ramppin.gateway.process.membership.members import FleetMembers
+from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.sources import RecordLog
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.ranking import rank_vms
@@ -33,8 +34,8 @@
 MAX_SNAPSHOT_HOMES = 5_000
 """Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
 
-LOAD_TIMEOUT_S = 1.0
-"""Seconds that one read of the snapshot may take."""
+LOAD_LIMITS = ReadLimits(whole_s=1.0, silence_s=1.0)
+"""When one read of the snapshot is given up; prompts are placed without it then."""
 
 LOAD_RETRY_S = 0.2
 """Seconds between two tries to read the snapshot."""
@@ -107,7 +108,7 @@
     async def _read(self) -> bytes | None:
         for _ in range(LOAD_ATTEMPTS):
             try:
-                batch = await self._log.read_newest(timeout_s=LOAD_TIMEOUT_S)
+                batch = await self._log.read_newest(limits=LOAD_LIMITS)
             except LogUnavailableError as error:
                 LOG.warning("no snapshot: %s", error, extra={"step": "homes"})
                 await asyncio.sleep(LOAD_RETRY_S)
