--- /dev/null
+++ b/features/steps/gateway_stop_steps.py
@@ -0,0 +1,139 @@
+"""Steps: a gateway that stops as planned."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.gateway_support import encode_request
+from ramppin.gateway.process.limits.drain import POLL_S, Drain, DrainTimes
+from standins.common import wait_for
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+@given("a caller with an open connection")
+def step_open_connection(context):
+    async def open_one():
+        context.caller = await context.fixture.connect()
+        await context.caller.send(encode_request("/once/"))
+        answer = await context.caller.read()
+        assert answer.status == 200, answer.data
+
+    run(context, open_one())
+
+
+async def begin_request(context) -> None:
+    context.caller = await context.fixture.connect()
+    await context.caller.send(encode_request("/once/"))
+    await wait_for(context.fixture.list_received, "the request arrived")
+
+
+@when("a caller has a request in flight and the gateway begins a planned stop")
+def step_in_flight_stop(context):
+    async def stop():
+        await begin_request(context)
+        context.fixture.gateway.start_drain()
+
+    run(context, stop())
+
+
+@when("a caller has a request in flight and the gateway began a planned stop long ago")
+def step_in_flight_long_ago(context):
+    async def stop():
+        await begin_request(context)
+        context.fixture.gateway.start_drain()
+        drain = context.fixture.gateway.context.drain
+        loop = asyncio.get_running_loop()
+        await wait_for(
+            lambda: not drain.may_take(10.0, loop.time()), "late in the stop"
+        )
+
+    run(context, stop())
+
+
+@then("a connection of {age:g} s that is idle is {fate} {passed:g} s after the stop")
+def step_resting(context, age, fate, passed):
+    times = DrainTimes(settle_s=2.3, fresh_s=0.5)
+    drain = Drain(times, started=0.0)
+    assert drain.may_close(passed - age, passed) == (fate == "closed")
+
+
+@then("it is not ready")
+def step_not_ready(context):
+    async def ask():
+        port = context.fixture.gateway.readiness_port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return line
+
+    line = run(context, ask())
+    assert b" 503 " in line, line
+
+
+@then("the request in flight is answered whole with a request to close")
+def step_finished(context):
+    context.scripts.go_on.set()
+    answer = run(context, context.caller.read())
+    assert answer.status == 200, answer.data
+    assert answer.whole
+    assert b"connection: close" in answer.head
+
+
+@then("the gateway stops")
+def step_stops(context):
+    run(context, asyncio.wait_for(context.fixture.gateway.stopped.wait(), 20))
+
+
+@then('a new request to "{route}" is refused with when to come back')
+def step_refused(context, route):
+    answer = run(context, context.fixture.ask(route))
+    assert answer.status == 503, answer.data
+    assert b"retry-after:" in answer.head
+
+
+@then("a request on a connection opened {polls:d} polls ago gets an answer")
+def step_opened_before(context, polls):
+    async def ask():
+        caller = await context.fixture.connect()
+        await asyncio.sleep(polls * POLL_S)
+        await caller.send(encode_request("/once/"))
+        return await caller.read()
+
+    answer = run(context, ask())
+    assert answer.status == 503, answer.data
+
+
+@then('a new request to "{route}" is taken')
+def step_taken(context, route):
+    async def ask():
+        before = len(context.fixture.list_received())
+        caller = await context.fixture.connect()
+        await caller.send(encode_request(route))
+        await wait_for(
+            lambda: len(context.fixture.list_received()) > before, "it was taken"
+        )
+        context.scripts.go_on.set()
+        return await caller.read()
+
+    answer = run(context, ask())
+    assert answer.status == 200, answer.data
+
+
+@when("the gateway begins a planned stop")
+def step_stop(context):
+    async def stop():
+        context.fixture.gateway.start_drain()
+        await asyncio.sleep(0)
+
+    run(context, stop())
+
+
+@then("the open connection is closed by the gateway")
+def step_closed(context):
+    assert run(context, context.caller.wait_for_end()) == b""
