While lapsed entries come back, the list is read faster and prompts wait for their home

The rule is settling.is_worth_waiting, without I/O. Tests: starts.feature, 13 rows and 2 scenarios; gateway and platform 610 passed.

--- a/features/gateway/starts.feature
+++ b/features/gateway/starts.feature
@@ -57,3 +57,50 @@
     Then a read with 3 s and 1 s of silence gets the whole answer
     Given a log that sends nothing
     Then a read with 3 s and 0.2 s of silence fails with "no byte within 0.2 s"
+
+  Scenario Outline: <servers> servers whose entries lapsed come back, the first read <first> s after the log's return
+    When <servers> servers come back within 1.2 s of the log's return
+    Then a VM that started in the outage and read first after <first> s lacks <mean> of them in the mean of 2 s
+    And at the usual pace it would lack <before>
+
+    Examples:
+      | servers | first | mean | before |
+      | 43      | 0.1   | 0.36 | 0.52   |
+      | 43      | 0.6   | 0.41 | 0.49   |
+
+  Scenario Outline: the pause between two reads of the servers: <tries> tries, known for <known> s
+    Then after <tries> tries, known for <known> s, the servers are read again after <pause> s
+
+    Examples: the usual pause is 0.8 s
+      | tries | known | pause |
+      | 1     | 0.0   | 0.8   |
+      | 2     | 0.0   | 0.2   |
+      | 2     | 2.1   | 0.2   |
+      | 2     | 2.2   | 0.8   |
+
+  Scenario Outline: whether a request waits for a server: <list>, <servers> open, home <home>
+    Then on a list that is <list>, with <servers> open servers and the home "<home>", a prompt waits: <prompt>, another request: <other>
+
+    Examples:
+      | list                     | servers | home     | prompt | other |
+      | settled                  | 0       | none     | no     | no    |
+      | settled                  | 3       | unlisted | no     | no    |
+      | settling                 | 0       | none     | yes    | yes   |
+      | settling                 | 3       | none     | no     | no    |
+      | settling                 | 3       | unlisted | yes    | no    |
+      | settling                 | 3       | listed   | no     | no    |
+      | settling, homes not read | 3       | none     | yes    | no    |
+
+  Scenario: a prompt waits for the home that comes back
+    Given a gateway before two model servers
+    And a prompt's home, as the snapshot tells, is a server whose entry has lapsed
+    When the prompt comes while lapsed entries come back
+    Then no backend server got anything
+    When that server's entry is back
+    Then the prompt is sent to its home
+
+  Scenario: a prompt whose home does not come back is served all the same
+    Given a gateway before two model servers
+    And a prompt's home, as the snapshot tells, is a server whose entry has lapsed
+    When the prompt comes once the list has settled
+    Then the prompt is sent to another server
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -9,13 +9,23 @@
 
 from behave import given, then, when
 
+from features.gateway_support import encode_request, is_yes
 from ramppin.errors import LogUnavailableError
 from ramppin.gateway.connection.fetch import FetchedAnswer, Fetcher
 from ramppin.gateway.process.recovery.follower import Follower
 from ramppin.gateway.process.recovery.readlimits import ReadLimits, limit_first_read
 from ramppin.gateway.process.recovery.replica import Replica
+from ramppin.gateway.process.recovery.vanished import (
+    choose_pause_s as choose_pause_s_of_servers,
+)
+from ramppin.gateway.process.recovery.vanished import is_settling
+from ramppin.gateway.process.routing.homes import HomeNotice
+from ramppin.gateway.process.routing.settling import ListView, is_worth_waiting
 from ramppin.gateway.request.admission import Denial, choose_first_read_wait_s
 from ramppin.gateway.request.finalanswer import answer_denied
+from ramppin.gateway.request.promptkey import hash_prefix
+from standins.backend import BackendStandIn
+from standins.common import wait_for
 from standins.tables import TableStandIn
 
 CALLERS = 400
@@ -208,3 +218,150 @@
     except LogUnavailableError as error:
         found = error.message
     assert text in found, found
+
+
+USUAL_PAUSE_S = 0.8
+LOOKED_FOR_S = 2.0
+
+
+def choose_pause_after(known_for_s: float) -> float:
+    settling = is_settling(first_read_tries=2, known_for_s=known_for_s)
+    return choose_pause_s_of_servers(USUAL_PAUSE_S, settling=settling)
+
+
+def choose_usual_pause(known_for_s: float) -> float:
+    return USUAL_PAUSE_S
+
+
+def measure_lacking(context, first_s: float, choose: Callable[..., float]) -> float:
+    """Return the share of servers that a VM does not know, in the mean over time."""
+    now, lacking, known_until = first_s, 0.0, first_s
+    while now < LOOKED_FOR_S:
+        # A read waits for news, up to a second; then comes the pause.
+        news = [at for at in context.back_at if at > known_until]
+        read_at = min(max(now, news[0]) if news else now + 1.0, now + 1.0)
+        known = sum(at <= known_until for at in context.back_at)
+        end = min(read_at, LOOKED_FOR_S)
+        lacking += (end - known_until) * (1 - known / len(context.back_at))
+        known_until = end
+        now = read_at + choose(read_at - first_s)
+    known = sum(at <= known_until for at in context.back_at)
+    lacking += (LOOKED_FOR_S - known_until) * (1 - known / len(context.back_at))
+    return (lacking + first_s) / LOOKED_FOR_S
+
+
+@when("{servers:d} servers come back within {span:g} s of the log's return")
+def step_servers_back(context, servers, span):
+    context.back_at = [span * (number + 1) / servers for number in range(servers)]
+
+
+@then(
+    "a VM that started in the outage and read first after {first:g} s lacks {share:g} "
+    "of them in the mean of 2 s"
+)
+def step_lacks(context, first, share):
+    context.first_s = first
+    found = measure_lacking(context, first, choose_pause_after)
+    assert found <= share, found
+
+
+@then("at the usual pace it would lack {share:g}")
+def step_lacked(context, share):
+    found = measure_lacking(context, context.first_s, choose_usual_pause)
+    assert found >= share, found
+
+
+@then(
+    "after {tries:d} tries, known for {known:g} s, the servers are read again after "
+    "{pause:g} s"
+)
+def step_pause_of_servers(context, tries, known, pause):
+    settling = is_settling(first_read_tries=tries, known_for_s=known)
+    found = choose_pause_s_of_servers(USUAL_PAUSE_S, settling=settling)
+    assert found == pause, found
+
+
+LISTS = {
+    "settled": (False, True),
+    "settling": (True, True),
+    "settling, homes not read": (True, False),
+}
+
+
+@then(
+    'on a list that is {list_is}, with {servers:d} open servers and the home "{home}", '
+    "a prompt waits: {prompt}, another request: {other}"
+)
+def step_worth_waiting(context, list_is, servers, home, prompt, other):
+    settling, restored = LISTS[list_is]
+    home_id = None if home == "none" else "m3"
+    view = ListView(settling, restored, servers, home_id, home == "listed")
+    for has_prefix, waits in ((True, prompt), (False, other)):
+        found = is_worth_waiting(view, has_prefix=has_prefix)
+        assert found is is_yes(waits), (has_prefix, found)
+
+
+PROMPT_PARTS = "aa:100,bb:1000,cc:10"
+
+
+@given("a prompt's home, as the snapshot tells, is a server whose entry has lapsed")
+def step_lapsed_home(context):
+    fixture = context.fixture
+    key = hash_prefix(PROMPT_PARTS.encode())
+
+    async def restore():
+        now = asyncio.get_running_loop().time()
+        fixture.gateway.homes.restore(HomeNotice(key, "m3", 1.0), now)
+        backend = fixture.backends["m3"] = BackendStandIn()
+        await backend.start()
+
+    context.loop.run_until_complete(restore())
+
+
+def send_prompt(context, *, settling: bool) -> None:
+    fixture = context.fixture
+    gateway = fixture.gateway.context
+    gateway.is_list_settling = lambda now: settling
+
+    async def send():
+        context.caller = await fixture.connect()
+        head = {"Ramppin-Prompt-Parts": PROMPT_PARTS}
+        await context.caller.send(encode_request("/stream/", headers=head))
+        if settling:
+            await wait_for(lambda: gateway.in_flight == 1, "the prompt is taken")
+
+    context.loop.run_until_complete(send())
+
+
+@when("the prompt comes while lapsed entries come back")
+def step_prompt_settling(context):
+    send_prompt(context, settling=True)
+
+
+@when("the prompt comes once the list has settled")
+def step_prompt_settled(context):
+    send_prompt(context, settling=False)
+
+
+@when("that server's entry is back")
+def step_entry_back(context):
+    context.fixture.announce("m3", "model")
+
+
+def find_servers(context) -> list[str]:
+    """Return the servers that got the prompt, once one did."""
+    backends = context.fixture.backends
+    work = wait_for(context.fixture.list_received, "the prompt arrived")
+    context.loop.run_until_complete(work)
+    return [name for name, backend in backends.items() if backend.received]
+
+
+@then("the prompt is sent to its home")
+def step_sent_home(context):
+    assert find_servers(context) == ["m3"]
+
+
+@then("the prompt is sent to another server")
+def step_sent_elsewhere(context):
+    [server] = find_servers(context)
+    assert server in ("m1", "m2"), server
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -61,6 +61,11 @@
         live_vms: live VMs of the fleet, this one included.
         servers_confirmed_at: returns the loop's time at which the list of
             servers was last known to be current.
+        is_list_settling: returns whether entries of servers may still come back that
+            lapsed while the log was away.
+        are_homes_restored: returns whether the homes of prefixes were read after the
+            start.
+        server_added: set when a server is next added to the list, then renewed.
         first_read: set once settings and servers are known, from the log or a peer.
         tasks: their tasks.
     """
@@ -82,6 +87,9 @@
     failure_domain: str = ""
     live_vms: int = 1
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
+    is_list_settling: Callable[[float], bool] = lambda now: False
+    are_homes_restored: Callable[[], bool] = lambda: True
+    server_added: asyncio.Event = field(default_factory=asyncio.Event)
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -90,6 +98,11 @@
         """The version of the settings in force; -1 before the first."""
         return self.table.version if self.table else -1
 
+    def note_server_added(self) -> None:
+        """Wake the requests that wait for a server."""
+        self.server_added.set()
+        self.server_added = asyncio.Event()
+
     def measure_servers_age(self, now: float) -> float:
         """Return how long ago the list of servers was known to be current."""
         return round(min(NEVER_S, now - self.servers_confirmed_at()), 2)
--- a/src/ramppin/gateway/process/recovery/follower.py
+++ b/src/ramppin/gateway/process/recovery/follower.py
@@ -16,6 +16,7 @@
 from ramppin.gateway.process.recovery.readlimits import READ_AGAIN, limit_first_read
 from ramppin.gateway.process.recovery.replica import Replica
 from ramppin.gateway.process.recovery.sources import RecordBatch, RecordSource
+from ramppin.gateway.process.recovery.vanished import choose_pause_s, is_settling
 
 LOG = logging.getLogger(__name__)
 
@@ -39,6 +40,8 @@
         interval_s: shortest time between two reads.
         wait_s: longest time that a read waits at the end of the log.
         generator: spreads the retries of many VMs.
+        settles: whether entries lapse with the log, so that a VM which started during
+            an outage reads more often for a while.
 
     .. versionadded:: 0.2
     """
@@ -51,17 +54,20 @@
         interval_s: float,
         wait_s: float,
         generator: random.Random,
+        settles: bool = False,
     ) -> None:
         self._replica = replica
         self._source = source
         self._interval_s = interval_s
         self._wait_s = wait_s
+        self._settles = settles
         self._generator = generator
         self._backoff_s = FIRST_BACKOFF_S
         self._reachable = True
         self._complete = False
         self._first_read_tries = 0
         self._first_read_at: float | None = None
+        self._known_since = float("-inf")
         self.regained_at = float("-inf")
 
     @property
@@ -69,6 +75,13 @@
         """Whether the last read succeeded."""
         return self._reachable
 
+    def is_settling(self, now: float) -> bool:
+        """Return whether entries that lapsed with the log may still come back."""
+        return is_settling(
+            first_read_tries=self._first_read_tries,
+            known_for_s=now - self._known_since,
+        )
+
     async def run(self) -> None:
         """Follow the source until cancelled."""
         while True:
@@ -87,6 +100,9 @@
     async def _pause(self, *, relayed: bool) -> None:
         """Wait between two reads that succeeded."""
         interval_s = self._interval_s
+        if self._settles:
+            settling = self.is_settling(asyncio.get_running_loop().time())
+            interval_s = choose_pause_s(interval_s, settling=settling)
         if relayed:
             interval_s = min(interval_s, RELAYED_INTERVAL_S)
         if interval_s:
@@ -115,7 +131,9 @@
             self._first_read_at = now
         limits = limit_first_read(self._first_read_tries, now - self._first_read_at)
         self._first_read_tries += 1
-        return await self._source.read_newest(limits=limits)
+        batch = await self._source.read_newest(limits=limits)
+        self._known_since = asyncio.get_running_loop().time()
+        return batch
 
     def choose_backoff_s(self) -> float:
         """Return the pause after one more failed read, in seconds."""
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -143,6 +143,8 @@
             lambda: self.servers.started,
         )
         context.servers_confirmed_at = lambda: self.servers.confirmed_at
+        context.is_list_settling = self._servers.follower.is_settling
+        context.are_homes_restored = lambda: self.snapshots.loaded
 
     @property
     def settings(self) -> Replica:
@@ -226,6 +228,7 @@
             interval_s=config.server_pace_s,
             wait_s=SERVER_WAIT_S,
             read_cycle_s=config.server_pace_s + SERVER_WAIT_S,
+            settles=True,
         )
 
     def _follow_members(self) -> FollowedTable:
@@ -247,6 +250,7 @@
         interval_s: float,
         wait_s: float,
         read_cycle_s: float,
+        settles: bool = False,
     ) -> FollowedTable:
         relayed = RelayedSource(
             replica.name,
@@ -263,6 +267,7 @@
             interval_s=interval_s,
             wait_s=wait_s,
             generator=self._generator,
+            settles=settles,
         )
         return FollowedTable(replica, follower, read_cycle_s)
 
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -47,8 +47,7 @@
 """Seconds between two checks of whether the backend servers are known."""
 
 SERVER_CHECKS = 100
-"""Checks of whether the backend servers are known, 3 s in all; homes of servers that
-are not known yet are not taken."""
+"""Checks of whether the backend servers are known, 3 s in all."""
 
 
 class HomeSnapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -61,6 +60,9 @@
 class HomeSnapshots:
     """Writes and reads snapshots.
 
+    Attributes:
+        loaded: whether the snapshot was taken, or there is none.
+
     Args:
         vm: this VM's name.
         log: the table that holds the snapshot.
@@ -85,10 +87,12 @@
         self._homes = homes
         self._has_servers = has_servers
         self._written_changes = 0
+        self.loaded = False
 
     async def run(self) -> None:
         """Load the snapshot, then write it in turn until cancelled."""
         await self._load()
+        self.loaded = True
         self._written_changes = self._homes.changes
         while True:
             await asyncio.sleep(SNAPSHOT_PERIOD_S)
@@ -129,7 +133,7 @@
         for hint in snapshot.homes:
             # The writer's age is a lower limit; it is older by now.
             age_s = hint.age_ms / 1000 + SNAPSHOT_PERIOD_S
-            self._homes.take_notice(HomeNotice(hint.key, hint.server, age_s), now)
+            self._homes.restore(HomeNotice(hint.key, hint.server, age_s), now)
 
     def _is_writer(self) -> bool:
         now = asyncio.get_running_loop().time()
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -146,6 +146,10 @@
         self._slack = slack
         self._ranking = RendezvousRanking()
 
+    def find_last_home(self, prefix_key: int | None) -> str | None:
+        """Return the id of the server that last had a prefix, listed or not."""
+        return self._homes.find_last(prefix_key) if prefix_key is not None else None
+
     def _choose_among(
         self,
         request: SelectionRequest,
--- /dev/null
+++ b/src/ramppin/gateway/process/routing/settling.py
@@ -0,0 +1,71 @@
+"""When a request waits for a backend server that is not listed yet.
+
+Load pattern: all VMs start while the shared log is away, and the entries of the servers
+have lapsed meanwhile. They come back one by one within seconds of the log's return.
+Sent to the first few on the list, prompts overrun them, and are read again by servers
+other than those that have their prefixes. So a prompt waits for its prefix's home, and
+any request for the first server of its service, while there is time for its answer.
+Pure.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LOOK_AGAIN_S = 0.1
+"""Seconds after which a waiting request looks again if no server came: the list may
+have settled meanwhile."""
+
+
+WAIT_SHARE = 0.5
+"""Part of its caller's deadline for which a request waits; the rest is for its answer.
+The list settles within some 2 s, so only short deadlines meet it."""
+
+UNKNOWN_WAIT_S = 1.0
+"""Seconds that a request waits whose caller names no deadline, as for a first read."""
+
+
+def choose_wait_s(deadline_s: float | None) -> float:
+    """Return how long after its arrival a request may wait for a server.
+
+    Args:
+        deadline_s: time that its caller will wait, in seconds; None if it is unknown.
+    """
+    return UNKNOWN_WAIT_S if deadline_s is None else max(0.0, WAIT_SHARE * deadline_s)
+
+
+@dataclass(frozen=True, slots=True)
+class ListView:
+    """What a VM knows of a service's servers, for one request.
+
+    Attributes:
+        settling: whether lapsed entries may still come back.
+        restored: whether the homes of prefixes were read after the start.
+        open_servers: servers of the service that may get new work.
+        home: id of the server that has the prompt's prefix; None if there is none.
+        home_listed: whether that server is on the list.
+    """
+
+    settling: bool
+    restored: bool
+    open_servers: int
+    home: str | None
+    home_listed: bool
+
+
+def is_worth_waiting(view: ListView, *, has_prefix: bool) -> bool:
+    """Return whether a request should wait for the list to grow.
+
+    Args:
+        view: what is known of its service's servers.
+        has_prefix: whether it has a prefix that servers cache.
+    """
+    if not view.settling:
+        return False
+    if not view.open_servers:
+        return True
+    if not has_prefix:
+        return False
+    if not view.restored:
+        return True
+    return view.home is not None and not view.home_listed
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -20,6 +20,12 @@
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
+from ramppin.gateway.process.routing.settling import (
+    LOOK_AGAIN_S,
+    ListView,
+    choose_wait_s,
+    is_worth_waiting,
+)
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
@@ -111,6 +117,7 @@
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
             context.retry_budget.note_request(admitted.service, self._loop.time())
+            await self._wait_for_server(admitted)
             await self._serve(admitted)
         except Exception:
             # Whatever went wrong here, the caller must not wait for an answer.
@@ -126,6 +133,32 @@
             async with asyncio.timeout(wait_s):
                 await self._context.first_read.wait()
 
+    async def _wait_for_server(self, admission: Admission) -> None:
+        """Wait for a server that may still come back after an outage of the log."""
+        ends_at = self._request.arrived + choose_wait_s(self._find_deadline_s())
+        while self._is_server_awaited(admission):
+            left_s = ends_at - self._loop.time()
+            if left_s <= 0 or self._disconnected:
+                return
+            added = self._context.server_added
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(left_s, LOOK_AGAIN_S)):
+                    await added.wait()
+
+    def _is_server_awaited(self, admission: Admission) -> bool:
+        context, now = self._context, self._loop.time()
+        if not context.is_list_settling(now):
+            return False
+        home = context.prefix_selection.find_last_home(admission.prefix_key)
+        view = ListView(
+            settling=True,
+            restored=context.are_homes_restored(),
+            open_servers=len(context.directory.list_open(admission.service)),
+            home=home,
+            home_listed=home is not None and context.directory.is_open(home),
+        )
+        return is_worth_waiting(view, has_prefix=admission.prefix_key is not None)
+
     def _find_deadline_s(self) -> float | None:
         """Return the time that the caller will wait, in seconds, if it says so."""
         return parse_deadline(self._request.find(self._context.names.deadline_ms))
