--- a/features/gateway/records.feature
+++ b/features/gateway/records.feature
@@ -59,18 +59,6 @@
     Given a second gateway whose log is away
     Then it is not ready, and refuses with when to come back
 
-  Scenario: a failed first read does not end the wait of requests
-    Given a second gateway whose log is away
-    When it has asked for settings and servers 2 times each
-    Then requests wait there for settings and servers
-    When its log comes back
-    Then requests wait there no longer
-
-  Scenario: requests wait no longer once a peer has told settings and servers
-    Given a second gateway whose log is silent and that knows the first
-    Then it becomes ready and serves
-    And requests wait there no longer
-
   Scenario: a VM that starts while the log is away asks for what callers need alone
     Given a second gateway whose log is away
     When it has asked for settings and servers 3 times each
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -13,7 +13,6 @@
 from features.platform_support import build_config
 from ramppin.errors import LogTrimmedError, LogUnavailableError
 from ramppin.gateway.connection.fetch import FetchedAnswer
-from ramppin.gateway.process.recovery.readlimits import READ_AGAIN
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin_platform.records import PlatformDecoder
 from ramppin_platform.settings import PlatformSettings
@@ -28,9 +27,7 @@
     def __init__(self, status: int, body: bytes) -> None:
         self._answer = FetchedAnswer(status, body)
 
-    async def get(
-        self, target: str, *, timeout_s: float, silence_s: float | None = None
-    ) -> FetchedAnswer:
+    async def get(self, target: str, *, timeout_s: float) -> FetchedAnswer:
         await asyncio.sleep(0)
         return self._answer
 
@@ -95,7 +92,7 @@
 @then('a read of the newest records that is answered with "{answer}" finds {found}')
 def step_newest(context, answer, found):
     table = StoreTable(ScriptedFetcher(*PAGES[answer]), "topic")
-    shown = context.loop.run_until_complete(show(table.read_newest(limits=READ_AGAIN)))
+    shown = context.loop.run_until_complete(show(table.read_newest(timeout_s=1.0)))
     assert shown == found, shown
 
 
--- a/src/ramppin/gateway/connection/fetch.py
+++ b/src/ramppin/gateway/connection/fetch.py
@@ -47,20 +47,13 @@
         self._port = port
         self._connection: UpstreamConnection | None = None
 
-    async def get(
-        self, target: str, *, timeout_s: float, silence_s: float | None = None
-    ) -> FetchedAnswer:
+    async def get(self, target: str, *, timeout_s: float) -> FetchedAnswer:
         """Return the answer to a GET.
 
-        Args:
-            target: path and query.
-            timeout_s: time for the whole answer, in seconds.
-            silence_s: time without a byte of it, in seconds; None for any.
-
         Raises:
             LogUnavailableError: there was no whole answer in time.
         """
-        return await self._call(b"GET", target, b"", timeout_s, silence_s)
+        return await self._call(b"GET", target, b"", timeout_s)
 
     async def post(
         self, target: str, body: bytes, *, timeout_s: float
@@ -80,17 +73,11 @@
             self._connection = None
 
     async def _call(
-        self,
-        method: bytes,
-        target: str,
-        body: bytes,
-        timeout_s: float,
-        silence_s: float | None = None,
+        self, method: bytes, target: str, body: bytes, timeout_s: float
     ) -> FetchedAnswer:
         try:
             async with asyncio.timeout(timeout_s):
-                receiver = await self._send(method, target, body)
-                return await receiver.wait(silence_s)
+                return await self._exchange(method, target, body)
         except (NotSentError, BrokenAnswerError) as error:
             self.close()
             raise LogUnavailableError(
@@ -105,7 +92,7 @@
             self.close()
             raise
 
-    async def _send(self, method: bytes, target: str, body: bytes) -> _WholeReceiver:
+    async def _exchange(self, method: bytes, target: str, body: bytes) -> FetchedAnswer:
         if self._connection is None or not self._connection.alive:
             self._connection = await open_connection(
                 self._host, self._port, self.peer, timeout_s=CONNECT_TIMEOUT_S
@@ -113,59 +100,32 @@
         headers: Headers = [(b"Host", f"{self._host}:{self._port}".encode())]
         if method == b"POST":
             headers.append((b"Content-Length", b"%d" % len(body)))
-        receiver = _WholeReceiver(self.peer)
+        receiver = _WholeReceiver()
         head = encode_request(method, target.encode(), headers)
         self._connection.send(head, body, receiver)
-        return receiver
+        return await receiver.answer
 
 
 class _WholeReceiver(AnswerReceiver):
-    """Collects an answer until it is whole.
-
-    Args:
-        peer: who answers, for errors.
-    """
+    """Collects an answer until it is whole."""
 
-    def __init__(self, peer: str) -> None:
-        self._peer = peer
-        self._loop = asyncio.get_running_loop()
-        self._answer: asyncio.Future[FetchedAnswer] = self._loop.create_future()
-        self._received_at = self._loop.time()
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.answer: asyncio.Future[FetchedAnswer] = loop.create_future()
         self._status = 0
         self._body: list[bytes] = []
 
-    async def wait(self, silence_s: float | None) -> FetchedAnswer:
-        """Return the whole answer.
-
-        Args:
-            silence_s: time without a byte after which to give up; None for any.
-
-        Raises:
-            BrokenAnswerError: it ended too early, or the peer went silent.
-        """
-        while silence_s is not None and not self._answer.done():
-            left_s = self._received_at + silence_s - self._loop.time()
-            if left_s <= 0:
-                raise BrokenAnswerError(
-                    f"no byte within {silence_s:.1f} s", step="read", peer=self._peer
-                )
-            await asyncio.wait([self._answer], timeout=left_s)
-        return await self._answer
-
     def accept_head(self, head: AnswerHead) -> bool:
-        self._received_at = self._loop.time()
         self._status = head.status
         return True
 
     def accept_body(self, data: bytes) -> None:
-        self._received_at = self._loop.time()
         self._body.append(data)
 
     def accept_end(self) -> None:
-        if not self._answer.done():
-            answer = FetchedAnswer(self._status, b"".join(self._body))
-            self._answer.set_result(answer)
+        if not self.answer.done():
+            self.answer.set_result(FetchedAnswer(self._status, b"".join(self._body)))
 
     def accept_failure(self, error: BrokenAnswerError) -> None:
-        if not self._answer.done():
-            self._answer.set_exception(error)
+        if not self.answer.done():
+            self.answer.set_exception(error)
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -61,10 +61,7 @@
         live_vms: live VMs of the fleet, this one included.
         servers_confirmed_at: returns the loop's time at which the list of
             servers was last known to be current.
-        is_list_settling: returns whether entries of servers may still come back that
-            lapsed while the log was away.
-        server_added: set when a server is next added to the list, then renewed.
-        first_read: set once settings and servers are known, from the log or a peer.
+        first_read: set once settings and servers have been read, or could not be.
         tasks: their tasks.
     """
 
@@ -85,8 +82,6 @@
     failure_domain: str = ""
     live_vms: int = 1
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
-    is_list_settling: Callable[[float], bool] = lambda now: False
-    server_added: asyncio.Event = field(default_factory=asyncio.Event)
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -95,11 +90,6 @@
         """The version of the settings in force; -1 before the first."""
         return self.table.version if self.table else -1
 
-    def note_server_added(self) -> None:
-        """Wake the requests that wait for a server."""
-        self.server_added.set()
-        self.server_added = asyncio.Event()
-
     def measure_servers_age(self, now: float) -> float:
         """Return how long ago the list of servers was known to be current."""
         return round(min(NEVER_S, now - self.servers_confirmed_at()), 2)
--- a/src/ramppin/gateway/process/recovery/changes.py
+++ b/src/ramppin/gateway/process/recovery/changes.py
@@ -78,8 +78,6 @@
         known = context.directory.find(server.id)
         before = known.server if known else None
         context.directory.put(server)
-        if known is None:
-            context.note_server_added()
         if before != server:
             context.decisions.note(
                 "server_known",
--- a/src/ramppin/gateway/process/recovery/filetables.py
+++ b/src/ramppin/gateway/process/recovery/filetables.py
@@ -19,7 +19,6 @@
 
 from ramppin.document import read_document
 from ramppin.errors import LogUnavailableError
-from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import (
     RecordBatch,
@@ -54,7 +53,7 @@
         self._known: dict[str, bytes] = {}
         self._position = 0
 
-    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float = 0.0) -> RecordBatch:
         """Return all entries."""
         await asyncio.sleep(0)
         self._changed_at = self._measure_change()
@@ -128,7 +127,7 @@
         await asyncio.sleep(0)
         self._records.append(Record(key, value, len(self._records)))
 
-    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float = 0.0) -> RecordBatch:
         """Return the newest record of each key."""
         await asyncio.sleep(0)
         newest = {record.key: record for record in self._records}
--- a/src/ramppin/gateway/process/recovery/follower.py
+++ b/src/ramppin/gateway/process/recovery/follower.py
@@ -9,14 +9,13 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
 from ramppin.gateway.process.recovery.peerchoice import is_stale
-from ramppin.gateway.process.recovery.readlimits import READ_AGAIN, limit_first_read
 from ramppin.gateway.process.recovery.replica import Replica
 from ramppin.gateway.process.recovery.sources import RecordBatch, RecordSource
-from ramppin.gateway.process.recovery.vanished import choose_pause_s, is_settling
 
 LOG = logging.getLogger(__name__)
 
@@ -27,6 +26,19 @@
 """Seconds of the longest pause between two failed reads: settings must be in force
 again within 2 s of the log's return."""
 
+FIRST_READ_TIMEOUT_S = 3.0
+"""Seconds that the first read may take; doubled at each failure.
+
+All VMs may start together and share what the log sends in a second; a read that is
+given up then and begun anew takes from the others and never ends.
+"""
+
+LONGEST_READ_TIMEOUT_S = 12.0
+"""Seconds that any first read may take."""
+
+READ_AGAIN_TIMEOUT_S = 1.0
+"""Seconds that a later read of a whole table may take; what was known still serves."""
+
 RELAYED_INTERVAL_S = 0.05
 """Seconds of pause after an answer of a relay, whose own reads are the ones paced."""
 
@@ -40,8 +52,7 @@
         interval_s: shortest time between two reads.
         wait_s: longest time that a read waits at the end of the log.
         generator: spreads the retries of many VMs.
-        settles: whether entries lapse with the log, so that a VM which started during
-            an outage reads more often for a while.
+        note_first: called once, with whether the first read succeeded.
 
     .. versionadded:: 0.2
     """
@@ -54,20 +65,18 @@
         interval_s: float,
         wait_s: float,
         generator: random.Random,
-        settles: bool = False,
+        note_first: Callable[[bool], None] | None = None,
     ) -> None:
+        self._note_first = note_first
         self._replica = replica
         self._source = source
         self._interval_s = interval_s
         self._wait_s = wait_s
-        self._settles = settles
         self._generator = generator
         self._backoff_s = FIRST_BACKOFF_S
         self._reachable = True
         self._complete = False
-        self._first_read_tries = 0
-        self._first_read_at: float | None = None
-        self._known_since = float("-inf")
+        self._first_read_timeout_s = FIRST_READ_TIMEOUT_S
         self.regained_at = float("-inf")
 
     @property
@@ -75,13 +84,6 @@
         """Whether the last read succeeded."""
         return self._reachable
 
-    def is_settling(self, now: float) -> bool:
-        """Return whether entries that lapsed with the log may still come back."""
-        return is_settling(
-            first_read_tries=self._first_read_tries,
-            known_for_s=now - self._known_since,
-        )
-
     async def run(self) -> None:
         """Follow the source until cancelled."""
         while True:
@@ -91,18 +93,17 @@
                 self._complete = False
                 relayed = False
             except LogUnavailableError as error:
+                self._note_outcome(succeeded=False)
                 self._note_lost(error)
                 await asyncio.sleep(self.choose_backoff_s())
                 continue
+            self._note_outcome(succeeded=True)
             self._note_regained()
             await self._pause(relayed=relayed)
 
     async def _pause(self, *, relayed: bool) -> None:
         """Wait between two reads that succeeded."""
         interval_s = self._interval_s
-        if self._settles:
-            settling = self.is_settling(asyncio.get_running_loop().time())
-            interval_s = choose_pause_s(interval_s, settling=settling)
         if relayed:
             interval_s = min(interval_s, RELAYED_INTERVAL_S)
         if interval_s:
@@ -125,15 +126,10 @@
 
     async def _read_newest(self) -> RecordBatch:
         if self._replica.started:
-            return await self._source.read_newest(limits=READ_AGAIN)
-        now = asyncio.get_running_loop().time()
-        if self._first_read_at is None:
-            self._first_read_at = now
-        limits = limit_first_read(self._first_read_tries, now - self._first_read_at)
-        self._first_read_tries += 1
-        batch = await self._source.read_newest(limits=limits)
-        self._known_since = asyncio.get_running_loop().time()
-        return batch
+            return await self._source.read_newest(timeout_s=READ_AGAIN_TIMEOUT_S)
+        timeout_s = self._first_read_timeout_s
+        self._first_read_timeout_s = min(LONGEST_READ_TIMEOUT_S, 2 * timeout_s)
+        return await self._source.read_newest(timeout_s=timeout_s)
 
     def choose_backoff_s(self) -> float:
         """Return the pause after one more failed read, in seconds."""
@@ -141,6 +137,11 @@
         self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2)
         return pause_s
 
+    def _note_outcome(self, *, succeeded: bool) -> None:
+        if self._note_first is not None:
+            self._note_first(succeeded)
+            self._note_first = None
+
     def _note_lost(self, error: LogUnavailableError) -> None:
         if self._reachable:
             self._reachable = False
--- a/src/ramppin/gateway/process/recovery/logcontact.py
+++ b/src/ramppin/gateway/process/recovery/logcontact.py
@@ -14,7 +14,6 @@
 from enum import Enum
 
 from ramppin.errors import LogTrimmedError, LogUnavailableError
-from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.sources import (
     RecordBatch,
     RecordLog,
@@ -112,10 +111,10 @@
         self._source = source
         self._contact = contact
 
-    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float) -> RecordBatch:
         """Return the newest record of each key."""
         with self._contact.watch(self._table, LogCall.WHOLE):
-            return await self._source.read_newest(limits=limits)
+            return await self._source.read_newest(timeout_s=timeout_s)
 
     async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
         """Return what follows a position; wait for it if there is nothing."""
--- a/src/ramppin/gateway/process/recovery/relays.py
+++ b/src/ramppin/gateway/process/recovery/relays.py
@@ -25,7 +25,6 @@
     decode_answer,
     encode_question,
 )
-from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.relayrules import (
     AVOID_S,
     RelayTimes,
@@ -82,9 +81,9 @@
         self._fetcher: Fetcher | None = None
         self._fetcher_vm = ""
 
-    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float) -> RecordBatch:
         """Return the newest record of each key, from the log itself."""
-        return await self._direct.read_newest(limits=limits)
+        return await self._direct.read_newest(timeout_s=timeout_s)
 
     async def read_after(self, position: int, *, wait_s: float) -> RecordBatch:
         """Return what follows a position, from a relay if there is one."""
--- a/src/ramppin/gateway/process/recovery/replica.py
+++ b/src/ramppin/gateway/process/recovery/replica.py
@@ -32,8 +32,6 @@
     Args:
         name: the table's name, for logs and peers.
         on_change: called with each record that replaces an older one.
-        on_start: called once the replica has been filled, after its records were
-            taken; None for nothing.
 
     Attributes:
         name: as given.
@@ -44,17 +42,11 @@
     .. versionadded:: 0.2
     """
 
-    def __init__(
-        self,
-        name: str,
-        on_change: Callable[[Record], None],
-        on_start: Callable[[], None] | None = None,
-    ) -> None:
+    def __init__(self, name: str, on_change: Callable[[Record], None]) -> None:
         self.name = name
         self.position = 0
         self.confirmed_at = float("-inf")
         self._on_change = on_change
-        self._on_start = on_start
         self._records: dict[str, Record] = {}
         self._waiting: dict[Callable[[], None], None] = {}
 
@@ -80,9 +72,6 @@
             self.position = position
             self._wake()
         self.confirmed_at = max(self.confirmed_at, as_of)
-        on_start, self._on_start = self._on_start, None
-        if on_start is not None:
-            on_start()
 
     def replace(self, records: Iterable[Record], position: int, as_of: float) -> None:
         """Take the newest record of every key; a key not among them is gone."""
--- a/src/ramppin/gateway/process/recovery/sources.py
+++ b/src/ramppin/gateway/process/recovery/sources.py
@@ -9,7 +9,6 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, replace
 
-from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.routing.directory import BackendServer
 from ramppin.gateway.version.routing import RoutingTable
@@ -56,11 +55,11 @@
     """
 
     @abstractmethod
-    async def read_newest(self, *, limits: ReadLimits) -> RecordBatch:
+    async def read_newest(self, *, timeout_s: float) -> RecordBatch:
         """Return the newest record of each key.
 
         Args:
-            limits: when the read is given up.
+            timeout_s: how long each answer may take.
 
         Raises:
             LogUnavailableError: the log could not be read.
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -124,6 +124,7 @@
         self._own = Member(
             config.vm, config.peers.host, 0.0, config.failure_domain, config.weight
         )
+        self._first_reads_due = 2
         self._relays = RelayChoice(self._own, self.members, self.contact)
         changes = RecordChanges(
             config.settings_key, sources.decoder, context, self._find_hold_end
@@ -143,7 +144,6 @@
             lambda: self.servers.started,
         )
         context.servers_confirmed_at = lambda: self.servers.confirmed_at
-        context.is_list_settling = self._servers.follower.is_settling
 
     @property
     def settings(self) -> Replica:
@@ -210,24 +210,25 @@
     def _follow_settings(self, changes: RecordChanges) -> FollowedTable:
         config = self._config
         return self._follow_through_relays(
-            Replica("settings", changes.take_settings, self._note_started),
+            Replica("settings", changes.take_settings),
             self._sources.settings,
             bound_s=config.settings_bound_s,
             interval_s=SETTINGS_INTERVAL_S,
             wait_s=config.settings_wait_s,
             read_cycle_s=config.settings_wait_s,
+            note_first=self._note_first_read,
         )
 
     def _follow_servers(self, changes: RecordChanges) -> FollowedTable:
         config = self._config
         return self._follow_through_relays(
-            Replica("servers", changes.take_server, self._note_started),
+            Replica("servers", changes.take_server),
             self._sources.servers,
             bound_s=config.leaving_bound_s,
             interval_s=config.server_pace_s,
             wait_s=SERVER_WAIT_S,
             read_cycle_s=config.server_pace_s + SERVER_WAIT_S,
-            settles=True,
+            note_first=self._note_first_read,
         )
 
     def _follow_members(self) -> FollowedTable:
@@ -249,7 +250,7 @@
         interval_s: float,
         wait_s: float,
         read_cycle_s: float,
-        settles: bool = False,
+        note_first: Callable[[bool], None] | None = None,
     ) -> FollowedTable:
         relayed = RelayedSource(
             replica.name,
@@ -266,13 +267,14 @@
             interval_s=interval_s,
             wait_s=wait_s,
             generator=self._generator,
-            settles=settles,
+            note_first=note_first,
         )
         return FollowedTable(replica, follower, read_cycle_s)
 
-    def _note_started(self) -> None:
-        """Let requests go on once settings and servers are known, whoever told them."""
-        if self.settings.started and self.servers.started:
+    def _note_first_read(self, succeeded: bool) -> None:
+        """Let requests go on once settings and servers are known, or one is not."""
+        self._first_reads_due -= 1
+        if self._first_reads_due == 0 or not succeeded:
             self._context.first_read.set()
 
     def _find_hold_end(self, now: float) -> float | None:
--- a/src/ramppin/gateway/process/routing/homes.py
+++ b/src/ramppin/gateway/process/routing/homes.py
@@ -129,17 +129,6 @@
         else:
             self._notices[notice.key] = ours
 
-    def restore(self, notice: HomeNotice, now: float) -> None:
-        """Take a home from before the start; its server need not be listed yet.
-
-        A server whose entry lapsed comes back with what it has cached. One that is gone
-        for good costs nothing: a home that is not usable gives way to any other.
-        """
-        if self._is_usable(notice.server):
-            self.take_notice(notice, now)
-        elif self._find(notice.key) is None:
-            self._put(notice.key, Home(notice.server, now - notice.age_s, now))
-
     def collect_notices(self, now: float, limit: int) -> list[HomeNotice]:
         """Return what should be announced now, at most ``limit`` homes."""
         keys = list(self._notices)[:limit]
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -20,7 +20,6 @@
 from ramppin.errors import LogUnavailableError
 from ramppin.gateway.connection.datagrams import HomeHint
 from ramppin.gateway.process.membership.members import FleetMembers
-from ramppin.gateway.process.recovery.readlimits import ReadLimits
 from ramppin.gateway.process.recovery.sources import RecordLog
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.ranking import rank_vms
@@ -34,8 +33,8 @@
 MAX_SNAPSHOT_HOMES = 5_000
 """Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
 
-LOAD_LIMITS = ReadLimits(whole_s=1.0, silence_s=1.0)
-"""When one read of the snapshot is given up; prompts are placed without it then."""
+LOAD_TIMEOUT_S = 1.0
+"""Seconds that one read of the snapshot may take."""
 
 LOAD_RETRY_S = 0.2
 """Seconds between two tries to read the snapshot."""
@@ -47,7 +46,8 @@
 """Seconds between two checks of whether the backend servers are known."""
 
 SERVER_CHECKS = 100
-"""Checks of whether the backend servers are known, 3 s in all."""
+"""Checks of whether the backend servers are known, 3 s in all; homes of servers that
+are not known yet are not taken."""
 
 
 class HomeSnapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -107,7 +107,7 @@
     async def _read(self) -> bytes | None:
         for _ in range(LOAD_ATTEMPTS):
             try:
-                batch = await self._log.read_newest(limits=LOAD_LIMITS)
+                batch = await self._log.read_newest(timeout_s=LOAD_TIMEOUT_S)
             except LogUnavailableError as error:
                 LOG.warning("no snapshot: %s", error, extra={"step": "homes"})
                 await asyncio.sleep(LOAD_RETRY_S)
@@ -128,7 +128,7 @@
         for hint in snapshot.homes:
             # The writer's age is a lower limit; it is older by now.
             age_s = hint.age_ms / 1000 + SNAPSHOT_PERIOD_S
-            self._homes.restore(HomeNotice(hint.key, hint.server, age_s), now)
+            self._homes.take_notice(HomeNotice(hint.key, hint.server, age_s), now)
 
     def _is_writer(self) -> bool:
         now = asyncio.get_running_loop().time()
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -146,10 +146,6 @@
         self._slack = slack
         self._ranking = RendezvousRanking()
 
-    def has_home(self, prefix_key: int | None) -> bool:
-        """Return whether a usable server is known to have a prefix."""
-        return prefix_key is not None and self._homes.find(prefix_key) is not None
-
     def _choose_among(
         self,
         request: SelectionRequest,
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -20,12 +20,6 @@
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
-from ramppin.gateway.process.routing.settling import (
-    LOOK_AGAIN_S,
-    ListView,
-    choose_wait_s,
-    is_worth_waiting,
-)
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
@@ -117,7 +111,6 @@
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
             context.retry_budget.note_request(admitted.service, self._loop.time())
-            await self._wait_for_server(admitted)
             await self._serve(admitted)
         except Exception:
             # Whatever went wrong here, the caller must not wait for an answer.
@@ -133,30 +126,6 @@
             async with asyncio.timeout(wait_s):
                 await self._context.first_read.wait()
 
-    async def _wait_for_server(self, admission: Admission) -> None:
-        """Wait for a server that may still come back after an outage of the log."""
-        ends_at = self._request.arrived + choose_wait_s(admission.time_limit_s)
-        while self._is_server_awaited(admission):
-            left_s = ends_at - self._loop.time()
-            if left_s <= 0 or self._disconnected:
-                return
-            added = self._context.server_added
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(min(left_s, LOOK_AGAIN_S)):
-                    await added.wait()
-
-    def _is_server_awaited(self, admission: Admission) -> bool:
-        context, now = self._context, self._loop.time()
-        if not context.is_list_settling(now):
-            return False
-        key = admission.prefix_key
-        view = ListView(
-            settling=True,
-            open_servers=len(context.directory.list_open(admission.service)),
-            has_home=context.prefix_selection.has_home(key),
-        )
-        return is_worth_waiting(view, has_prefix=key is not None)
-
     def _find_deadline_s(self) -> float | None:
         """Return the time that the caller will wait, in seconds, if it says so."""
         return parse_deadline(self._request.find(self._context.names.deadline_ms))
