--- a/bench/design.py
+++ b/bench/design.py
@@ -8,6 +8,8 @@
 from bench.fit import Fit
 from ramppin.router.connection.messages import Ask, Free, Granted, Message
 
+# The size to design for, as the head of docs/CAPACITY.md gives it: requests and tokens
+# are a second's, of all nodes.
 NODES = 360
 ENGINES = 910
 MODELS = 25
@@ -25,7 +27,7 @@
 """Shards: 25 models, and 15 pools of plain services assumed."""
 
 CLAIMS_S = 20.0
-"""Calls with a key a second, assumed; letter 1 gives no number."""
+"""Calls with a key a second, assumed: no number is given."""
 
 CLAIM_BYTES = 170
 LIST_CHANGES_A_DAY = 300
