--- /dev/null
+++ b/features/load_soak.py
@@ -0,0 +1,404 @@
+"""A soak of the bound on load: many gateway processes before few backend servers.
+
+Real processes on a machine that stalls: VMs of one failure domain freeze and wake
+together, a server holds its answers back for a while, callers come in bunches, VMs are
+killed and start again. Each arrival at a server is counted with what the server and the
+others of its service held at that moment. Promise: of the arrivals at a service in any
+5 s, those that met a server holding over twice the mean and 3 are fewer than 20, or at
+most 3 in 100.
+
+    python -m features.load_soak --vms 40 --seconds 15 --seeds 1-10
+
+A seed sets what happens when; when each process gets its turn is the machine's.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from features.gateway_support import RawAnswer, RawCaller
+from features.platform_support import PlatformFixture, build_config
+from ramppin_platform.vocabulary import HEADER_NAMES
+from standins.backend import BackendStandIn, Reply
+
+DOMAINS = ("porto", "braga", "faro", "evora")
+ENGINES_PER_DOMAIN = 2
+STARTED_AT_ONCE = 8
+
+PLAIN_PER_S, PROMPTS_PER_S = 120.0, 60.0
+PLAIN_WORK_S = 0.0225
+EVENTS_PER_ANSWER = 6
+EVENT_GAP_S = 0.05
+PLAIN_DEADLINE_MS, PROMPT_DEADLINE_MS = 600, 8000
+SUBJECTS = 40
+
+RATIO, SLACK = 2.0, 3.0
+WINDOW_S = 5.0
+MOST_OVER, MOST_SHARE = 20, 0.03
+"""In any window fewer arrivals over the limit than the first, or at most that share."""
+
+ANSWER_TIMEOUT_S = 9.0
+MIN_SERVED_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a server.
+
+    Attributes:
+        at: when, in seconds of the harness's clock.
+        server: its id.
+        held: what the server held before.
+        mean: of all servers of its service.
+    """
+
+    at: float
+    server: str
+    held: int
+    mean: float
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the server held more than the limit."""
+        return self.held > RATIO * self.mean + SLACK
+
+
+class Server(BackendStandIn):
+    """A backend server that counts what it holds.
+
+    Attributes:
+        service: its service.
+        held: requests that it has and has not answered.
+        stalled: set while it answers nothing.
+    """
+
+    def __init__(self, server_id: str, service: str) -> None:
+        super().__init__(names=HEADER_NAMES)
+        self.id = server_id
+        self.service = service
+        self.held = 0
+        self.running = asyncio.Event()
+        self.running.set()
+
+
+@dataclass
+class LoadSoak:
+    """One run with one seed.
+
+    Attributes:
+        harms: names of the kinds of harm to choose from; empty for a calm run.
+    """
+
+    seed: int
+    seconds: float
+    vms: int = 40
+    harms: tuple[str, ...] = ("stall_server", "freeze_domain", "bunch", "restart")
+    plain_per_s: float = PLAIN_PER_S
+    prompts_per_s: float = PROMPTS_PER_S
+    fixture: PlatformFixture = field(default_factory=PlatformFixture)
+    servers: dict[str, Server] = field(default_factory=dict)
+    arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
+    statuses: Counter = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        self.hosts = {f"vm-{n}": f"127.0.0.{n}" for n in range(1, self.vms + 1)}
+        self._calls: set[asyncio.Task] = set()
+
+    def find_domain(self, vm: str) -> str:
+        """Return the failure domain of a VM."""
+        return DOMAINS[int(vm.partition("-")[2]) % len(DOMAINS)]
+
+    async def run(self) -> list[str]:
+        """Run, and return what broke the promise."""
+        await self._start()
+        try:
+            self._started = time.monotonic()
+            until = self._started + self.seconds
+            await asyncio.gather(
+                self._call_until(until, self.plain_per_s, self._ask_plain),
+                self._call_until(until, self.prompts_per_s, self._ask_prompt),
+                self._harm_until(until),
+            )
+            await asyncio.gather(*self._calls)
+        finally:
+            await self._stop()
+        return self._check()
+
+    async def _start(self) -> None:
+        await self.fixture.store.start()
+        config = build_config()
+        config["routes"][0] |= {"timeout_ms": PLAIN_DEADLINE_MS + 76}
+        config["services"][0] |= {"max_connections": 580}
+        value = json.dumps(config).encode()
+        self.fixture.store.put("keyed.op", "config", value)
+        for number, domain in enumerate(DOMAINS):
+            await self._add_server(f"i-plain-{number}", "plain", domain)
+            for engine in range(ENGINES_PER_DOMAIN):
+                await self._add_server(f"i-llm-{number}-{engine}", "llm", domain)
+        names = list(self.hosts)
+        await self._start_vm(names[0])
+        for first in range(1, len(names), STARTED_AT_ONCE):
+            batch = names[first : first + STARTED_AT_ONCE]
+            await asyncio.gather(*map(self._start_vm, batch))
+
+    async def _start_vm(self, vm: str) -> None:
+        await self.fixture.start_gateway(vm, self.hosts[vm], self.find_domain(vm))
+
+    async def _stop(self) -> None:
+        for server in self.servers.values():
+            server.running.set()
+        await self.fixture.stop()
+
+    async def _add_server(self, server_id: str, service: str, domain: str) -> None:
+        server = Server(server_id, service)
+        await server.start()
+        server.script = self._build_script(server)
+        self.servers[server_id] = self.fixture.backends[server_id] = server
+        self.fixture.announce(server_id, service, zone=domain)
+
+    # backend servers
+
+    def _build_script(self, server: Server):
+        work = self._answer_plain if server.service == "plain" else self._stream
+
+        async def serve(reply: Reply) -> None:
+            self._note_arrival(server)
+            server.held += 1
+            try:
+                await server.running.wait()
+                await work(server, reply)
+            finally:
+                server.held -= 1
+
+        return serve
+
+    def _note_arrival(self, server: Server) -> None:
+        peers = [s for s in self.servers.values() if s.service == server.service]
+        mean = sum(peer.held for peer in peers) / len(peers)
+        arrival = Arrival(time.monotonic(), server.id, server.held, mean)
+        self.arrivals.setdefault(server.service, []).append(arrival)
+
+    async def _answer_plain(self, server: Server, reply: Reply) -> None:
+        await asyncio.sleep(self.random.expovariate(1 / PLAIN_WORK_S))
+        await server.running.wait()
+        await reply.answer(body=reply.request_id)
+
+    async def _stream(self, server: Server, reply: Reply) -> None:
+        load = b"Engine-Load: %d,0,12\r\n" % server.held
+        head = reply.head(200, b"Content-Type: text/event-stream\r\n" + load)
+        await reply.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in range(1, EVENTS_PER_ANSWER + 1):
+            await asyncio.sleep(self.random.expovariate(1 / EVENT_GAP_S))
+            await server.running.wait()
+            await reply.send_chunk(b"id: %d\ndata: x\n\n" % number)
+        await reply.send_chunk(b"")
+
+    # callers
+
+    async def _call_until(
+        self, until: float, per_s: float, ask: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Let callers come at random moments, whether others are served or not."""
+        due = time.monotonic()
+        while due < until:
+            due += self.random.expovariate(per_s)
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            self._launch(ask())
+
+    def _launch(self, call: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _ask_plain(self, vm: str | None = None) -> None:
+        await self._ask(vm, "/a/x", "", PLAIN_DEADLINE_MS)
+
+    async def _ask_prompt(self) -> None:
+        subject = int(min(SUBJECTS - 1, self.random.expovariate(3 / SUBJECTS)))
+        parts = f"Prefix-Hash: {subject + 16:x}:500,{self.random.getrandbits(40):x}:9"
+        await self._ask(None, "/s/x", parts, PROMPT_DEADLINE_MS)
+
+    async def _ask(
+        self, vm: str | None, path: str, extra: str, deadline_ms: int
+    ) -> None:
+        vm = vm or self.random.choice(list(self.hosts))
+        lines = [f"POST {path} HTTP/1.1", "Host: h.example", "Api-Key: k1"]
+        lines += [f"Attempt-Id: {self.random.getrandbits(60):x}"]
+        lines += [f"Deadline-Ms: {deadline_ms}", "Content-Length: 0"]
+        lines += [extra] if extra else []
+        answer = RawAnswer()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    self.hosts[vm], self.fixture.ports[vm]
+                )
+                caller = RawCaller(0, reader, writer)
+                try:
+                    await caller.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+                    await caller.read(answer)
+                finally:
+                    caller.close()
+        self.statuses[answer.status] += 1
+
+    # faults
+
+    async def _harm_until(self, until: float) -> None:
+        running = []
+        while self.harms and time.monotonic() < until:
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+            name = self.random.choice(self.harms)
+            at = time.monotonic() - self._started
+            self.faults.append(f"{name}@{at:.1f}")
+            running.append(asyncio.ensure_future(getattr(self, f"_{name}")()))
+        await asyncio.gather(*running)
+
+    async def _stall_server(self) -> None:
+        """Let a server take requests and answer none."""
+        server = self.random.choice(list(self.servers.values()))
+        server.running.clear()
+        await asyncio.sleep(self.random.uniform(0.3, 2.5))
+        server.running.set()
+
+    async def _freeze_domain(self) -> None:
+        """Freeze the VMs of a failure domain, and let them wake together."""
+        domain = self.random.choice(DOMAINS)
+        vms = [vm for vm in self.hosts if self.find_domain(vm) == domain]
+        pause_s = self.random.uniform(0.2, 1.5)
+        for vm in vms:
+            self._signal(vm, signal.SIGSTOP)
+        await asyncio.sleep(pause_s)
+        for vm in vms:
+            self._signal(vm, signal.SIGCONT)
+
+    async def _bunch(self) -> None:
+        """Let the callers of a failure domain come at once."""
+        await asyncio.sleep(0)
+        domain = self.random.choice(DOMAINS)
+        vms = [vm for vm in self.hosts if self.find_domain(vm) == domain]
+        for _ in range(self.random.randint(10, 40)):
+            self._launch(self._ask_plain(self.random.choice(vms)))
+
+    async def _restart(self) -> None:
+        """Kill some VMs, and start them again."""
+        picked = self.random.sample(list(self.hosts), max(1, self.vms // 10))
+        for vm in picked:
+            self._signal(vm, signal.SIGKILL)
+        await asyncio.gather(*(self.fixture.processes[vm].wait() for vm in picked))
+        await asyncio.gather(*map(self._start_vm, picked))
+
+    def _signal(self, vm: str, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self.fixture.processes[vm].send_signal(number)
+
+    # the promise
+
+    def _check(self) -> list[str]:
+        broken = []
+        for service, arrivals in self.arrivals.items():
+            worst = find_worst(arrivals)
+            if worst.is_broken:
+                broken.append(f"{service}: {worst.show(self._started)}")
+        served = self.statuses[200]
+        if served < MIN_SERVED_SHARE * sum(self.statuses.values()):
+            broken.append(f"only {served} of {sum(self.statuses.values())} were served")
+        return broken
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """The arrivals of a service in some seconds."""
+
+    start: float = 0.0
+    arrivals: int = 0
+    over: tuple[Arrival, ...] = ()
+
+    @property
+    def share(self) -> float:
+        """The share of arrivals over the limit."""
+        return len(self.over) / max(1, self.arrivals)
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether too many were over the limit."""
+        return len(self.over) >= MOST_OVER and self.share > MOST_SHARE
+
+    def show(self, started: float) -> str:
+        """Return a line for the report."""
+        most = max((arrival.held for arrival in self.over), default=0)
+        servers = Counter(arrival.server for arrival in self.over).most_common(3)
+        if not self.over:
+            return "no arrival over the limit"
+        return (
+            f"{len(self.over)} of {self.arrivals} arrivals over the limit in "
+            f"{WINDOW_S:g} s from {self.start - started:.1f} s, share "
+            f"{self.share:.3f}, most held {most}, at {dict(servers)}"
+        )
+
+
+def find_worst(arrivals: list[Arrival]) -> Window:
+    """Return the window with the most arrivals over the limit."""
+    worst = Window()
+    window: deque[Arrival] = deque()
+    over: deque[Arrival] = deque()
+    for arrival in arrivals:
+        window.append(arrival)
+        if arrival.is_over:
+            over.append(arrival)
+        while arrival.at - window[0].at > WINDOW_S:
+            left = window.popleft()
+            if over and over[0] is left:
+                over.popleft()
+        if len(over) > len(worst.over):
+            worst = Window(window[0].at, len(window), tuple(over))
+    return worst
+
+
+def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
+    """Run one seed and print what it did."""
+    harms = tuple(options.harms.split(",")) if options.harms else ()
+    soak = LoadSoak(seed, options.seconds, options.vms, harms)
+    broken = asyncio.run(soak.run())
+    statuses = " ".join(f"{s}:{n}" for s, n in sorted(soak.statuses.items()))
+    print(f"seed {seed}: {'BROKEN' if broken else 'kept'}; {statuses}")
+    print(f"    {' '.join(soak.faults)}")
+    for service, arrivals in sorted(soak.arrivals.items()):
+        print(f"    {service}: {find_worst(arrivals).show(soak._started)}")
+    for line in broken:
+        print(f"    broken: {line}")
+    sys.stdout.flush()
+    return broken
+
+
+def main() -> int:
+    """Run the seeds and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15.0, help="for each seed")
+    parser.add_argument("--seeds", default="1-10", help="FIRST-LAST")
+    parser.add_argument("--vms", type=int, default=40, help="gateway processes")
+    parser.add_argument(
+        "--harms",
+        default=",".join(LoadSoak.harms),
+        help="kinds of harm, joined by commas; empty for none",
+    )
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    failed = [seed for seed in seeds if run_seed(seed, options)]
+    print(f"{len(seeds)} seeds, {len(failed)} broken: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -225,25 +225,27 @@
         self.announce(server_id, service)
         return backend
 
-    def announce(self, server_id: str, service: str, state: str = "ready") -> None:
+    def announce(
+        self, server_id: str, service: str, state: str = "ready", zone: str = "porto"
+    ) -> None:
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.backends[server_id].port}",
-            "zone": "porto",
+            "zone": zone,
             "capacity": 8,
             "state": state,
             "sequence": 1,
         }
         self.store.put("keyed.servers", server_id, json.dumps(entry).encode())
 
-    async def start_gateway(self, vm: str, host: str) -> None:
+    async def start_gateway(self, vm: str, host: str, zone: str = "porto") -> None:
         """Start a gateway process on a loopback address of its own."""
         # Peers reach each other at the ports of the first; the rest are free ones.
         records, peers = self.shared_ports or (0, 0)
         fields = {
             "node_name": vm,
             "ip": host,
-            "zone": "porto",
+            "zone": zone,
             "unknown.field": "ignored",
             "listen.frontend": f"{host}:0",
             "listen.readiness": f"{host}:0",
