Sight: lines tell a process's own stalls, its own share of a load, and the mean

Cause: from the lines of an attempt nobody could tell a server that filled up unseen (each VM believes 0) from VMs that woke together: load was own and told in one, and no line said that a process had got its turn late.

No decision changes.

Conclusion: the hypotheses can be told apart from logs alone.

--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -30,6 +30,7 @@
 )
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import HomeHint, PeerHints
+from ramppin.gateway.process.gateway import STALL_S
 from ramppin.gateway.process.membership.members import MemberRecord
 from ramppin.gateway.process.recovery.peermessages import (
     PeerAnswer,
@@ -385,6 +386,8 @@
     await wait_for_event("server_gone")
     gateway.reload(gateway.config)
     await wait_for_event("reloaded")
+    gateway._note_turn(STALL_S)
+    await wait_for_event("stalled")
     gateway.start_drain()
     await wait_for_event("draining")
     await gateway.stop()
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -45,6 +45,10 @@
 """Seconds between two checks of idle connections, missing servers and lines to write:
 short beside the times that they are measured against."""
 
+STALL_S = 0.1
+"""Seconds by which this process's turn must be late to be told as a stall: about the
+time in which VMs tell each other loads, so what it chooses by is older than usual."""
+
 REFILL_S = 1.0
 """Seconds after which the decision log may write its lines for a second again."""
 
@@ -287,8 +291,10 @@
         context = self.context
         refilled_at = loop.time()
         while True:
+            due_at = loop.time() + SWEEP_S
             await asyncio.sleep(SWEEP_S)
             now = loop.time()
+            self._note_turn(now - due_at)
             for connection in list(context.listener.connections):
                 connection.check_timeouts(now)
             context.pool.sweep(now)
@@ -300,6 +306,20 @@
                 context.decisions.refill()
             context.decisions.flush()
 
+    def _note_turn(self, late_s: float) -> None:
+        """Tell that this process got its turn late: its machine stalled, or its loop.
+
+        Args:
+            late_s: seconds since the turn was due.
+        """
+        if late_s < STALL_S:
+            return
+        context = self.context
+        context.metrics.stalls.inc()
+        context.decisions.note(
+            "stalled", late_ms=round(late_s * 1000), in_flight=context.in_flight
+        )
+
 
 def _log_end(task: asyncio.Task[None]) -> None:
     """Log a task that should have run on, or failed."""
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -134,6 +134,11 @@
             ("table", "call", "outcome"),
         )
 
+        self.stalls = CounterTally(
+            "ramppin_gateway_stalls_total",
+            "Turns of the process that came late by 0.1 s or more.",
+        )
+
     def _measure_state(self) -> None:
         self.in_flight = GaugeTally(
             "ramppin_gateway_requests_in_flight", "Requests in flight."
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -62,6 +62,8 @@
             prefix's order, from 1.
         load: requests that it is likely to hold, this one not counted.
         bound: the load that it must stay below.
+        mean: of what the service's servers are likely to hold.
+        in_flight: those of the load that are this VM's own.
         report_age_s: age of its load report in seconds.
         copy_from: id of another server that has the prompt's prefix, or None.
     """
@@ -70,6 +72,8 @@
     rank: int
     load: float
     bound: float
+    mean: float
+    in_flight: int
     report_age_s: float
     copy_from: str | None = None
 
@@ -181,8 +185,21 @@
     def _select(
         self, state: ServerState, rank: int, view: LoadView, now: float
     ) -> Selection:
-        age = state.load.measure_age(now)
-        return Selection(state, rank, view.loads[state.id], view.bound, age)
+        return _build_selection(state, rank, view, view.bound, now)
+
+
+def _build_selection(
+    state: ServerState, rank: int, view: LoadView, bound: float, now: float
+) -> Selection:
+    return Selection(
+        state,
+        rank,
+        load=view.loads[state.id],
+        bound=bound,
+        mean=view.mean,
+        in_flight=state.in_flight,
+        report_age_s=state.load.measure_age(now),
+    )
 
 
 def _choose_home(below: Sequence[str], view: LoadView) -> str:
@@ -220,8 +237,7 @@
     ) -> Selection:
         """Return the least loaded server, near ones before remote ones."""
         chosen = min(eligible, key=lambda state: self._weigh(state, view))
-        age = chosen.load.measure_age(now)
-        return Selection(chosen, 0, view.loads[chosen.id], math.inf, age)
+        return _build_selection(chosen, 0, view, math.inf, now)
 
     def _weigh(self, state: ServerState, view: LoadView) -> tuple[float, float]:
         remote = state.server.failure_domain != self._failure_domain
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -83,6 +83,8 @@
             "rank": selection.rank,
             "load": round(selection.load),
             "bound": _round_bound(selection.bound),
+            "mean": round(selection.mean, 1),
+            "in_flight": selection.in_flight,
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
             "end": result.end.value,
             "status": result.status,
