A near plain server is preferred for its part of the requests only

VMs that choose at the same moment can't know of each other: callers that come at once, or VMs that wake together after a stall, sent it all they had.

Ruled out: telling loads faster (a bunch is over before any message); detecting stalls (a VM need not have stalled itself when callers come at once).

Change: near servers are preferred for 1.5 times their part of the requests, remote ones for the rest, so that no server gets over 1.5 times its part however many VMs choose alike.

--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -177,16 +177,17 @@
       | 31 30 0 0 | none  | third fourth | second | 2    | none   | none   |
 
   Scenario Outline: the server of a request without a prefix: <servers>
-    Then among servers "<servers>" a request without a prefix goes to <chosen>
-
-    Examples:
-      | servers              | chosen |
-      | near:2 far:2         | s0     |
-      | near:3 far:2         | s0 s1  |
-      | near:4 far:2         | s1     |
-      | near:1 near:0 far:0  | s1     |
-      | far:1 far:0          | s1     |
-      | near:1 near:1        | s0 s1  |
+    Then among servers "<servers>" requests without a prefix go in shares <shares>
+
+    Examples: a near server is preferred for 1.5 times its part of the requests
+      | servers                    | shares                    |
+      | near:2 far:2               | 0.75 0.25                 |
+      | near:0 far:0 far:0 far:0   | 0.375 0.208 0.208 0.208   |
+      | near:3 far:2               | 0.375 0.625               |
+      | near:4 far:2               | 0 1                       |
+      | near:1 near:0 far:0        | 0 1 0                     |
+      | far:1 far:0                | 0 1                       |
+      | near:1 near:1              | 0.5 0.5                   |
 
   Scenario Outline: in how long a server is likely to be open: <servers>
     Then among servers "<servers>" one is likely to be open in <opening> s
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -29,9 +29,9 @@
 """Requests by which the second server of a prefix must be less loaded than the first to
 become its home: a difference below is within what a VM's knowledge errs by."""
 
-REMOTE_PENALTY = 1
-"""Requests by which a server of another failure domain must be less loaded than a near
-one to be chosen: bytes between failure domains have a price."""
+OTHER_DOMAIN_PENALTY = 1
+"""Requests by which a server must be less loaded than the preferred ones, those near or
+those remote, to be chosen in their place."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +215,13 @@
 
 
 class NearestSelection(SelectionStrategy):
-    """Prefers servers of the own failure domain, then the least loaded.
+    """Prefers servers of the own failure domain up to a share, then the least loaded.
+
+    VMs that choose at the same moment don't know of each other: those of one failure
+    domain whose callers come at once, or that wake together after a stall, would all
+    choose the server there. So this VM prefers near servers for a share of its requests
+    only, such that no server gets more than :data:`BOUND_RATIO` times its part however
+    many VMs choose alike, and remote ones for the rest.
 
     Args:
         failure_domain: where this process runs.
@@ -235,11 +241,18 @@
         view: LoadView,
         now: float,
     ) -> Selection:
-        """Return the least loaded server, near ones before remote ones."""
-        chosen = min(eligible, key=lambda state: self._weigh(state, view))
+        """Return the least loaded server, of the preferred ones if they have room."""
+        near = sum(self._is_near(state) for state in eligible)
+        near_share = BOUND_RATIO * near / len(view.loads)
+        prefer_near = self._generator.random() < near_share
+        chosen = min(eligible, key=lambda s: self._weigh(s, view, prefer_near))
         return _build_selection(chosen, 0, view, math.inf, now)
 
-    def _weigh(self, state: ServerState, view: LoadView) -> tuple[float, float]:
-        remote = state.server.failure_domain != self._failure_domain
-        penalty = REMOTE_PENALTY if remote else 0
+    def _is_near(self, state: ServerState) -> bool:
+        return state.server.failure_domain == self._failure_domain
+
+    def _weigh(
+        self, state: ServerState, view: LoadView, prefer_near: bool
+    ) -> tuple[float, float]:
+        penalty = 0 if self._is_near(state) == prefer_near else OTHER_DOMAIN_PENALTY
         return view.loads[state.id] + penalty, self._generator.random()
