Servers that start again under their id; entries of another writer

Cause, found before the change: 'born' was read nowhere, so a server that starts again under its id kept its load report, told waits, health, evidence, idle connections and homes of before. A refused entry left the one before it in use. A record whose key can't be read was an outage of the whole table, for good.

A refused entry closes its server until the next good one; one line with id, offset, field and why, and a counter. Records without a readable key are skipped: three rows of store.feature said 'the log unavailable' and now say that what follows is read. A replica survives whatever one record does. VMs' entries need an IP address: a name would have been looked up in the loop; tests and the model used names and now have addresses. Where a server has started again, requests that may be repeated move on at once. The soak's servers restart under their id, and another writer spoils entries.

Ruled out: ending requests at the earlier start (a wrong entry would end what runs). Only entries carry the start: of what else a server says of itself the gateway reads its answers, whose connection is the incarnation's own.

--- a/bench/vms/clock.py
+++ b/bench/vms/clock.py
@@ -48,11 +48,15 @@
     """One VM: the gateway's parts that know servers and tell of them.
 
     Attributes:
+        name: of the VM.
+        host: its address.
+        domain: its failure domain.
         frozen_until: the clock's time until which it does nothing.
     """
 
     def __init__(self, clock: VmClock, number: int, domains: int) -> None:
         self.name = f"vm-{number}"
+        self.host = f"10.0.{number // 250}.{number % 250}"
         self.domain = f"d{number % domains}"
         self.directory = ServerDirectory()
         self.homes = PrefixHomes(self.directory.is_open)
@@ -93,6 +97,7 @@
         self.tally = Tally()
         self.vms = [ModelVm(self, number, domains) for number in range(vms)]
         self._by_name = {vm.name: vm for vm in self.vms}
+        self._by_host = {vm.host: vm for vm in self.vms}
         self._change_hints = change_hints
         self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._numbers = itertools.count()
@@ -101,7 +106,7 @@
     def introduce_vms(self) -> None:
         """Let every VM know every other, as after the log was read."""
         for offset, vm in enumerate(self.vms):
-            entry = msgspec.json.encode(MemberRecord(vm.name, vm.domain))
+            entry = msgspec.json.encode(MemberRecord(vm.host, vm.domain))
             for other in self.vms:
                 other.members.take_record(Record(vm.name, entry, offset), 0.0)
 
@@ -134,21 +139,21 @@
             call()
 
     def deliver(self, sender: str, hints: PeerHints, hosts: list[str]) -> None:
-        """Deliver a message to VMs by name, a moment later."""
+        """Deliver a VM's message to others by their address, a moment later."""
         hints = self._change_hints(hints)
         size = len(self._encoder.encode(hints)) + HEADER_BYTES
-        domain = self._by_name[sender].domain
-        chosen = [self._by_name[host] for host in hosts]
-        near = sum(vm.domain == domain for vm in chosen)
+        origin = self._by_name[sender]
+        chosen = [self._by_host[host] for host in hosts]
+        near = sum(vm.domain == origin.domain for vm in chosen)
         self.tally.near_bytes += size * near
         self.tally.far_bytes += size * (len(chosen) - near)
-        self.after(LATENCY_S, lambda: self._take(chosen, hints, sender))
+        self.after(LATENCY_S, lambda: self._take(chosen, hints, origin.host))
 
-    def _take(self, vms: list[ModelVm], hints: PeerHints, sender: str) -> None:
+    def _take(self, vms: list[ModelVm], hints: PeerHints, host: str) -> None:
         for vm in vms:
             self.call_at_vm(
                 vm,
-                lambda vm=vm: vm.hints.take(hints, sender, self.now),  # type: ignore[misc]
+                lambda vm=vm: vm.hints.take(hints, host, self.now),  # type: ignore[misc]
             )
 
     def _build_turn(self, vm: ModelVm) -> Callable[[], None]:
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -2,7 +2,8 @@
 
 Real processes are killed, paused, stopped and restarted by signals; connections to
 backend servers are delayed, silenced, cut one way, reset and muted for good by proxies;
-the store refuses, hangs, loses answers and drops its history; servers leave and come;
+the store refuses, hangs, loses answers and drops its history; servers leave, come and
+start again under their id; another writer leaves entries that can't be read;
 callers set headers that only ramppin sets. What callers got and what backend servers
 ran is checked against the promises. Not here: a connection whose peer acknowledges
 nothing, and a time of day that jumps; neither can be had on loopback without harming
@@ -51,6 +52,13 @@
     if name not in (HEADER_NAMES.api_key, HEADER_NAMES.deadline_ms)
 )
 
+SPOILT_ENTRIES = (
+    b"{}",
+    b"\xff\xfe",
+    b"[" * 2000,
+    b'{"service": 5, "address": "127.0.0.1:\xc2\xb2"}',
+)
+
 EXTRA_ROUTES = (
     ("r3", "/r/", "idempotent", "plain", 2, False),
     ("r4", "/t/", "streaming", "llm", 1, False),
@@ -83,6 +91,7 @@
     forged_runs: list[str] = field(default_factory=list)
     version: int = 1
     names: dict[str, str] = field(default_factory=dict)
+    starts: Counter = field(default_factory=Counter)
     down: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -140,8 +149,12 @@
             "service": self.names[server_id],
             "address": f"127.0.0.1:{self.proxies[server_id].port}",
             "zone": "porto",
+            "version": "v1",
             "capacity": 8,
             "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1 + self.starts[server_id],
         }
         value = json.dumps(entry).encode()
         self.fixture.store.put("keyed.servers", server_id, value)
@@ -241,6 +254,8 @@
             self._reset_proxy,
             self._mute_proxy,
             self._replace_server,
+            self._restart_server,
+            self._spoil_entry,
             self._change_settings,
         ]
         running = []
@@ -332,6 +347,24 @@
         backend.script = self._build_script(new)
         self._announce(new)
 
+    async def _restart_server(self) -> None:
+        """Let a server start again under its id; what it ran is lost."""
+        server_id = self.random.choice(list(self.proxies))
+        self.proxies[server_id].reset_all()
+        self.starts[server_id] += 1
+        await asyncio.sleep(self.random.uniform(0, 0.5))
+        if server_id in self.proxies:
+            self._announce(server_id)
+
+    async def _spoil_entry(self) -> None:
+        """Let another writer leave an entry under a server's id for a while."""
+        server_id = self.random.choice(list(self.proxies))
+        spoilt = self.random.choice(SPOILT_ENTRIES)
+        self.fixture.store.put("keyed.servers", server_id, spoilt)
+        await asyncio.sleep(self.random.uniform(0.1, 0.8))
+        if server_id in self.proxies:
+            self._announce(server_id)
+
     async def _change_settings(self) -> None:
         await asyncio.sleep(0)
         self.version += self.random.randint(1, 5)
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -11,9 +11,9 @@
       | half a head                 | the log unavailable    |
       | an end inside a record      | the log unavailable    |
       | an end inside a length      | the log unavailable    |
-      | an empty record             | the log unavailable    |
-      | a key longer than its record | the log unavailable   |
-      | a key that is not text      | the log unavailable    |
+      | an empty record             | offsets 5              |
+      | a key longer than its record | offsets 5             |
+      | a key that is not text      | offsets 5              |
       | history that was dropped    | the log trimmed to 9   |
       | 410 with the first offset   | the log trimmed to 9   |
       | 410 without a body          | the log unavailable    |
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -226,16 +226,25 @@
         return backend
 
     def announce(
-        self, server_id: str, service: str, state: str = "ready", zone: str = "porto"
+        self,
+        server_id: str,
+        service: str,
+        state: str = "ready",
+        zone: str = "porto",
+        born: int | None = None,
     ) -> None:
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.backends[server_id].port}",
             "zone": zone,
+            "version": "v1",
             "capacity": 8,
             "state": state,
+            "cold_remaining_ms": 0,
             "sequence": 1,
         }
+        if born is not None:
+            entry["born"] = born
         self.store.put("keyed.servers", server_id, json.dumps(entry).encode())
 
     async def start_gateway(self, vm: str, host: str, zone: str = "porto") -> None:
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -134,11 +134,16 @@
             self.sent.extend(hosts)
 
 
+HOSTS = {"here": "10.1", "there": "10.2"}
+"""First bytes of the addresses of VMs, by failure domain."""
+
+
 def build_exchange(near: int, far: int):
     members = FleetMembers("vm", "here")
     domains = itertools.chain(["here"] * near, ["there"] * far)
     for number, domain in enumerate(domains):
-        entry = msgspec.json.encode(MemberRecord(f"{domain}-{number}", domain))
+        host = f"{HOSTS[domain]}.{number // 250}.{number % 250}"
+        entry = msgspec.json.encode(MemberRecord(host, domain))
         members.take_record(Record(f"vm-{number}", entry, number), NOW)
     directory = build_directory(5)
     link = RecordingLink()
@@ -169,7 +174,7 @@
         assert link.sent == []
     hints.send_due(NOW + period)
     assert len(link.sent) == near, link.sent
-    assert all(host.startswith("here") for host in link.sent)
+    assert all(host.startswith(HOSTS["here"]) for host in link.sent)
 
 
 def note_high(directory: ServerDirectory) -> None:
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -44,11 +44,16 @@
     return context.loop.run_until_complete(work)
 
 
+def find_address(vm: str) -> str:
+    """Return the address of a VM by its name, a letter and a number."""
+    return f"10.0.{ord(vm[0])}.{vm[1:]}"
+
+
 def read_record(text: str) -> tuple[Record, float]:
     """Read ``NAME[*WEIGHT][:lost|:away]``; the letter is the failure domain."""
     name, _, state = text.partition(":")
     name, _, weight = name.partition("*")
-    entry = MemberRecord(name, name[0], float(weight or 1))
+    entry = MemberRecord(find_address(name), name[0], float(weight or 1))
     last_seen_at = NOW - 60 if state == "lost" else NOW
     return Record(name, msgspec.json.encode(entry), 0), last_seen_at
 
@@ -59,7 +64,8 @@
         record, last_seen_at = read_record(text)
         members.take_record(record, last_seen_at)
         if text.endswith(":away"):
-            members.note_received(record.key, record.key, NOW, log_up=False)
+            address = find_address(record.key)
+            members.note_received(record.key, address, NOW, log_up=False)
     return members
 
 
@@ -226,7 +232,7 @@
     hints._sent_at = dict.fromkeys((True, False), float("inf"))
     hints.send_due(NOW)
     assert [up for up, _ in sent] == [is_up, is_up], sent
-    hints.take(PeerHints("b1", [], is_up), "b1", NOW)
+    hints.take(PeerHints("b1", [], is_up), find_address("b1"), NOW)
     [other] = [vm for vm in members.list_last_seen_first() if vm.vm == "b1"]
     assert other.log_up is is_up
 
--- a/features/steps/gateway_server_rule_steps.py
+++ b/features/steps/gateway_server_rule_steps.py
@@ -147,7 +147,7 @@
 def build_hints(others: int) -> tuple[HintExchange, PrefixHomes]:
     members = FleetMembers("vm", "a")
     for number in range(others):
-        entry = msgspec.json.encode(MemberRecord(f"h{number}", "a"))
+        entry = msgspec.json.encode(MemberRecord(f"10.0.0.{number}", "a"))
         members.take_record(Record(f"vm-{number}", entry, number), NOW)
     homes = PrefixHomes(lambda server: True)
     news = ServerNews(ServerDirectory(), "a")
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -9,12 +9,14 @@
 import asyncio
 import logging
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from ramppin.errors import LogUnavailableError
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import RecordLog
+from ramppin.gateway.version.address import check_host
 
 LOG = logging.getLogger(__name__)
 
@@ -36,12 +38,16 @@
 off from here."""
 
 
+MAX_LOGGED = 200
+"""Characters of an entry's key, or of what is wrong with it, that are logged."""
+
+
 class MemberRecord(msgspec.Struct):
     """A VM's entry: where its peers reach it, and its capacity beside theirs."""
 
     host: str
     failure_domain: str = ""
-    weight: float = 1.0
+    weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
 @dataclass(slots=True)
@@ -94,9 +100,12 @@
             self._members.pop(record.key, None)
             return
         try:
-            entry = msgspec.json.decode(record.value, type=MemberRecord)
-        except msgspec.MsgspecError as error:
-            LOG.warning("unreadable entry: %s", error, extra={"peer": record.key})
+            entry = _decode_entry(record.value)
+        except (ValueError, RecursionError) as error:
+            # What is known of the VM holds: it writes its entry once, at its start.
+            message = str(error)[:MAX_LOGGED]
+            peer = record.key[:MAX_LOGGED]
+            LOG.warning("unreadable entry: %s", message, extra={"peer": peer})
             return
         self._members[record.key] = Member(
             record.key, entry.host, now, entry.failure_domain, entry.weight
@@ -179,6 +188,18 @@
         return MISSED_HEARTBEATS * self.choose_heartbeat_s(near=near)
 
 
+def _decode_entry(value: bytes) -> MemberRecord:
+    """Return a VM's entry.
+
+    Raises:
+        ValueError: it can't be read, or names no address.
+        RecursionError: it is nested too deeply.
+    """
+    entry = msgspec.json.decode(value, type=MemberRecord)
+    check_host(entry.host)
+    return entry
+
+
 async def announce(log: RecordLog, own: Member) -> None:
     """Write this VM's entry into the shared log; try until it is there."""
     entry = MemberRecord(own.host, own.failure_domain, own.capacity_weight)
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -65,7 +65,8 @@
             },
             "servers": [
                 {
-                    "id": state.id,
+                    "id": state.server.name,
+                    "started_ms": state.server.started_ms,
                     "service": state.server.service,
                     "failure_domain": state.server.failure_domain,
                     "open": state.open,
--- a/src/ramppin/gateway/process/recovery/changes.py
+++ b/src/ramppin/gateway/process/recovery/changes.py
@@ -1,8 +1,10 @@
 """What a record of the shared log changes in a gateway.
 
 Takes the records of the followed tables, writes a decision line for each change,
-and puts what they say where exchanges read it. A record that can't be read
-changes nothing, so that what was known goes on serving.
+and puts what they say where exchanges read it. Settings that can't be read change
+nothing, so that what was known goes on serving. An entry of a backend server that
+can't be read is another writer's, or the server is not well: it gets no new work until
+its next good entry.
 """
 
 from __future__ import annotations
@@ -12,8 +14,10 @@
 
 from ramppin.errors import SettingsError
 from ramppin.gateway.process.context import GatewayContext
-from ramppin.gateway.process.recovery.replica import Record
+from ramppin.gateway.process.recovery.replica import MAX_LOGGED_KEY, Record
 from ramppin.gateway.process.recovery.sources import RecordDecoder
+from ramppin.gateway.process.routing.directory import BackendServer, ServerState
+from ramppin.gateway.process.routing.incarnation import StartVerdict, judge_start
 
 
 class RecordChanges:
@@ -48,7 +52,10 @@
         try:
             table = self._decoder.decode_table(record)
         except SettingsError as error:
-            context.decisions.note("settings_refused", reason=error.show())
+            context.metrics.refused_entries.inc("settings")
+            context.decisions.note(
+                "settings_refused", offset=record.offset, reason=error.show()
+            )
             return
         if table is None:
             return
@@ -73,24 +80,72 @@
         try:
             server = self._decoder.decode_server(record)
         except SettingsError as error:
-            context.decisions.note("server_refused", reason=error.show())
+            self._refuse_server(record, error.show())
             return
-        known = context.directory.find(server.id)
-        before = known.server if known else None
+        known = context.directory.find_newest(server.name)
+        if known is not None and not self._take_start(known, server, record):
+            return
+        was_refused = known is not None and known.refused
         context.directory.put(server)
-        if before != server:
+        if known is None or known.server != server or was_refused:
+            self._note_known(server, record.offset)
+
+    def _take_start(
+        self, known: ServerState, server: BackendServer, record: Record
+    ) -> bool:
+        """Return whether an entry may be taken, by the start that it tells."""
+        context = self._context
+        told_ms, known_ms = server.started_ms, known.server.started_ms
+        verdict = judge_start(known_ms, told_ms)
+        if verdict is StartVerdict.UNTOLD:
+            self._refuse_server(record, f"no start, where {known_ms} was known")
+            return False
+        if verdict is StartVerdict.EARLIER:
             context.decisions.note(
-                "server_known",
-                server=server.id,
-                service=server.service,
-                draining=server.draining,
+                "server_older",
+                server=server.name,
+                started_ms=told_ms,
+                known_ms=known_ms,
                 offset=record.offset,
             )
+            return False
+        if verdict is StartVerdict.LATER:
+            context.pool.drop_peer(known.id)
+            context.decisions.note(
+                "server_restarted",
+                server=server.name,
+                started_ms=told_ms,
+                known_ms=known_ms,
+                in_flight=known.in_flight,
+            )
+        return True
+
+    def _refuse_server(self, record: Record, reason: str) -> None:
+        """Take no entry that can't be read; its server gets no new work meanwhile."""
+        context = self._context
+        context.directory.refuse(record.key)
+        context.metrics.refused_entries.inc("servers")
+        context.decisions.note(
+            "server_refused",
+            server=record.key[:MAX_LOGGED_KEY],
+            offset=record.offset,
+            reason=reason,
+        )
+
+    def _note_known(self, server: BackendServer, offset: int) -> None:
+        self._context.decisions.note(
+            "server_known",
+            server=server.name,
+            service=server.service,
+            draining=server.draining,
+            started_ms=server.started_ms,
+            offset=offset,
+        )
 
-    def _take_vanished(self, server_id: str) -> None:
+    def _take_vanished(self, name: str) -> None:
         directory = self._context.directory
         hold_end = self._find_hold_end(asyncio.get_running_loop().time())
         if hold_end is not None:
-            directory.hold(server_id, hold_end)
+            directory.hold(name, hold_end)
         else:
-            directory.mark_missing(server_id)
+            directory.mark_missing(name)
--- a/src/ramppin/gateway/process/recovery/replica.py
+++ b/src/ramppin/gateway/process/recovery/replica.py
@@ -7,9 +7,15 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+LOG = logging.getLogger(__name__)
+
+MAX_LOGGED_KEY = 100
+"""Characters of a key that are logged: another writer's may be of any length."""
+
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -108,4 +114,11 @@
         if known is not None and known.offset >= record.offset:
             return
         self._records[record.key] = record
-        self._on_change(record)
+        try:
+            self._on_change(record)
+        except Exception:
+            # One record must not end what keeps all others current.
+            LOG.exception(
+                "a record was not taken",
+                extra={"step": self.name, "peer": record.key[:MAX_LOGGED_KEY]},
+            )
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -201,9 +201,9 @@
 
     def remove_missing(self, now: float) -> None:
         """Forget backend servers whose entry is missing."""
-        for server_id in self._context.directory.remove_missing(now):
-            self._context.pool.drop_peer(server_id)
-            self._context.decisions.note("server_gone", server=server_id)
+        for state in self._context.directory.remove_missing(now):
+            self._context.pool.drop_peer(state.id)
+            self._context.decisions.note("server_gone", server=state.server.name)
 
     # the tables
 
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -134,6 +134,11 @@
             ("table", "call", "outcome"),
         )
 
+        self.refused_entries = CounterTally(
+            "ramppin_gateway_refused_entries_total",
+            "Entries of the shared log that could not be read, by table.",
+            ("table",),
+        )
         self.stalls = CounterTally(
             "ramppin_gateway_stalls_total",
             "Turns of the process that came late by 0.1 s or more.",
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -21,32 +21,46 @@
     """A backend server as it announced itself.
 
     Attributes:
-        id: its incarnation; a restart brings a new one.
+        name: the id under which it announces itself; a restart may keep it.
         service: the service that it serves.
         host: its IP address.
         port: its port.
         failure_domain: where it stands.
         slots: requests that it runs at once; only a change of it is logged.
         draining: whether it takes no new work.
+        started_ms: Unix time of its start in milliseconds; None if it does not say.
     """
 
-    id: str
+    name: str
     service: str
     host: str
     port: int
     failure_domain: str = ""
     slots: int = 0
     draining: bool = False
+    started_ms: int | None = None
+
+    @property
+    def id(self) -> str:
+        """The id of its incarnation: what is known of one start ends with it.
+
+        VMs tell each other of servers by this id, so that what a VM says of an earlier
+        start is not taken for the new one.
+        """
+        if self.started_ms is None:
+            return self.name
+        return f"{self.name}@{self.started_ms}"
 
 
 class ServerState:
-    """What a process knows about one backend server.
+    """What a process knows about one incarnation of a backend server.
 
     Args:
         server: as it announced itself.
         times: of its service's requests; None for some of its own.
 
     Attributes:
+        id: the incarnation's.
         server: its newest entry.
         in_flight: requests of this VM that it has.
         load: its newest load report.
@@ -55,6 +69,8 @@
         health: what this VM saw of it.
         evidence: what all VMs saw of it.
         missing: whether its entry has vanished.
+        refused: whether its newest entry can't be read.
+        restarted: whether it has ended, since a later start is known.
         held_until: the loop's time until which an entry that vanished around an
             outage of the log still counts, or None.
 
@@ -64,6 +80,7 @@
     def __init__(
         self, server: BackendServer, times: ServiceTimes | None = None
     ) -> None:
+        self.id = server.id
         self.server = server
         self.in_flight = 0
         self.load = ServerLoad()
@@ -72,17 +89,15 @@
         self.health = ServerHealth()
         self.evidence = FleetEvidence()
         self.missing = False
+        self.refused = False
+        self.restarted = False
         self.held_until: float | None = None
 
-    @property
-    def id(self) -> str:
-        """The backend server's id."""
-        return self.server.id
-
     @property
     def open(self) -> bool:
         """Whether the server may get new work."""
-        return not self.server.draining and not self.missing
+        closed = self.missing or self.refused or self.restarted
+        return not self.server.draining and not closed
 
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take the load that an answer reported, in requests."""
@@ -133,6 +148,7 @@
         self._states: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._times: dict[str, ServiceTimes] = {}
+        self._newest: dict[str, ServerState] = {}
 
     def __iter__(self) -> Iterator[ServerState]:
         return iter(self._states.values())
@@ -141,11 +157,22 @@
         return len(self._states)
 
     def find(self, server_id: str) -> ServerState | None:
-        """Return what is known about a backend server, or None."""
+        """Return what is known about an incarnation of a backend server, or None."""
         return self._states.get(server_id)
 
+    def find_newest(self, name: str) -> ServerState | None:
+        """Return what is known about the newest start of a backend server, or None."""
+        return self._newest.get(name)
+
     def put(self, server: BackendServer) -> ServerState:
-        """Add a backend server, or take what changed of one."""
+        """Add a backend server, or take what changed of one.
+
+        What is known of another start of it is forgotten.
+        """
+        known = self._newest.get(server.name)
+        if known is not None and known.id != server.id:
+            known.restarted = True
+            self._remove(known)
         state = self._states.get(server.id)
         if state is None:
             times = self._times.setdefault(server.service, ServiceTimes())
@@ -153,40 +180,51 @@
         elif state.server.service != server.service:
             self._by_service[state.server.service].pop(server.id, None)
         state.server = server
-        state.missing = False
+        self._newest[server.name] = state
+        state.missing = state.refused = False
         state.held_until = None
         self._by_service.setdefault(server.service, {})[server.id] = state
         return state
 
-    def hold(self, server_id: str, until: float) -> None:
+    def refuse(self, name: str) -> None:
+        """Use a backend server no more until a good entry of it comes."""
+        state = self._newest.get(name)
+        if state is not None:
+            state.refused = True
+
+    def hold(self, name: str, until: float) -> None:
         """Go on using a server whose entry vanished around an outage of the log.
 
         Args:
-            server_id: the backend server's id.
+            name: under which it announced itself.
             until: the loop's time at which it counts as gone.
         """
-        state = self._states.get(server_id)
+        state = self._newest.get(name)
         if state is not None and state.held_until is None:
             state.held_until = until
 
-    def mark_missing(self, server_id: str) -> None:
+    def mark_missing(self, name: str) -> None:
         """Note that a backend server's entry vanished."""
-        state = self._states.get(server_id)
+        state = self._newest.get(name)
         if state is not None:
             state.missing = True
 
-    def remove_missing(self, now: float) -> list[str]:
-        """Remove servers whose entry is missing; return their ids."""
+    def remove_missing(self, now: float) -> list[ServerState]:
+        """Remove servers whose entry is missing, and return them."""
         for state in self._states.values():
             if state.held_until is not None and now >= state.held_until:
                 state.held_until = None
                 state.missing = True
-        gone = [state.id for state in self._states.values() if state.missing]
-        for server_id in gone:
-            state = self._states.pop(server_id)
-            self._by_service[state.server.service].pop(server_id, None)
+        gone = [state for state in self._states.values() if state.missing]
+        for state in gone:
+            self._remove(state)
         return gone
 
+    def _remove(self, state: ServerState) -> None:
+        del self._states[state.id]
+        del self._newest[state.server.name]
+        self._by_service[state.server.service].pop(state.id, None)
+
     def is_open(self, server_id: str) -> bool:
         """Return whether a backend server may get new work."""
         state = self._states.get(server_id)
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -288,13 +288,16 @@
     # the server's health and load
 
     def _check_stall(self) -> None:
-        """Give an unresponsive server up if another can take over.
+        """Give a server up that is unresponsive or has started again.
+
+        Only if another can take over.
 
         A lost answer must not cost a request that may be repeated its whole time.
         """
         if self._result.done():
             return
-        is_stalled = self._state.health.is_stalled(self._received_at, self._loop.time())
+        state, now = self._state, self._loop.time()
+        is_stalled = state.restarted or state.health.is_stalled(self._received_at, now)
         if is_stalled and not self._paused and self._may_take_over():
             self._fail("the server went silent")
             return
@@ -331,5 +334,5 @@
         LOG.warning(
             "a load report is not RUNNING,WAITING and is ignored: %.40r",
             report,
-            extra={"peer": self._state.id, "step": "answer"},
+            extra={"peer": self._state.server.name, "step": "answer"},
         )
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -205,7 +205,7 @@
         state = selection.state
         self._progress.tries += 1
         self._tried.add(state.id)
-        self._last_server = state.id
+        self._last_server = state.server.name
         # Counted before the connection is there: other requests must see it.
         state.in_flight += 1
         started = self._loop.time()
@@ -264,7 +264,7 @@
         )
         self._attempt = attempt
         source = self._context.directory.find_source(selection.copy_from, now)
-        head = builder.build(state.server.id, self._ends_at - now, source)
+        head = builder.build(state.server.name, self._ends_at - now, source)
         self._progress.runs += 1
         state.health.note_sent(now)
         result = await attempt.run(connection, head, self._request, self._ends_at)
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -79,7 +79,7 @@
             "request_id": self._request_id,
             "route": admission.route.name,
             "version": admission.table.version,
-            "server": selection.state.id,
+            "server": selection.state.server.name,
             "rank": selection.rank,
             "load": round(selection.load),
             "bound": _round_bound(selection.bound),
--- a/src/ramppin/gateway/request/upstreamhead.py
+++ b/src/ramppin/gateway/request/upstreamhead.py
@@ -71,18 +71,18 @@
         self._headers.append((name, last_event_id))
 
     def build(
-        self, server_id: str, time_left_s: float, source: BackendServer | None
+        self, server_name: str, time_left_s: float, source: BackendServer | None
     ) -> bytes:
         """Return the encoded head for one server.
 
         Args:
-            server_id: the backend server that alone may run the request.
+            server_name: of the backend server that alone may run the request.
             time_left_s: time until the request is given up.
             source: another server that has the prompt's prefix, or None.
         """
         headers: Headers = [
             *self._headers,
-            (self._names.server, server_id.encode()),
+            (self._names.server, server_name.encode()),
             (self._names.deadline_ms, b"%d" % max(1, int(time_left_s * 1000))),
         ]
         if source is not None:
--- /dev/null
+++ b/src/ramppin/gateway/version/address.py
@@ -0,0 +1,33 @@
+"""Addresses as they stand in entries: an IP address and a port.
+
+Names are not taken: looking one up would hold up all requests.
+"""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+MAX_PORT = 65_535
+"""Highest port of TCP and UDP."""
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return the host and the port of ``IP:PORT``, or ``[IP]:PORT``.
+
+    Raises:
+        ValueError: it is not of that form; the message says what is wrong.
+    """
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and 0 < int(port[:9]) <= MAX_PORT):
+        raise ValueError(f"{port[:20]!r} is not a port from 1 to {MAX_PORT}")
+    return check_host(host.removeprefix("[").removesuffix("]")), int(port)
+
+
+def check_host(text: str) -> str:
+    """Return an IP address as it was given.
+
+    Raises:
+        ValueError: it is none.
+    """
+    ip_address(text)
+    return text
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -14,6 +14,7 @@
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import RecordDecoder
 from ramppin.gateway.process.routing.directory import BackendServer
+from ramppin.gateway.version.address import parse_address
 from ramppin.gateway.version.routing import (
     CallerLimits,
     Customer,
@@ -99,13 +100,24 @@
 
 
 class ServerNode(msgspec.Struct, forbid_unknown_fields=True):
-    """A backend server."""
+    """A backend server.
+
+    Attributes:
+        service: the service that it serves.
+        address: IP:PORT.
+        failure_domain: where it stands.
+        slots: requests that it runs at once.
+        draining: whether it takes no new work.
+        started_ms: Unix time of its start in milliseconds: a later one under the same
+            id says that it has started again and knows nothing of before.
+    """
 
     service: str
     address: str
     failure_domain: str = ""
     slots: int = 0
     draining: bool = False
+    started_ms: int | None = None
 
 
 class TreeDecoder(RecordDecoder):
@@ -123,22 +135,21 @@
     def decode_server(self, record: Record) -> BackendServer:
         """Return the backend server of a record."""
         node = _decode(record, ServerNode)
-        host, _, port = node.address.rpartition(":")
-        if not host or not port.isdigit():
+        try:
+            host, port = parse_address(node.address)
+        except ValueError as error:
             raise SettingsError(
-                f"{node.address!r} is not an address",
-                source=record.key,
-                path="address",
-                hint="IP:PORT",
-            )
+                str(error), source=record.key, path="address", hint="IP:PORT"
+            ) from error
         return BackendServer(
-            id=record.key,
+            name=record.key,
             service=node.service,
             host=host,
-            port=int(port),
+            port=port,
             failure_domain=node.failure_domain,
             slots=node.slots,
             draining=node.draining,
+            started_ms=node.started_ms,
         )
 
 
@@ -209,7 +220,7 @@
 def _decode(record: Record, model: type[Any]) -> Any:
     try:
         return msgspec.json.decode(record.value or b"", type=model)
-    except msgspec.MsgspecError as error:
+    except (ValueError, RecursionError) as error:
         message, _, place = str(error).partition(" - at ")
         raise SettingsError(
             message, source=record.key, path=place.strip("`$.") if place else ""
