--- a/features/load_soak.py
+++ b/features/load_soak.py
@@ -22,11 +22,12 @@
 import signal
 import sys
 import time
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from features.gateway_support import RawAnswer, RawCaller
+from features.load_arrivals import Arrival, find_worst
 from features.platform_support import PlatformFixture, build_config
 from ramppin_platform.vocabulary import HEADER_NAMES
 from standins.backend import BackendStandIn, Reply
@@ -42,11 +43,6 @@
 PLAIN_DEADLINE_MS, PROMPT_DEADLINE_MS = 600, 8000
 SUBJECTS = 40
 
-RATIO, SLACK = 2.0, 3.0
-WINDOW_S = 5.0
-MOST_OVER, MOST_SHARE = 20, 0.03
-"""In any window fewer arrivals over the limit than the first, or at most that share."""
-
 HARMS = ("stall_server", "freeze_domain", "bunch", "hot_subject", "restart")
 """Kinds of harm, methods of the soak; ``bunch_prompts`` is known to break the bound."""
 
@@ -54,35 +50,14 @@
 MIN_SERVED_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A request that reached a server.
-
-    Attributes:
-        at: when, in seconds of the harness's clock.
-        server: its id.
-        held: what the server held before.
-        mean: of all servers of its service.
-    """
-
-    at: float
-    server: str
-    held: int
-    mean: float
-
-    @property
-    def is_over(self) -> bool:
-        """Whether the server held more than the limit."""
-        return self.held > RATIO * self.mean + SLACK
-
-
 class Server(BackendStandIn):
     """A backend server that counts what it holds.
 
     Attributes:
+        id: under which it announces itself.
         service: its service.
         held: requests that it has and has not answered.
-        stalled: set while it answers nothing.
+        running: cleared while it answers nothing.
     """
 
     def __init__(self, server_id: str, service: str) -> None:
@@ -341,55 +316,6 @@
         return broken
 
 
-@dataclass(frozen=True, slots=True)
-class Window:
-    """The arrivals of a service in some seconds."""
-
-    start: float = 0.0
-    arrivals: int = 0
-    over: tuple[Arrival, ...] = ()
-
-    @property
-    def share(self) -> float:
-        """The share of arrivals over the limit."""
-        return len(self.over) / max(1, self.arrivals)
-
-    @property
-    def is_broken(self) -> bool:
-        """Whether too many were over the limit."""
-        return len(self.over) >= MOST_OVER and self.share > MOST_SHARE
-
-    def show(self, started: float) -> str:
-        """Return a line for the report."""
-        most = max((arrival.held for arrival in self.over), default=0)
-        servers = Counter(arrival.server for arrival in self.over).most_common(3)
-        if not self.over:
-            return "no arrival over the limit"
-        return (
-            f"{len(self.over)} of {self.arrivals} arrivals over the limit in "
-            f"{WINDOW_S:g} s from {self.start - started:.1f} s, share "
-            f"{self.share:.3f}, most held {most}, at {dict(servers)}"
-        )
-
-
-def find_worst(arrivals: list[Arrival]) -> Window:
-    """Return the window with the most arrivals over the limit."""
-    worst = Window()
-    window: deque[Arrival] = deque()
-    over: deque[Arrival] = deque()
-    for arrival in arrivals:
-        window.append(arrival)
-        if arrival.is_over:
-            over.append(arrival)
-        while arrival.at - window[0].at > WINDOW_S:
-            left = window.popleft()
-            if over and over[0] is left:
-                over.popleft()
-        if len(over) > len(worst.over):
-            worst = Window(window[0].at, len(window), tuple(over))
-    return worst
-
-
 def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
     """Run one seed and print what it did."""
     harms = tuple(options.harms.split(",")) if options.harms else ()
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -14,6 +14,7 @@
 import struct
 import sys
 import tempfile
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -324,6 +325,21 @@
         caller.close()
         return answer
 
+    async def count_served(self, requests: int) -> Counter:
+        """Send plain requests; return how many of them each server got."""
+        before = {name: len(b.received) for name, b in self.backends.items()}
+        for _ in range(requests):
+            answer = await self.ask("/a/x")
+            assert answer.status == 200, answer.data
+        return Counter(
+            {name: len(b.received) - before[name] for name, b in self.backends.items()}
+        )
+
+    def is_known(self, vm: str, server_id: str) -> bool:
+        """Return whether a gateway has taken a server's entry."""
+        lines = self.find_log(vm).read_text().splitlines()
+        return any('"server_known"' in line and server_id in line for line in lines)
+
     async def terminate(self, vm: str) -> int:
         """Stop a gateway with SIGTERM and return its exit code."""
         process = self.processes[vm]
