--- a/features/platform/entries.feature
+++ b/features/platform/entries.feature
@@ -54,11 +54,16 @@
   Scenario: whatever bytes an entry holds, it is taken or refused
     Then entries and configurations of any bytes are taken or refused
 
+  Scenario: whatever bytes a VM's entry or a snapshot of homes holds, what was known holds
+    Then entries of VMs of any bytes are taken, or leave what was known
+    And snapshots of homes of any bytes are taken, or leave what was known
+
   Scenario: a server whose entry can't be read gets no new work until its next good one
     Given a gateway process before the servers "i-1 i-2"
     Then through each of these entries all requests go to "i-2", and back to both after it
       | entry                  |
       | without service        |
+      | an unknown service     |
       | state of another type  |
       | an unknown state       |
       | a port of other digits |
@@ -66,7 +71,7 @@
       | not UTF-8              |
       | nested deeply          |
       | a megabyte             |
-    And each such entry is one line with the server and what is wrong
+    And each of them that can't be read is one line with the server and what is wrong
 
   Scenario Outline: a start of <told> where <known> is known
     Then an entry with the start <told> where <known> is known is "<verdict>"
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+from ipaddress import ip_address
 
+import msgspec
 from behave import given, then
 from hypothesis import HealthCheck, settings
 from hypothesis import given as generated
@@ -11,11 +14,16 @@
 
 from features.platform_support import PlatformFixture
 from ramppin.errors import SettingsError
+from ramppin.gateway.connection.datagrams import HomeHint
+from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
 from ramppin.gateway.process.recovery.replica import Record
+from ramppin.gateway.process.routing.homes import PrefixHomes
+from ramppin.gateway.process.routing.homesnapshot import HomeSnapshot, HomeSnapshots
 from ramppin_platform.records import PlatformDecoder
 from standins.common import wait_for
 
 OFFSET = 77
+NOW = 100.0
 ASKED = 30
 """Requests that pass a server in use by, by chance alone, once in 2**30 tries."""
 MAX_SHOWN = 500
@@ -33,6 +41,10 @@
 }
 
 
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
 def change(**fields: object) -> bytes:
     return json.dumps(GOOD | fields).encode()
 
@@ -50,6 +62,7 @@
     "born below zero": change(born=-1),
     "born too large": change(born=10**400),
     "an empty service": change(service=""),
+    "an unknown service": change(service="nowhere"),
     "an unknown state": change(state="resting"),
     "a negative capacity": change(capacity=-1),
     "a huge capacity": change(capacity=10**400),
@@ -132,11 +145,66 @@
     try_config()
 
 
-# the whole path
+MEMBER_FIELDS = ("host", "failure_domain", "weight")
+KNOWN_HOST = "10.0.0.1"
 
 
-def run(context, work):
-    return context.loop.run_until_complete(work)
+@then("entries of VMs of any bytes are taken, or leave what was known")
+def step_any_member(context):
+    def take(value: bytes) -> None:
+        members = FleetMembers("vm-1", "porto")
+        for offset, found in enumerate((encode_member(KNOWN_HOST), value)):
+            members.take_record(Record("vm-2", found, offset), NOW)
+        [host] = members.list_hosts(NOW, near=True) + members.list_hosts(
+            NOW, near=False
+        )
+        ip_address(host)
+
+    @settings(max_examples=300, suppress_health_check=list(HealthCheck), deadline=None)
+    @generated(st.binary(min_size=1, max_size=100))
+    def try_bytes(value):
+        take(value)
+
+    @settings(max_examples=300, suppress_health_check=list(HealthCheck), deadline=None)
+    @generated(st.dictionaries(st.sampled_from(MEMBER_FIELDS), VALUES))
+    def try_fields(fields):
+        take(json.dumps({"host": "10.0.0.2"} | fields).encode())
+
+    try_bytes()
+    try_fields()
+
+
+def encode_member(host: str) -> bytes:
+    return msgspec.json.encode(MemberRecord(host, "porto"))
+
+
+@then("snapshots of homes of any bytes are taken, or leave what was known")
+def step_any_snapshot(context):
+    good = msgspec.msgpack.encode(HomeSnapshot("vm-1", [HomeHint(9, "i-1", 40)]))
+
+    async def take(value: bytes) -> None:
+        homes = PrefixHomes(lambda server: server == "i-1")
+        homes.note_placed(7, "i-1", asyncio.get_running_loop().time())
+        members = FleetMembers("vm-1", "porto")
+        snapshots = HomeSnapshots("vm-1", None, members, homes, lambda: True)
+        snapshots._take(value)
+        assert homes.find(7) == "i-1"
+
+    @settings(max_examples=300, suppress_health_check=list(HealthCheck), deadline=None)
+    @generated(st.binary(max_size=60))
+    def try_bytes(value):
+        run(context, take(value))
+
+    @settings(max_examples=300, suppress_health_check=list(HealthCheck), deadline=None)
+    @generated(st.integers(0, len(good) - 1), st.integers(0, 255))
+    def try_one_byte(place, byte):
+        run(context, take(good[:place] + bytes([byte]) + good[place + 1 :]))
+
+    try_bytes()
+    try_one_byte()
+
+
+# the whole path
 
 
 @given('a gateway process before the servers "{names}"')
@@ -181,12 +249,13 @@
     run(context, play())
 
 
-@then("each such entry is one line with the server and what is wrong")
+@then("each of them that can't be read is one line with the server and what is wrong")
 def step_lines(context):
     lines = [
         json.loads(line)
         for line in context.platform.find_log("vm-1").read_text().splitlines()
         if '"event":"server_refused"' in line
     ]
-    assert len(lines) == len(context.refused), len(lines)
+    unread = [name for name in context.refused if name != "an unknown service"]
+    assert len(lines) == len(unread), len(lines)
     assert all(line["server"] == "i-1" and line["reason"] for line in lines)
