Failing: VMs that hear the same loads all choose one server

Traced on one clock: where the machine stalls all servers for half a second, VMs tell each other waits at each of them, all VMs hear nearly the same, and all choose the one with the least. What is told is 0.1 to 0.3 s old, so they go on while it fills.

Change: two patterns of the model, most and all servers stall while callers come in bunches.

--- a/bench/vms/plain.py
+++ b/bench/vms/plain.py
@@ -95,12 +95,18 @@
     silent = (Stall(4.0, 2.0, 0), Stall(7.5, 0.6, 1), Stall(9.0, 1.2, 2))
     frozen = tuple(Stall(4.0 + 1.6 * n, 1.2, n % 4) for n in range(6))
     bunches = tuple(Bunch(4.0 + 0.9 * n, 30, n % 4) for n in range(10))
+    stalls = [(4.0 + 2.0 * n, server) for n in range(4) for server in range(4)]
+    most_stall = tuple(Stall(at, 0.6, server) for at, server in stalls if server < 3)
+    all_stall = tuple(Stall(at, 0.5, server) for at, server in stalls)
+    within = tuple(Bunch(4.3 + n, 30, n % 4) for n in range(9))
     patterns = [
         PlainPattern("calm"),
         PlainPattern("one domain's callers", first_domain_share=0.7),
         PlainPattern("silent server", silent=silent),
         PlainPattern("frozen VMs", frozen=frozen),
         PlainPattern("bunches", bunches=bunches),
+        PlainPattern("most servers stall", silent=most_stall, bunches=within),
+        PlainPattern("all servers stall", silent=all_stall, bunches=within),
         PlainPattern("all", silent=silent, frozen=frozen, bunches=bunches),
     ]
     return [replace(pattern, seed=seed) for pattern in patterns]
--- a/features/load_limit/plain_servers.feature
+++ b/features/load_limit/plain_servers.feature
@@ -22,6 +22,8 @@
       | silent server        | 0.015 |
       | frozen VMs           | 0.015 |
       | bunches              | 0.015 |
+      | most servers stall   | 0.015 |
+      | all servers stall    | 0.015 |
       | all                  | 0.015 |
     Then in the worst 5 s no more than each share of the choices is over the limit
 
