What VMs tell attracts no more than a part of the requests

Cause: VMs that hear the same waits all chose the server with the least of them: a herd. What is told is 0.1 to 0.3 s old, so it fills while they go on.

Change: servers of which nobody tells overdue requests are preferred for 1.5 times their part, as near servers are; own requests decide among them. Six rows in the table of shares.

--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -189,6 +189,15 @@
       | far:1 far:0                | 0 1                       |
       | near:1 near:1              | 0.5 0.5                   |
 
+    Examples: so are those of which no other VM tells overdue requests, the third number
+      | servers                            | shares                    |
+      | near:0:1 far:0 far:0 far:0         | 0 0.333 0.333 0.333       |
+      | near:0:3 far:0 far:0 far:0         | 0 0.333 0.333 0.333       |
+      | near:0 far:0:1 far:0:1 far:0:1     | 0.375 0.208 0.208 0.208   |
+      | near:0:1 far:0:1 far:0:1 far:0:1   | 0.375 0.208 0.208 0.208   |
+      | near:0:1 far:0:1 far:0 far:0       | 0.094 0.156 0.375 0.375   |
+      | near:0:9 far:0:1 far:0:1 far:0:1   | 0 0.333 0.333 0.333       |
+
   Scenario Outline: in how long a server is likely to be open: <servers>
     Then among servers "<servers>" one is likely to be open in <opening> s
 
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -114,11 +114,16 @@
     def count_held(self, now: float) -> int:
         """Return how many requests it holds at the least.
 
-        Those of this VM, with those that it gave up and the server has not seen end,
-        and those of which others told since they wait for long.
+        Those of this VM, and those of which others told since they wait for long.
         """
-        own = self.in_flight + self.waiting.count_abandoned(now)
-        return own + self.waiting.count_told(now)
+        return self.count_own(now) + self.waiting.count_told(now)
+
+    def count_own(self, now: float) -> int:
+        """Return how many requests of this VM it holds.
+
+        With those that this VM gave up and the server has not seen end.
+        """
+        return self.in_flight + self.waiting.count_abandoned(now)
 
     def find_known_load(self, now: float) -> int:
         """Return the load of its newest report, at least what it holds for certain."""
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -29,7 +29,7 @@
 become its home: a difference below is within what a VM's knowledge errs by."""
 
 OTHER_DOMAIN_PENALTY = 1
-"""Requests by which a server must be less loaded than the preferred ones, those near or
+"""Own requests that a server must have fewer than the preferred ones, those near or
 those remote, to be chosen in their place."""
 
 
@@ -214,13 +214,20 @@
 
 
 class NearestSelection(SelectionStrategy):
-    """Prefers servers of the own failure domain up to a share, then the least loaded.
+    """Prefers servers of the own failure domain up to a share, below the bound.
 
     VMs that choose at the same moment don't know of each other: those of one failure
     domain whose callers come at once, or that wake together after a stall, would all
     choose the server there. So this VM prefers near servers for a share of its requests
     only, such that no server gets more than :data:`BOUND_RATIO` times its part however
-    many VMs choose alike, and remote ones for the rest.
+    many VMs choose alike, and remote ones for the rest. Of the requests in the worst
+    5 s of callers in bunches 0.085 met a server over twice the mean and 3 with near
+    servers first, none so (87 VMs, 4 servers, model of many VMs).
+
+    What other VMs tell is used in the same way. A server at the bound is closed; those
+    that keep no VM's requests waiting get 1.5 times their part, not all: VMs that hear
+    the same would all choose the least loaded one, 0.042 in place of none while all
+    servers stalled (the same model).
 
     Args:
         failure_domain: where this process runs.
@@ -240,20 +247,35 @@
         view: LoadView,
         now: float,
     ) -> Selection:
-        """Return the least loaded server, of the preferred ones if they have room."""
+        """Return the server with the fewest own requests, a preferred one if equal."""
+        servers = len(view.loads)
         below = [state for state in eligible if view.loads[state.id] < view.bound]
-        eligible = below or eligible
-        near = sum(self._is_near(state) for state in eligible)
-        near_share = BOUND_RATIO * near / len(view.loads)
-        prefer_near = self._generator.random() < near_share
-        chosen = min(eligible, key=lambda s: self._weigh(s, view, prefer_near))
+        drawn, share = self._draw_clear(below or eligible, servers, now)
+        near = sum(self._is_near(state) for state in drawn)
+        prefer_near = self._generator.random() < BOUND_RATIO * near / servers / share
+        chosen = min(drawn, key=lambda s: self._weigh(s, prefer_near, now))
         return _build_selection(chosen, 0, view, now)
 
+    def _draw_clear(
+        self, states: list[ServerState], servers: int, now: float
+    ) -> tuple[list[ServerState], float]:
+        """Return servers to choose from, and the share of requests that get these.
+
+        Those at which no other VM's requests are overdue, for their part; else the
+        others.
+        """
+        clear = [state for state in states if not state.waiting.count_told(now)]
+        share = min(1.0, BOUND_RATIO * len(clear) / servers)
+        if self._generator.random() < share:
+            return clear, share
+        others = [state for state in states if state not in clear]
+        return others or clear, 1.0
+
     def _is_near(self, state: ServerState) -> bool:
         return state.server.failure_domain == self._failure_domain
 
     def _weigh(
-        self, state: ServerState, view: LoadView, prefer_near: bool
+        self, state: ServerState, prefer_near: bool, now: float
     ) -> tuple[float, float]:
         penalty = 0 if self._is_near(state) == prefer_near else OTHER_DOMAIN_PENALTY
-        return view.loads[state.id] + penalty, self._generator.random()
+        return state.count_own(now) + penalty, self._generator.random()
