The model of many VMs without lambdas; its table shows plain servers too

Change: the clock takes a call and its arguments, in place of 12 lambdas with bound defaults and 8 ignored types; make vms lists the patterns of plain servers. No code of src changed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
 from bench.replay import Replay, Result
 from bench.vms import fleet as vms_fleet
 from bench.vms import pattern as vms_pattern
+from bench.vms import plain as vms_plain
 
 app = typer.Typer(add_completion=False, help="Measurements; seeds are printed.")
 
@@ -148,8 +149,16 @@
         for pattern in vms_pattern.list_patterns(seed)
         for policy in vms_fleet.POLICIES
     ]
+    plain = [
+        replace(pattern, vms=int(size))
+        for size in sizes.split(",")
+        for seed in range(1, seeds + 1)
+        for pattern in vms_plain.list_plain_patterns(seed)
+    ]
     with ProcessPoolExecutor(WORKERS) as pool:
-        rows = report.write_rows("vms", list(pool.map(vms_fleet.play, jobs)))
+        prompts = pool.map(vms_fleet.play, jobs)
+        results = [*prompts, *pool.map(vms_plain.play_plain, plain)]
+    rows = report.write_rows("vms", results)
     typer.echo(report.format_table(rows, VMS_SHOWN))
 
 
--- a/bench/vms/clock.py
+++ b/bench/vms/clock.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -29,6 +30,10 @@
 """Of a datagram: IPv4 and UDP."""
 
 
+Event = tuple[float, int, Callable[[], object]]
+"""When something is called, its number among events at one moment, and the call."""
+
+
 class Link:
     """Carries one VM's datagrams, in place of a socket."""
 
@@ -99,7 +104,7 @@
         self._by_name = {vm.name: vm for vm in self.vms}
         self._by_host = {vm.host: vm for vm in self.vms}
         self._change_hints = change_hints
-        self._events: list[tuple[float, int, Callable[[], object]]] = []
+        self._events: list[Event] = []
         self._numbers = itertools.count()
         self._encoder = msgspec.msgpack.Encoder()
 
@@ -117,11 +122,11 @@
             choose: returns a number below 1, by which a VM's turns are shifted.
         """
         for vm in self.vms:
-            self.after(choose() * SHORTEST_PERIOD_S, self._build_turn(vm))
+            self.after(choose() * SHORTEST_PERIOD_S, self._take_turn, vm)
 
-    def after(self, delay_s: float, call: Callable[[], object]) -> None:
+    def after(self, delay_s: float, call: Callable[..., object], *args: object) -> None:
         """Call something after a time."""
-        event = (self.now + delay_s, next(self._numbers), call)
+        event: Event = (self.now + delay_s, next(self._numbers), partial(call, *args))
         heapq.heappush(self._events, event)
 
     def run_until(self, end: float) -> None:
@@ -131,12 +136,14 @@
             call()
         self.now = end
 
-    def call_at_vm(self, vm: ModelVm, call: Callable[[], object]) -> None:
+    def call_at_vm(
+        self, vm: ModelVm, call: Callable[..., object], *args: object
+    ) -> None:
         """Call something at a VM: now, or in a bunch when it wakes."""
         if vm.frozen_until > self.now:
-            self.after(vm.frozen_until - self.now, call)
+            self.after(vm.frozen_until - self.now, call, *args)
         else:
-            call()
+            call(*args)
 
     def deliver(self, sender: str, hints: PeerHints, hosts: list[str]) -> None:
         """Deliver a VM's message to others by their address, a moment later."""
@@ -147,18 +154,18 @@
         near = sum(vm.domain == origin.domain for vm in chosen)
         self.tally.near_bytes += size * near
         self.tally.far_bytes += size * (len(chosen) - near)
-        self.after(LATENCY_S, lambda: self._take(chosen, hints, origin.host))
+        self.after(LATENCY_S, self._take, chosen, hints, origin.host)
 
     def _take(self, vms: list[ModelVm], hints: PeerHints, host: str) -> None:
         for vm in vms:
-            self.call_at_vm(
-                vm,
-                lambda vm=vm: vm.hints.take(hints, host, self.now),  # type: ignore[misc]
-            )
+            self.call_at_vm(vm, self._take_hints, vm, hints, host)
+
+    def _take_hints(self, vm: ModelVm, hints: PeerHints, host: str) -> None:
+        vm.hints.take(hints, host, self.now)
 
-    def _build_turn(self, vm: ModelVm) -> Callable[[], None]:
-        def take_turn() -> None:
-            self.call_at_vm(vm, lambda: vm.hints.send_due(self.now))
-            self.after(SHORTEST_PERIOD_S, take_turn)
+    def _take_turn(self, vm: ModelVm) -> None:
+        self.call_at_vm(vm, self._send_due, vm)
+        self.after(SHORTEST_PERIOD_S, self._take_turn, vm)
 
-        return take_turn
+    def _send_due(self, vm: ModelVm) -> None:
+        vm.hints.send_due(self.now)
--- a/bench/vms/fleet.py
+++ b/bench/vms/fleet.py
@@ -93,7 +93,7 @@
         self.introduce_vms()
         self.start_turns(self._random.random)
         for at in pattern.added_at:
-            self.after(at, lambda: self._add_engine(1.0, lag_s=None))
+            self.after(at, self._add_engine, 1.0, None)
         for at in pattern.replaced_at:
             self.after(at, self._replace_engine)
         for prompt in draw_prompts(pattern):
@@ -114,7 +114,7 @@
         server = BackendServer(engine_id, SERVICE, "127.0.0.1", 1, domain)
         for vm in self.vms:
             lag = self._random.uniform(*LIST_LAG_S) if lag_s is None else lag_s
-            self.after(lag, lambda vm=vm: vm.directory.put(server))  # type: ignore[misc]
+            self.after(lag, vm.directory.put, server)
 
     def _replace_engine(self) -> None:
         """Start a new engine, and let the oldest drain and leave."""
@@ -125,8 +125,8 @@
         )
         for vm in self.vms:
             lag = self._random.uniform(*LIST_LAG_S)
-            self.after(lag, lambda vm=vm: vm.directory.put(server))  # type: ignore[misc]
-        self.after(DRAIN_S, lambda: self._remove(oldest))
+            self.after(lag, vm.directory.put, server)
+        self.after(DRAIN_S, self._remove, oldest)
 
     def _remove(self, engine: Engine) -> None:
         self._engines.pop(engine.id, None)
@@ -164,8 +164,8 @@
             read_tokens = self._bring_prefix(prompt, engine, selection.copy_from)
             first_s = engine.measure_first_s(prompt, read_tokens)
             rest_s = engine.measure_rest_s(prompt)
-            self.after(first_s, lambda: self._report(engine, state, came_at))
-            self.after(first_s + rest_s, lambda: self._end(engine, state, came_at))
+            self.after(first_s, self._report, engine, state, came_at)
+            self.after(first_s + rest_s, self._end, engine, state, came_at)
 
         return start
 
--- a/bench/vms/plain.py
+++ b/bench/vms/plain.py
@@ -112,7 +112,7 @@
     return [replace(pattern, seed=seed) for pattern in patterns]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PlainRequest:
     """One request on its way.
 
@@ -208,7 +208,7 @@
         self._plan_stalls()
         for at, vm in self._draw_requests():
             self.run_until(at)
-            self.call_at_vm(vm, lambda vm=vm: self._place(vm))  # type: ignore[misc]
+            self.call_at_vm(vm, self._place, vm)
         return self.tally.sum_up(self.pattern, "as it is")
 
     def deliver(self, sender: str, hints: PeerHints, hosts: list[str]) -> None:
@@ -229,13 +229,13 @@
     def _plan_stalls(self) -> None:
         for stall in self.pattern.silent:
             server = self._servers[stall.number]
-            self.after(stall.start_s, lambda s=stall, v=server: self._silence(v, s))  # type: ignore[misc]
+            self.after(stall.start_s, self._silence, server, stall)
         for stall in self.pattern.frozen:
-            self.after(stall.start_s, lambda s=stall: self._freeze(s))  # type: ignore[misc]
+            self.after(stall.start_s, self._freeze, stall)
 
     def _silence(self, server: PlainServer, stall: Stall) -> None:
         server.silent_until = self.now + stall.length_s
-        self.after(stall.length_s, lambda: self._fill_slots(server))
+        self.after(stall.length_s, self._fill_slots, server)
 
     def _freeze(self, stall: Stall) -> None:
         for vm in self.vms:
@@ -275,12 +275,10 @@
         request = PlainRequest(vm, state, self.now, work_s)
         state.in_flight += 1
         state.health.note_sent(self.now)
-        state.waiting.note_sent(id(request), self.now)
+        state.waiting.note_sent(request, self.now)
         server = next(s for s in self._servers if s.id == state.id)
-        self.after(LATENCY_S, lambda: self._arrive(server, request))
-        self.after(
-            TIME_LIMIT_S, lambda: self.call_at_vm(vm, lambda: self._give_up(request))
-        )
+        self.after(LATENCY_S, self._arrive, server, request)
+        self.after(TIME_LIMIT_S, self.call_at_vm, vm, self._give_up, request)
 
     def _give_up(self, request: PlainRequest) -> None:
         if request.ended:
@@ -298,14 +296,14 @@
         state = request.state
         state.health.note_received(self.now, awaited=state.in_flight > 1)
         state.health.note_outcome(Outcome.ANSWERED, self.now)
-        state.waiting.note_bytes(id(request), self.now)
+        state.waiting.note_bytes(request, self.now)
         state.times.wait.note(self.now - request.sent_at)
         state.times.stay.note(self.now - request.sent_at)
         self._end(request)
 
     def _end(self, request: PlainRequest) -> None:
         request.ended = True
-        request.state.note_ended(id(request), self.now)
+        request.state.note_ended(request, self.now)
         request.state.in_flight -= 1
 
     # the servers
@@ -326,18 +324,15 @@
             if request.cancelled:
                 continue
             server.running += 1
-            self.after(request.work_s, lambda r=request: self._finish(server, r))  # type: ignore[misc]
+            self.after(request.work_s, self._finish, server, request)
 
     def _finish(self, server: PlainServer, request: PlainRequest) -> None:
         if server.silent_until > self.now:
             left_s = server.silent_until - self.now
-            self.after(left_s, lambda: self._finish(server, request))
+            self.after(left_s, self._finish, server, request)
             return
         server.running -= 1
-        self.after(
-            LATENCY_S,
-            lambda: self.call_at_vm(request.vm, lambda: self._take_answer(request)),
-        )
+        self.after(LATENCY_S, self.call_at_vm, request.vm, self._take_answer, request)
         self._fill_slots(server)
 
 
