--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -1,7 +1,8 @@
 """The backend servers that a process knows, with their load and their health.
 
-Owns, for each server, its entry in the log, this VM's requests in flight, its last
-load report and its health; rebuilt from the log and from answers after a start.
+Owns, for each start of a server, its entry in the log, this VM's requests in flight and
+those that wait there, its last load report and its health; rebuilt from the log and
+from answers after a start of this process.
 """
 
 from __future__ import annotations
