--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -120,15 +120,6 @@
       | sent silence                          | suspect |
       | sent received silence                | in    |
 
-    # A server that answered nothing was never found silent where requests may wait for less
-    # than 0.8 s: each one that was given up, after 0.6 s, counted as a byte from the server.
-    Examples: requests given up, while others wait and as the last one, 0.5 s between
-      | outcomes                              | state |
-      | sent pause given_up pause             | suspect |
-      | sent pause given_up                   | in    |
-      | sent pause last_given_up pause        | in    |
-      | sent pause given_up received pause    | in    |
-
   Scenario Outline: an entry that vanishes <when>
     Then an entry that vanishes at <now> after "<course>" is held until "<end>"
 
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -271,10 +271,6 @@
             health.note_received(now, awaited=False)
         elif outcome == "silence":
             now += UNRESPONSIVE_AFTER_S + 0.1
-        elif outcome == "pause":
-            now += 0.5
-        elif outcome.endswith("given_up"):
-            health.note_given_up(now, awaited=outcome == "given_up")
         else:
             health.note_outcome(Outcome(outcome), now)
     assert health.is_suspect(now) == (state == "suspect")
--- a/features/steps/gateway_server_rule_steps.py
+++ b/features/steps/gateway_server_rule_steps.py
@@ -225,7 +225,7 @@
 def step_unanswered(context, silent, told):
     state = build_server("s0", 0)
     state.health.note_sent(NOW - silent)
-    state.health.note_given_up(NOW, awaited=False)
+    state.health.note_unanswered(NOW)
     assert bool(state.health.take_untold_failures()) is is_yes(told)
 
 
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -64,21 +64,10 @@
         count, self._untold_failures = self._untold_failures, 0
         return count
 
-    def note_given_up(self, now: float, *, awaited: bool) -> None:
-        """Note a request that was given up from here.
-
-        It is no sign of life: with others waiting the silence goes on. Else requests
-        that are given up sooner than a server counts as unresponsive, one after
-        the other, hide that it answers none.
-
-        Args:
-            now: the loop's time.
-            awaited: whether other answers are due.
-        """
+    def note_unanswered(self, now: float) -> None:
+        """Note a request that ended without an answer while the server was silent."""
         if self.is_unresponsive(now):
             self._untold_failures += 1
-        if not awaited:
-            self._awaited_since = None
 
     def note_sent(self, now: float) -> None:
         """Note that a request left for the server."""
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -146,8 +146,8 @@
         """Give the attempt up; the server sees its connection close."""
         if self._connection is not None:
             self._connection.abort()
-        awaited = self._state.in_flight > 1
-        self._state.health.note_given_up(self._loop.time(), awaited=awaited)
+        self._state.health.note_unanswered(self._loop.time())
+        self._note_received(due=False)
         self._finish(end)
 
     def set_paused(self, paused: bool) -> None:
