Entries of VMs that can't be read are counted; bad entries through peers on the whole path

An unreadable entry of a VM left a line alone, and bad entries of servers were tried on the whole path through the log only.

Change: FleetMembers.take_record tells whether it could read; the metric ramppin_gateway_refused_entries_total counts the table "members" too (its scenario fails without the change). A scenario with a second VM that the store turns away: seven bad entries reach it through the first one, close their server, and the next good one puts it back; no change of the product was needed for that.

--- a/features/platform/entries.feature
+++ b/features/platform/entries.feature
@@ -73,6 +73,30 @@
       | a megabyte             |
     And each of them that can't be read is one line with the server and what is wrong
 
+  Scenario: entries that can't be read reach a VM through others
+    Given a gateway process before the servers "i-1 i-2"
+    And a second one that the store turns away once it has started
+    Then through each of these entries all requests go to "i-2", and back to both after it
+      | entry                  |
+      | without service        |
+      | an unknown state       |
+      | a port of other digits |
+      | half an entry          |
+      | not UTF-8              |
+      | nested deeply          |
+      | a megabyte             |
+    And each of them that can't be read is one line with the server and what is wrong
+    And the store answered the second one nothing meanwhile
+
+  Scenario: an entry of a VM that can't be read leaves what was known, and is counted
+    Given a gateway process before the servers "i-1 i-2"
+    When another writer leaves these entries of the VM "vm-9"
+      | entry            |
+      | {"host": 7}      |
+      | {"host": "10.0.0 |
+      | [[[[             |
+    Then 3 entries of "members" are counted as refused
+
   Scenario Outline: a start of <told> where <known> is known
     Then an entry with the start <told> where <known> is known is "<verdict>"
 
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import struct
 import sys
@@ -248,8 +249,22 @@
             entry["born"] = born
         self.store.put("keyed.servers", server_id, json.dumps(entry).encode())
 
-    async def start_gateway(self, vm: str, host: str, zone: str = "porto") -> None:
-        """Start a gateway process on a loopback address of its own."""
+    async def start_gateway(
+        self,
+        vm: str,
+        host: str,
+        zone: str = "porto",
+        *,
+        store: StoreStandIn | None = None,
+    ) -> None:
+        """Start a gateway process on a loopback address of its own.
+
+        Args:
+            vm: its name.
+            host: its address.
+            zone: where it stands.
+            store: what it reads in place of the store of the others.
+        """
         # Peers reach each other at the ports of the first; the rest are free ones.
         records, peers = self.shared_ports or (0, 0)
         fields = {
@@ -264,7 +279,7 @@
             "operations_port": "0",
             "seed_nodes": f"127.0.0.1:{records}",
             "bounds.grace_s": "6",
-            "platform.address": f"127.0.0.1:{self.store.port}",
+            "platform.address": f"127.0.0.1:{(store or self.store).port}",
         }
         path = Path(self.scratch.name) / f"{vm}.conf"
         path.write_text("".join(f"{name}={v}\n" for name, v in fields.items()))
@@ -317,19 +332,41 @@
         reader, writer = await asyncio.open_connection(host, self.ports[vm])
         return RawCaller(self.ports[vm], reader, writer)
 
-    async def ask(self, path: str, *, vm: str = "vm-1", key: str = "k1", **headers):
+    async def ask(
+        self,
+        path: str,
+        *,
+        vm: str = "vm-1",
+        host: str = "127.0.0.1",
+        key: str = "k1",
+        **headers,
+    ):
         """Send a request and return its answer."""
-        caller = await self.connect(vm, "127.0.0.1")
+        caller = await self.connect(vm, host)
         await caller.send(encode_request(path, key, headers))
         answer = await caller.read()
         caller.close()
         return answer
 
-    async def count_served(self, requests: int) -> Counter:
+    async def read_metrics(self, vm: str, host: str) -> str:
+        """Return what a gateway answers to the question for its metrics."""
+        started = self.find_started(vm)
+        assert started is not None
+        reader, writer = await asyncio.open_connection(host, started["operations"])
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        [length] = re.findall(rb"content-length: (\d+)", head.lower())
+        body = await reader.readexactly(int(length))
+        writer.close()
+        return body.decode()
+
+    async def count_served(
+        self, requests: int, *, vm: str = "vm-1", host: str = "127.0.0.1"
+    ) -> Counter:
         """Send plain requests; return how many of them each server got."""
         before = {name: len(b.received) for name, b in self.backends.items()}
         for _ in range(requests):
-            answer = await self.ask("/a/x")
+            answer = await self.ask("/a/x", vm=vm, host=host)
             assert answer.status == 200, answer.data
         return Counter(
             {name: len(b.received) - before[name] for name, b in self.backends.items()}
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -7,12 +7,12 @@
 from ipaddress import ip_address
 
 import msgspec
-from behave import given, then
+from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis import given as generated
 from hypothesis import strategies as st
 
-from features.platform_support import PlatformFixture
+from features.platform_support import PlatformFixture, StoreStandIn
 from ramppin.errors import SettingsError
 from ramppin.gateway.connection.datagrams import HomeHint
 from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
@@ -216,15 +216,42 @@
             await fixture.add_backend(name, service)
             fixture.announce(name, service, born=1)
         await fixture.start_gateway("vm-1", HOST)
+        context.asked_vm, context.asked_host = "vm-1", HOST
 
     run(context, start())
 
 
-async def wait_until_served(fixture: PlatformFixture, names: set[str]) -> None:
+CUT_OFF, CUT_OFF_HOST = "vm-2", "127.0.0.2"
+
+
+@given("a second one that the store turns away once it has started")
+def step_second(context):
+    async def start():
+        fixture = context.platform
+        store = context.cut_off_store = StoreStandIn()
+        context.cleanups.append(store.stop)
+        await store.start()
+        # The same records, behind a door of its own.
+        store.topics, store.newest = fixture.store.topics, fixture.store.newest
+        await fixture.start_gateway(CUT_OFF, CUT_OFF_HOST, store=store)
+        store.refuse = 503
+        context.asked_vm, context.asked_host = CUT_OFF, CUT_OFF_HOST
+
+    run(context, start())
+
+
+@then("the store answered the second one nothing meanwhile")
+def step_turned_away(context):
+    assert context.cut_off_store.refuse == 503
+    assert context.cut_off_store.calls
+
+
+async def wait_until_served(context, names: set[str]) -> None:
+    vm, host = context.asked_vm, context.asked_host
+
     async def is_so() -> bool:
-        return {
-            n for n, count in (await fixture.count_served(ASKED)).items() if count
-        } == names
+        found = await context.platform.count_served(ASKED, vm=vm, host=host)
+        return {name for name, count in found.items() if count} == names
 
     await wait_for(is_so, f"requests go to {sorted(names)} alone")
 
@@ -240,9 +267,9 @@
     async def play():
         for name in context.refused:
             fixture.store.put("keyed.servers", "i-1", ENTRIES[name])
-            await wait_until_served(fixture, {other})
+            await wait_until_served(context, {other})
             fixture.announce("i-1", "plain", born=1)
-            await wait_until_served(fixture, both)
+            await wait_until_served(context, both)
 
     run(context, play())
 
@@ -251,9 +278,25 @@
 def step_lines(context):
     lines = [
         json.loads(line)
-        for line in context.platform.find_log("vm-1").read_text().splitlines()
+        for line in context.platform.find_log(context.asked_vm).read_text().splitlines()
         if '"event":"server_refused"' in line
     ]
     unread = [name for name in context.refused if name != "an unknown service"]
     assert len(lines) == len(unread), len(lines)
     assert all(line["server"] == "i-1" and line["reason"] for line in lines)
+
+
+@when('another writer leaves these entries of the VM "{vm}"')
+def step_members(context, vm):
+    for row in context.table:
+        context.platform.store.put("keyed.members", vm, row["entry"].encode())
+
+
+@then('{count:d} entries of "{table}" are counted as refused')
+def step_counted(context, count, table):
+    line = f'ramppin_gateway_refused_entries_total{{table="{table}"}} {count}.0'
+
+    async def is_counted() -> bool:
+        return line in await context.platform.read_metrics("vm-1", HOST)
+
+    run(context, wait_for(is_counted, line))
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -92,13 +92,13 @@
     def __len__(self) -> int:
         return len(self._members)
 
-    def take_record(self, record: Record, now: float) -> None:
-        """Take a VM's entry."""
+    def take_record(self, record: Record, now: float) -> bool:
+        """Take a VM's entry; return whether it could be read."""
         if record.key == self._vm:
-            return
+            return True
         if record.value is None:
             self._members.pop(record.key, None)
-            return
+            return True
         try:
             entry = _decode_entry(record.value)
         except (ValueError, RecursionError) as error:
@@ -106,10 +106,11 @@
             message = str(error)[:MAX_LOGGED]
             peer = record.key[:MAX_LOGGED]
             LOG.warning("unreadable entry: %s", message, extra={"peer": peer})
-            return
+            return False
         self._members[record.key] = Member(
             record.key, entry.host, now, entry.failure_domain, entry.weight
         )
+        return True
 
     def note_received(
         self, vm: str, host: str, now: float, *, log_up: bool = True
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -284,4 +284,5 @@
         )
 
     def _take_member(self, record: Record) -> None:
-        self.members.take_record(record, asyncio.get_running_loop().time())
+        if not self.members.take_record(record, asyncio.get_running_loop().time()):
+            self._context.metrics.refused_entries.inc("members")
