Load soak: its backend servers are a module of their own

Change: what servers do and count is features/load_servers.py; the same generator in the same order, so a seed is what it was.

--- a/features/load_soak.py
+++ b/features/load_soak.py
@@ -27,19 +27,15 @@
 from dataclasses import dataclass, field
 
 from features.gateway_support import RawAnswer, RawCaller
-from features.load_arrivals import Arrival, find_worst
+from features.load_arrivals import find_worst
+from features.load_servers import LoadServers
 from features.platform_support import PlatformFixture, build_config
-from ramppin_platform.vocabulary import HEADER_NAMES
-from standins.backend import BackendStandIn, Reply
 
 DOMAINS = ("porto", "braga", "faro", "evora")
 ENGINES_PER_DOMAIN = 2
 STARTED_AT_ONCE = 8
 
 PLAIN_PER_S, PROMPTS_PER_S = 120.0, 60.0
-PLAIN_WORK_S = 0.0225
-EVENTS_PER_ANSWER = 6
-EVENT_GAP_S = 0.05
 PLAIN_DEADLINE_MS, PROMPT_DEADLINE_MS = 600, 8000
 SUBJECTS = 40
 
@@ -51,25 +47,6 @@
 MIN_SERVED_SHARE = 0.5
 
 
-class Server(BackendStandIn):
-    """A backend server that counts what it holds.
-
-    Attributes:
-        id: under which it announces itself.
-        service: its service.
-        held: requests that it has and has not answered.
-        running: cleared while it answers nothing.
-    """
-
-    def __init__(self, server_id: str, service: str) -> None:
-        super().__init__(names=HEADER_NAMES)
-        self.id = server_id
-        self.service = service
-        self.held = 0
-        self.running = asyncio.Event()
-        self.running.set()
-
-
 @dataclass
 class LoadSoak:
     """One run with one seed.
@@ -86,8 +63,6 @@
     plain_per_s: float = PLAIN_PER_S
     prompts_per_s: float = PROMPTS_PER_S
     fixture: PlatformFixture = field(default_factory=PlatformFixture)
-    servers: dict[str, Server] = field(default_factory=dict)
-    arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
     statuses: Counter = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
 
@@ -95,6 +70,7 @@
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
+        self.servers = LoadServers(self.random)
         # Apart from the callers', so that a seed's faults come at the same moments.
         self.fault_random = random.Random(self.seed)
         self.hosts = {f"vm-{n}": f"127.0.0.{n}" for n in range(1, self.vms + 1)}
@@ -141,54 +117,14 @@
         await self.fixture.start_gateway(vm, self.hosts[vm], self.find_domain(vm))
 
     async def _stop(self) -> None:
-        for server in self.servers.values():
+        for server in self.servers:
             server.running.set()
         await self.fixture.stop()
 
     async def _add_server(self, server_id: str, service: str, domain: str) -> None:
-        server = Server(server_id, service)
-        await server.start()
-        server.script = self._build_script(server)
-        self.servers[server_id] = self.fixture.backends[server_id] = server
+        self.fixture.backends[server_id] = await self.servers.add(server_id, service)
         self.fixture.announce(server_id, service, zone=domain)
 
-    # backend servers
-
-    def _build_script(self, server: Server):
-        work = self._answer_plain if server.service == "plain" else self._stream
-
-        async def serve(reply: Reply) -> None:
-            self._note_arrival(server)
-            server.held += 1
-            try:
-                await server.running.wait()
-                await work(server, reply)
-            finally:
-                server.held -= 1
-
-        return serve
-
-    def _note_arrival(self, server: Server) -> None:
-        peers = [s for s in self.servers.values() if s.service == server.service]
-        mean = sum(peer.held for peer in peers) / len(peers)
-        arrival = Arrival(time.monotonic(), server.id, server.held, mean)
-        self.arrivals.setdefault(server.service, []).append(arrival)
-
-    async def _answer_plain(self, server: Server, reply: Reply) -> None:
-        await asyncio.sleep(self.random.expovariate(1 / PLAIN_WORK_S))
-        await server.running.wait()
-        await reply.answer(body=reply.request_id)
-
-    async def _stream(self, server: Server, reply: Reply) -> None:
-        load = b"Engine-Load: %d,0,12\r\n" % server.held
-        head = reply.head(200, b"Content-Type: text/event-stream\r\n" + load)
-        await reply.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
-        for number in range(1, EVENTS_PER_ANSWER + 1):
-            await asyncio.sleep(self.random.expovariate(1 / EVENT_GAP_S))
-            await server.running.wait()
-            await reply.send_chunk(b"id: %d\ndata: x\n\n" % number)
-        await reply.send_chunk(b"")
-
     # callers
 
     async def _call_until(
@@ -252,7 +188,7 @@
 
     async def _stall_server(self) -> None:
         """Let a server take requests and answer none."""
-        server = self.fault_random.choice(list(self.servers.values()))
+        server = self.fault_random.choice(list(self.servers))
         server.running.clear()
         await asyncio.sleep(self.fault_random.uniform(0.3, 2.5))
         server.running.set()
@@ -307,7 +243,7 @@
 
     def _check(self) -> list[str]:
         broken = []
-        for service, arrivals in self.arrivals.items():
+        for service, arrivals in self.servers.arrivals.items():
             worst = find_worst(arrivals)
             if worst.is_broken:
                 broken.append(f"{service}: {worst.show(self._started)}")
@@ -325,7 +261,7 @@
     statuses = " ".join(f"{s}:{n}" for s, n in sorted(soak.statuses.items()))
     print(f"seed {seed}: {'BROKEN' if broken else 'kept'}; {statuses}")
     print(f"    {' '.join(soak.faults)}")
-    for service, arrivals in sorted(soak.arrivals.items()):
+    for service, arrivals in sorted(soak.servers.arrivals.items()):
         print(f"    {service}: {find_worst(arrivals).show(soak._started)}")
     for line in broken:
         print(f"    broken: {line}")
