A process that stalled concludes nothing from its servers' silence

Cause: after a stop the selector returns without events once its time is over, so timers run before reads: each request seems silent for the length of the stop. Streams were given up as 'the server went silent' and ran again elsewhere, or ended with 502 where the budget was spent; the failures, and requests overdue, were told to all VMs, which passed over servers that had done nothing wrong: a way to overrun the others.

Ruled out: a server that was silent indeed.

Change: Turns knows whether the process got its regular turns. Until 0.1 s after a late one no server is unresponsive, no request overdue, none counts as held once it is given up. The turns that leave the line 'stalled' are the same. The line's constant STALL_S moved; a test imports it there.

--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -285,6 +285,23 @@
       | 0.5    | no   |
       | 0.9    | yes  |
 
+  Scenario Outline: whether a process has stalled: turns at <turns>, asked at <asked>
+    Then a process with turns of 0.25 s at "<turns>" is behind at <asked>: <behind>
+
+    Examples: a turn is late from 0.1 s on, and for 0.1 s more what came is still read
+      | turns      | asked | behind |
+      | none       | 5     | no     |
+      | 0 0.25     | 0.5   | no     |
+      | 0 0.25     | 0.59  | no     |
+      | 0 0.25     | 0.61  | yes    |
+      | 0 0.25 1.6 | 1.65  | yes    |
+      | 0 0.25 1.6 | 1.71  | no     |
+      | 0 0.25 0.5 | 0.55  | no     |
+
+  Scenario: a process that stalled concludes nothing from silence
+    Then a server silent for 0.9 s is not unresponsive to a process that is behind
+    And its overdue requests are not told, nor held once they are given up
+
   Scenario: many VMs find a server out by few requests in all
     Then 20 VMs that each see one failure find a server out after 5
 
--- a/features/platform/stalls.feature
+++ b/features/platform/stalls.feature
@@ -11,7 +11,7 @@
   passed over servers that had done nothing wrong.
 
   Scenario: streams go on after their process was stopped
-    Given a gateway process before the servers "i-1 i-2" that stream for 4 s
-    When 12 streams begin and the process is stopped 3 times for 1.1 s
+    Given a gateway process before the servers "i-1 i-2 i-3" that stream for 2.5 s
+    When 2 streams begin and the process is stopped 2 times for 1.1 s
     Then each stream is whole and came from one server
     And no line says that a server went silent
--- a/features/steps/gateway_server_rule_steps.py
+++ b/features/steps/gateway_server_rule_steps.py
@@ -44,6 +44,7 @@
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionRequest
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.gateway.process.turns import Turns
 from ramppin.ranking import RendezvousRanking
 
 NOW = 100.0
@@ -244,3 +245,38 @@
     news.take([FailureHint(server, 5)], "a", NOW)
     assert directory.find(server).evidence.is_bad("a", 1.0, NOW)
     assert not news.collect(NOW + 0.1)
+
+
+def build_turns(moments: str) -> Turns:
+    """Return turns of 0.25 s that came at some moments."""
+    turns = Turns(0.25)
+    for moment in read_names(moments):
+        turns.note_turn(NOW + float(moment))
+    return turns
+
+
+@then('a process with turns of 0.25 s at "{moments}" is behind at {asked:g}: {behind}')
+def step_behind(context, moments, asked, behind):
+    assert build_turns(moments).is_behind(NOW + asked) is is_yes(behind)
+
+
+@then(
+    "a server silent for {silent:g} s is not unresponsive to a process that is behind"
+)
+def step_silent_behind(context, silent):
+    context.directory = ServerDirectory(build_turns("0"))
+    state = context.directory.put(BackendServer("s0", "plain", "127.0.0.1", 1))
+    context.asked_at = NOW + silent
+    state.health.note_sent(NOW)
+    state.waiting.note_sent("request", NOW)
+    assert not state.health.is_unresponsive(context.asked_at)
+    state.health.note_unanswered(context.asked_at)
+    assert not state.health.take_untold_failures()
+
+
+@then("its overdue requests are not told, nor held once they are given up")
+def step_nothing_told(context):
+    directory, now = context.directory, context.asked_at
+    assert not LoadNews(directory).collect(now).waits
+    directory.find("s0").note_ended("request", now)
+    assert not directory.find("s0").count_held(now)
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -30,7 +30,6 @@
 )
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import HomeHint, PeerHints
-from ramppin.gateway.process.gateway import STALL_S
 from ramppin.gateway.process.membership.members import MemberRecord
 from ramppin.gateway.process.recovery.peermessages import (
     PeerAnswer,
@@ -45,6 +44,7 @@
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics, HistogramTally
 from ramppin.gateway.process.routing.homesnapshot import SNAPSHOT_KEY, HomeSnapshot
 from ramppin.gateway.process.settingsfile import GatewayFile
+from ramppin.gateway.process.turns import STALL_S
 from ramppin.gateway.request.admission import Denial
 from ramppin.gateway.request.result import AttemptEnd
 from ramppin.gateway.version.routingfile import RoutingTree, ServerNode
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -40,16 +40,13 @@
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.gateway.process.turns import STALL_S, Turns
 from ramppin.gateway.request.responder import ExchangeResponder
 
 SWEEP_S = 0.25
 """Seconds between two checks of idle connections, missing servers and lines to write:
 short beside the times that they are measured against."""
 
-STALL_S = 0.1
-"""Seconds by which this process's turn must be late to be told as a stall: about the
-time in which VMs tell each other loads, so what it chooses by is older than usual."""
-
 REFILL_S = 1.0
 """Seconds after which the decision log may write its lines for a second again."""
 
@@ -88,7 +85,8 @@
         self._callers_socket = callers_socket
         self.stopped = asyncio.Event()
         generator = random.Random(config.seed)
-        directory = ServerDirectory()
+        self._turns = Turns(SWEEP_S)
+        directory = ServerDirectory(self._turns)
         self.homes = PrefixHomes(directory.is_open)
         self.context = GatewayContext(
             names=config.names,
@@ -292,10 +290,9 @@
         context = self.context
         refilled_at = loop.time()
         while True:
-            due_at = loop.time() + SWEEP_S
             await asyncio.sleep(SWEEP_S)
             now = loop.time()
-            self._note_turn(now - due_at)
+            self._note_turn(self._turns.note_turn(now))
             for connection in list(context.listener.connections):
                 connection.check_timeouts(now)
             context.pool.sweep(now)
--- a/src/ramppin/gateway/process/load/news.py
+++ b/src/ramppin/gateway/process/load/news.py
@@ -98,8 +98,11 @@
     def _collect_waits(self, now: float) -> list[WaitHint]:
         """Return the overdue requests by server, if that is news or must be repeated.
 
-        A server at which none is overdue any more is told once.
+        A server at which none is overdue any more is told once. Nothing is told while
+        this process is behind: what it has not read yet is not overdue.
         """
+        if self._directory.turns.is_behind(now):
+            return []
         waits = {
             state.id: count
             for state in self._directory
--- a/src/ramppin/gateway/process/load/waiting.py
+++ b/src/ramppin/gateway/process/load/waiting.py
@@ -11,6 +11,8 @@
 
 from dataclasses import dataclass
 
+from ramppin.gateway.process.turns import Turns
+
 OVERDUE_RATIO = 3.0
 """Multiple of the usual wait for a first byte after which a request is overdue: of
 waits that vary as much as their mean one in twenty is that long. Later bytes come
@@ -39,10 +41,14 @@
 class WaitingRequests:
     """The requests that one backend server keeps waiting, of this VM and of others.
 
+    Args:
+        turns: of this process; None where it never stalls.
+
     .. versionadded:: 0.3
     """
 
-    def __init__(self) -> None:
+    def __init__(self, turns: Turns | None = None) -> None:
+        self._turns = turns or Turns()
         self._since: dict[object, float] = {}
         self._abandoned_at: list[float] = []
         self._told: dict[str, ToldWaits] = {}
@@ -70,6 +76,9 @@
             usual_s: the usual wait for a first byte.
         """
         since = self._since.pop(request, None)
+        if self._turns.is_behind(now):
+            # Its bytes may be there, not read yet: no word of the server's.
+            return
         if since is not None and now - since > OVERDUE_RATIO * usual_s:
             self._abandoned_at.append(now)
 
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -12,6 +12,8 @@
 
 from enum import Enum
 
+from ramppin.gateway.process.turns import Turns
+
 FAILURE_WEIGHT = 0.25
 """Weight of the newest outcome in the moving failure rate, from 0 to 1."""
 
@@ -49,10 +51,14 @@
 class ServerHealth:
     """Evidence about one backend server.
 
+    Args:
+        turns: of this process; None where it never stalls.
+
     .. versionadded:: 0.2
     """
 
-    def __init__(self) -> None:
+    def __init__(self, turns: Turns | None = None) -> None:
+        self._turns = turns or Turns()
         self.failure_rate = 0.0
         self.ejected_until = float("-inf")
         self._ejection_s = FIRST_EJECTION_S
@@ -102,9 +108,14 @@
             self.failure_rate = RETURN_FAILURE_RATE
 
     def is_unresponsive(self, now: float) -> bool:
-        """Return whether answers are due and no connection has brought a byte."""
+        """Return whether answers are due and no connection has brought a byte.
+
+        Not known while this process is behind: the bytes may be there, not read yet.
+        """
         since = self._awaited_since
-        return since is not None and now - since > UNRESPONSIVE_AFTER_S
+        if since is None or now - since <= UNRESPONSIVE_AFTER_S:
+            return False
+        return not self._turns.is_behind(now)
 
     def is_stalled(self, received_at: float, now: float) -> bool:
         """Return whether one request waits for an unresponsive server.
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.process.load.waiting import WaitingRequests
 from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
+from ramppin.gateway.process.turns import Turns
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,7 @@
     Args:
         server: as it announced itself.
         times: of its service's requests; None for some of its own.
+        turns: of this process; None where it never stalls.
 
     Attributes:
         id: the incarnation's.
@@ -79,15 +81,19 @@
     """
 
     def __init__(
-        self, server: BackendServer, times: ServiceTimes | None = None
+        self,
+        server: BackendServer,
+        times: ServiceTimes | None = None,
+        turns: Turns | None = None,
     ) -> None:
+        turns = turns or Turns()
         self.id = server.id
         self.server = server
         self.in_flight = 0
         self.load = ServerLoad()
-        self.waiting = WaitingRequests()
+        self.waiting = WaitingRequests(turns)
         self.times = times or ServiceTimes()
-        self.health = ServerHealth()
+        self.health = ServerHealth(turns)
         self.evidence = FleetEvidence()
         self.missing = False
         self.refused = False
@@ -147,10 +153,17 @@
 class ServerDirectory:
     """Backend servers by service.
 
+    Args:
+        turns: of this process; None where it never stalls.
+
+    Attributes:
+        turns: of this process.
+
     .. versionadded:: 0.2
     """
 
-    def __init__(self) -> None:
+    def __init__(self, turns: Turns | None = None) -> None:
+        self.turns = turns or Turns()
         self._states: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._times: dict[str, ServiceTimes] = {}
@@ -182,7 +195,7 @@
         state = self._states.get(server.id)
         if state is None:
             times = self._times.setdefault(server.service, ServiceTimes())
-            state = self._states[server.id] = ServerState(server, times)
+            state = self._states[server.id] = ServerState(server, times, self.turns)
         elif state.server.service != server.service:
             self._by_service[state.server.service].pop(server.id, None)
         state.server = server
