Failing: a request under which servers end is sent to one after the other

Cause: each VM judges one exchange at a time; nothing remembers what a request did before. Change: features/crash_soak.py plays gateway processes before servers that end under marked requests, with other or the same id, beside harmless popular ones; features/quarantine.

--- /dev/null
+++ b/features/crash_soak.py
@@ -0,0 +1,419 @@
+"""A soak of requests under which backend servers end: gateway processes, real signals.
+
+Some prompts and plain requests end each server that runs them; the server is back some
+seconds later, under a new id or under its own with a later start. They come again and
+again at any VM, beside harmless requests of which two are popular: the same path,
+customer and body each time, so that one of them is in flight at most ends. VMs are
+killed, stopped for a while, started late; the store refuses for a while; all VMs are
+killed at once. Promises: of a harmful request no more than 3 copies reach a server
+later than 3 s after the third server that it ended, from VMs that ran for those 3 s; it
+ends 5 servers at most, 2 more for each time that all VMs are killed; no harmless
+request is turned away for what servers did.
+
+    python -m features.crash_soak --seconds 9 --seeds 1-50
+
+A seed sets what happens when; when each process gets its turn is the machine's.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from features.crash_servers import CRASH_MARK, PLAIN, CrashServer, CrashServers
+from features.gateway_support import RawAnswer, RawCaller
+from features.platform_support import PlatformFixture, build_config
+
+DOMAINS = ("porto", "braga", "faro", "evora")
+ENGINES, PLAIN_SERVERS = 12, 6
+PROMPTS_PER_S, PLAIN_PER_S, POPULAR_PER_S, HARMFUL_PER_S = 15.0, 15.0, 5.0, 3.0
+DEADLINE_MS = 4000
+ANSWER_TIMEOUT_S = 7.0
+
+RETURN_S = 2.0
+"""Seconds until a server that ended is back."""
+
+LAPSE_S = 1.5
+"""Seconds until the entry of a server that ended is gone, where its id is not kept."""
+
+CONTACT_S = 3.0
+"""Seconds in which what a VM saw must have reached the others."""
+
+MOST_LATE, MOST_ENDS, ENDS_FOR_POWER = 3, 5, 2
+MIN_SERVED_SHARE = 0.5
+
+HARMS = ("kill_vm", "stop_vm", "refuse_store", "start_vm")
+"""Kinds of harm, methods of the soak; ``kill_all`` is asked for by name, once a run."""
+
+HARMFUL_ID = "bad"
+"""Begins the id of a harmful request; the number of its VM follows."""
+
+
+@dataclass
+class CrashSoak:
+    """One run with one seed.
+
+    Attributes:
+        harms: names of the kinds of harm to choose from; empty for none.
+        harmful: harmful requests, each of which comes again and again.
+        same_id: whether a server that is back keeps its id.
+    """
+
+    seed: int
+    seconds: float
+    vms: int = 8
+    harms: tuple[str, ...] = ()
+    harmful: int = 1
+    same_id: bool = False
+    crash_share: float = 1.0
+    fixture: PlatformFixture = field(default_factory=PlatformFixture)
+    statuses: Counter = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+    turned_away: list[str] = field(default_factory=list)
+    power_losses: int = 0
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        self.fault_random = random.Random(self.seed)
+        self.servers = CrashServers(
+            self.random,
+            crash_after_s=self.fault_random.uniform(0.02, 0.12),
+            crash_share=self.crash_share,
+        )
+        self.resets = self.fault_random.random() < 0.5
+        # Several runs at once must not share addresses.
+        block = f"127.{1 + os.getpid() % 250}.{self.seed % 250}"
+        self.hosts = {f"vm-{n}": f"{block}.{n}" for n in range(1, self.vms + 1)}
+        self.running: dict[str, str] = {}
+        self.disturbed_at: dict[str, list[float]] = {vm: [] for vm in self.hosts}
+        self._tasks: set[asyncio.Task] = set()
+        self._ids = 0
+
+    async def run(self) -> list[str]:
+        """Run, and return what broke a promise."""
+        await self._start()
+        try:
+            self._started = time.monotonic()
+            until = self._started + self.seconds
+            reviving = asyncio.ensure_future(self._revive())
+            await asyncio.gather(
+                *(self._call_until(until, *kind) for kind in self._list_callers()),
+                self._harm_until(until),
+            )
+            await asyncio.gather(*self._tasks)
+            reviving.cancel()
+            self._read_lines()
+        finally:
+            await self._stop()
+        return self._check()
+
+    # servers
+
+    async def _start(self) -> None:
+        await self.fixture.store.start()
+        config = build_config()
+        route = config["routes"][0]
+        config["routes"].append(
+            route
+            | {"name": "r3", "path_prefix": "/r/"}
+            | {"type": "idempotent", "max_attempts": 2}
+        )
+        config["services"][0] |= {"max_connections": 400}
+        value = json.dumps(config).encode()
+        self.fixture.store.put("keyed.op", "config", value)
+        for number in range(ENGINES + PLAIN_SERVERS):
+            service = "llm" if number < ENGINES else PLAIN
+            server = await self.servers.add(service)
+            self._announce(f"i-{number}", server)
+        names = list(self.hosts)
+        self.late = names.pop() if "start_vm" in self.harms else None
+        await self._begin(names[0])
+        await asyncio.gather(*map(self._begin, names[1:]))
+
+    async def _stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.fixture.stop()
+
+    def _announce(self, server_id: str, server: CrashServer) -> None:
+        self.fixture.backends[server_id] = server
+        domain = DOMAINS[server.port % len(DOMAINS)]
+        born = int(server.started_at * 1000)
+        self.fixture.announce(server_id, server.service, zone=domain, born=born)
+
+    async def _revive(self) -> None:
+        """End each server under which a harmful request ran, and start it again."""
+        while True:
+            server = await self.servers.ended.get()
+            await server.end(resets=self.resets)
+            self._launch(self._start_again(server))
+
+    async def _start_again(self, server: CrashServer) -> None:
+        [server_id] = [i for i, b in self.fixture.backends.items() if b is server]
+        if not self.same_id:
+            await asyncio.sleep(LAPSE_S)
+            self.fixture.store.put("keyed.servers", server_id, None)
+            del self.fixture.backends[server_id]
+            server_id = f"{server_id}x"
+        await asyncio.sleep(RETURN_S - (0.0 if self.same_id else LAPSE_S))
+        await server.begin()
+        self._announce(server_id, server)
+
+    # callers
+
+    def _list_callers(self) -> list[tuple[float, Callable[[], Coroutine]]]:
+        """Return what callers ask, and how often a second."""
+        calm = [
+            (PROMPTS_PER_S, partial(self._ask, "/s/x", "calm")),
+            (PLAIN_PER_S, partial(self._ask, "/r/x", "plain")),
+            (POPULAR_PER_S, partial(self._ask, "/s/x", "popular", body=b"popular")),
+            (POPULAR_PER_S, partial(self._ask, "/r/y", "popular", body=b"")),
+        ]
+        paths = ("/s/x", "/r/x")
+        return calm + [
+            (HARMFUL_PER_S, partial(self._ask_harmful, paths[n % 2], n))
+            for n in range(self.harmful)
+        ]
+
+    async def _call_until(
+        self, until: float, per_s: float, ask: Callable[[], Coroutine]
+    ) -> None:
+        due = time.monotonic()
+        while due < until:
+            due += self.random.expovariate(per_s)
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            self._launch(ask())
+
+    def _launch(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_harmful(self, path: str, number: int) -> None:
+        vm = self._choose_vm()
+        prefix = f"{HARMFUL_ID}{int(vm.partition('-')[2]):04d}"
+        body = CRASH_MARK + b"%d" % number
+        await self._ask(path, "harmful", vm=vm, prefix=prefix, body=body)
+
+    def _choose_vm(self) -> str:
+        return self.random.choice(list(self.running) or list(self.hosts))
+
+    async def _ask(
+        self,
+        path: str,
+        kind: str,
+        *,
+        vm: str | None = None,
+        prefix: str = "",
+        body: bytes | None = None,
+    ) -> None:
+        vm = vm or self._choose_vm()
+        self._ids += 1
+        request_id = f"{prefix}{self._ids:06x}"
+        body = b"%d" % self._ids if body is None else body
+        lines = [f"POST {path} HTTP/1.1", "Host: h.example", "Api-Key: k1"]
+        lines += [f"Attempt-Id: {request_id}", f"Deadline-Ms: {DEADLINE_MS}"]
+        lines += [f"Content-Length: {len(body)}"]
+        if path.startswith("/s/"):
+            lines += [f"Prefix-Hash: {self._ids % 20 + 16:x}:500,{self._ids:x}:9"]
+        answer = RawAnswer()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                port = self.fixture.ports[vm]
+                found = await asyncio.open_connection(self.hosts[vm], port)
+                caller = RawCaller(0, *found)
+                try:
+                    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+                    await caller.send(head + body)
+                    await caller.read(answer)
+                finally:
+                    caller.close()
+        served = answer.status == 200 and answer.whole
+        self.statuses[kind, 200 if served else answer.status or "closed"] += 1
+
+    # harm
+
+    async def _harm_until(self, until: float) -> None:
+        running = []
+        due = list(self.harms)
+        while due and time.monotonic() < until - 1.0:
+            await asyncio.sleep(self.fault_random.uniform(0.3, 1.5))
+            name = due.pop(self.fault_random.randrange(len(due)))
+            if not due and name not in ("kill_all", "start_vm"):
+                due = [name]
+            at = time.monotonic() - self._started
+            self.faults.append(f"{name}@{at:.1f}")
+            running.append(asyncio.ensure_future(getattr(self, f"_{name}")()))
+        await asyncio.gather(*running)
+
+    async def _begin(self, vm: str) -> None:
+        domain = DOMAINS[int(vm.partition("-")[2]) % len(DOMAINS)]
+        await self.fixture.start_gateway(vm, self.hosts[vm], domain)
+        self.running[vm] = self.hosts[vm]
+        self.disturbed_at[vm].append(time.monotonic())
+
+    async def _kill_vm(self) -> None:
+        """Kill a VM's process, and start it again."""
+        vm = self.fault_random.choice(list(self.hosts))
+        if vm in self.running:
+            await self._kill(vm)
+            await self._begin(vm)
+
+    async def _kill(self, vm: str) -> None:
+        self.running.pop(vm, None)
+        self.disturbed_at[vm].append(time.monotonic())
+        with contextlib.suppress(ProcessLookupError):
+            self.fixture.processes[vm].kill()
+        await self.fixture.processes[vm].wait()
+
+    async def _stop_vm(self) -> None:
+        """Stop a VM's process for a while."""
+        vm = self.fault_random.choice(list(self.hosts))
+        if vm not in self.running:
+            return
+        process = self.fixture.processes[vm]
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.fault_random.uniform(0.3, 3.0))
+            process.send_signal(signal.SIGCONT)
+        self.disturbed_at[vm].append(time.monotonic())
+
+    async def _refuse_store(self) -> None:
+        """Let the store refuse every call for a while."""
+        self.fixture.store.refuse = 503
+        await asyncio.sleep(self.fault_random.uniform(0.5, 3.0))
+        self.fixture.store.refuse = 0
+
+    async def _start_vm(self) -> None:
+        if self.late is not None:
+            vm, self.late = self.late, None
+            await self._begin(vm)
+
+    async def _kill_all(self) -> None:
+        """Kill all VMs at once, and start them again."""
+        await asyncio.sleep(self.fault_random.uniform(0.0, 0.4 * self.seconds))
+        self.power_losses += 1
+        vms = list(self.running)
+        await asyncio.gather(*map(self._kill, vms))
+        await asyncio.gather(*map(self._begin, vms))
+
+    # the promises
+
+    def _read_lines(self) -> None:
+        """Note harmless requests that were turned away for what servers did."""
+        for vm in self.hosts:
+            log = self.fixture.find_log(vm)
+            if not log.exists():
+                continue
+            for line in log.read_text().splitlines():
+                if '"given_up"' in line and '"rule":"quarantined"' in line:
+                    self._note_turned_away(line)
+
+    def _note_turned_away(self, line: str) -> None:
+        if f'"request_id":"{HARMFUL_ID}' not in line:
+            self.turned_away.append(line)
+
+    def _check(self) -> list[str]:
+        broken = [f"turned away: {line}" for line in self.turned_away[:3]]
+        most_ends = MOST_ENDS + ENDS_FOR_POWER * self.power_losses
+        for name, record in self.servers.records.items():
+            ends, late = len(record.ends), self.count_late(name)
+            if late > MOST_LATE:
+                broken.append(f"{name}: {late} arrivals long after its third end")
+            if self.crash_share == 1.0 and ends > most_ends:
+                broken.append(f"{name}: ended {ends} servers")
+        served = sum(n for (_, status), n in self.statuses.items() if status == 200)
+        asked = sum(n for (kind, _), n in self.statuses.items() if kind != "harmful")
+        if served < MIN_SERVED_SHARE * asked:
+            broken.append(f"only {served} of {asked} harmless requests were served")
+        return broken
+
+    def count_late(self, name: str) -> int:
+        """Return how many copies came long after the third end, from calm VMs."""
+        record = self.servers.records[name]
+        if len(record.ends) < 3:
+            return 0
+        since = record.ends[2] + CONTACT_S
+        late = [arrival for arrival in record.arrivals if arrival.at > since]
+        return sum(self._was_calm(arrival.request_id, arrival.at) for arrival in late)
+
+    def _was_calm(self, request_id: str, at: float) -> bool:
+        vm = f"vm-{int(request_id[len(HARMFUL_ID) : len(HARMFUL_ID) + 4])}"
+        return not any(
+            at - CONTACT_S < moment <= at for moment in self.disturbed_at[vm]
+        )
+
+    def show(self) -> str:
+        """Return what harmful requests did, and what harmless ones got."""
+        harm = ", ".join(
+            f"{name}: {len(r.ends)} ends, {len(r.arrivals)} arrivals, "
+            f"{self.count_late(name)} late"
+            for name, r in sorted(self.servers.records.items())
+        )
+        kinds = sorted({kind for kind, _ in self.statuses} - {"harmful"})
+        served = ", ".join(
+            f"{kind} {self.statuses[kind, 200]} of "
+            f"{sum(n for (k, _), n in self.statuses.items() if k == kind)}"
+            for kind in kinds
+        )
+        return f"{harm}; served: {served}; {' '.join(self.faults)}"
+
+
+def draw_soak(seed: int, seconds: float, vms: int) -> CrashSoak:
+    """Return a run whose form the seed draws."""
+    generator = random.Random(f"form-{seed}")
+    count = generator.randint(0, len(HARMS))
+    harms = tuple(generator.sample(HARMS, count))
+    if generator.random() < 0.2:
+        harms = ("kill_all", *harms)
+    return CrashSoak(
+        seed,
+        seconds,
+        vms,
+        harms,
+        harmful=generator.choice((1, 1, 2, 3)),
+        same_id=generator.random() < 0.5,
+    )
+
+
+def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
+    """Run one seed and print what it did."""
+    soak = draw_soak(seed, options.seconds, options.vms)
+    broken = asyncio.run(soak.run())
+    state = "BROKEN" if broken else "kept"
+    print(f"seed {seed}: {state}; same id {soak.same_id}; {soak.show()}")
+    for line in broken:
+        print(f"    broken: {line}")
+    sys.stdout.flush()
+    return broken
+
+
+def main() -> int:
+    """Run the seeds and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=9.0, help="for each seed")
+    parser.add_argument("--seeds", default="1-10", help="FIRST-LAST")
+    parser.add_argument("--vms", type=int, default=8, help="gateway processes")
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    failed = [seed for seed in seeds if run_seed(seed, options)]
+    print(f"{len(seeds)} seeds, {len(failed)} broken: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/suite.py
+++ b/features/suite.py
@@ -22,7 +22,14 @@
 AT_A_TIME = 4
 
 ALONE = frozenset(
-    {"leaving", "load_limit", "planned_stop", "settings", "under_failure"}
+    {
+        "leaving",
+        "load_limit",
+        "planned_stop",
+        "quarantine",
+        "settings",
+        "under_failure",
+    }
 )
 """Folders whose many processes need the machine to themselves."""
 
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -20,9 +20,9 @@
     _server: asyncio.Server | None = field(default=None, init=False)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._track, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, or on a free one."""
+        self._server = await asyncio.start_server(self._track, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
