A request under which servers end one after the other is refused, at all VMs

Cause: each VM judged one exchange at a time. Nothing remembered what a request had done before, at the same VM or another; servers were blamed for it, and each copy took two of them.

--- a/features/crash_soak.py
+++ b/features/crash_soak.py
@@ -7,8 +7,9 @@
 killed, stopped for a while, started late; the store refuses for a while; all VMs are
 killed at once. Promises: of a harmful request no more than 3 copies reach a server
 later than 3 s after the third server that it ended, from VMs that ran for those 3 s; it
-ends 5 servers at most, 2 more for each time that all VMs are killed; no harmless
-request is turned away for what servers did.
+ends 5 servers at most, 1 more for each VM that was stopped, 2 more for each time that
+all VMs are killed, 5 more where the store refuses besides; no harmless request is
+turned away for what servers did.
 
     python -m features.crash_soak --seconds 9 --seeds 1-50
 
@@ -35,6 +36,7 @@
 from features.crash_servers import CRASH_MARK, PLAIN, CrashServer, CrashServers
 from features.gateway_support import RawAnswer, RawCaller
 from features.platform_support import PlatformFixture, build_config
+from standins.common import wait_for
 
 DOMAINS = ("porto", "braga", "faro", "evora")
 ENGINES, PLAIN_SERVERS = 12, 6
@@ -51,7 +53,21 @@
 CONTACT_S = 3.0
 """Seconds in which what a VM saw must have reached the others."""
 
-MOST_LATE, MOST_ENDS, ENDS_FOR_POWER = 3, 5, 2
+MOST_LATE, MOST_ENDS = 3, 5
+
+ENDS_FOR_POWER, ENDS_FOR_POWER_WITHOUT_STORE = 2, 5
+"""Servers more that a harmful request may end for each time that all VMs are killed.
+What they knew lies in the store alone then: if that refuses to take or tell it, the
+fleet learns anew."""
+
+ENDS_FOR_STOP = 1
+"""The same for each time that a VM is stopped: when it goes on it may read a caller's
+copy before it reads what the others told meanwhile."""
+
+HARMFUL_AFTER_S = 1.0
+"""Seconds of calm first. A popular request that never ran well can't be told from
+a harmful one while servers end faster than it takes."""
+
 MIN_SERVED_SHARE = 0.5
 
 HARMS = ("kill_vm", "stop_vm", "refuse_store", "start_vm")
@@ -83,6 +99,7 @@
     faults: list[str] = field(default_factory=list)
     turned_away: list[str] = field(default_factory=list)
     power_losses: int = 0
+    stops: int = 0
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
@@ -110,6 +127,7 @@
             reviving = asyncio.ensure_future(self._revive())
             await asyncio.gather(
                 *(self._call_until(until, *kind) for kind in self._list_callers()),
+                self._harm_servers_until(until),
                 self._harm_until(until),
             )
             await asyncio.gather(*self._tasks)
@@ -141,6 +159,16 @@
         self.late = names.pop() if "start_vm" in self.harms else None
         await self._begin(names[0])
         await asyncio.gather(*map(self._begin, names[1:]))
+        # Before that they can't tell each other anything.
+        await wait_for(self._know_each_other, "VMs know each other")
+
+    async def _know_each_other(self) -> bool:
+        """Return whether each VM knows the others."""
+        for vm, host in self.running.items():
+            dump = json.loads(await self.fixture.ask_operator(vm, host, "/dump"))
+            if dump["tables"]["members"]["records"] < len(self.running):
+                return False
+        return True
 
     async def _stop(self) -> None:
         for task in self._tasks:
@@ -176,17 +204,23 @@
 
     def _list_callers(self) -> list[tuple[float, Callable[[], Coroutine]]]:
         """Return what callers ask, and how often a second."""
-        calm = [
+        return [
             (PROMPTS_PER_S, partial(self._ask, "/s/x", "calm")),
             (PLAIN_PER_S, partial(self._ask, "/r/x", "plain")),
             (POPULAR_PER_S, partial(self._ask, "/s/x", "popular", body=b"popular")),
             (POPULAR_PER_S, partial(self._ask, "/r/y", "popular", body=b"")),
         ]
+
+    async def _harm_servers_until(self, until: float) -> None:
+        """Let the harmful requests come."""
+        await asyncio.sleep(HARMFUL_AFTER_S)
         paths = ("/s/x", "/r/x")
-        return calm + [
-            (HARMFUL_PER_S, partial(self._ask_harmful, paths[n % 2], n))
-            for n in range(self.harmful)
+        asked = [
+            partial(self._ask_harmful, paths[n % 2], n) for n in range(self.harmful)
         ]
+        await asyncio.gather(
+            *(self._call_until(until, HARMFUL_PER_S, ask) for ask in asked)
+        )
 
     async def _call_until(
         self, until: float, per_s: float, ask: Callable[[], Coroutine]
@@ -209,7 +243,7 @@
         await self._ask(path, "harmful", vm=vm, prefix=prefix, body=body)
 
     def _choose_vm(self) -> str:
-        return self.random.choice(list(self.running) or list(self.hosts))
+        return self.random.choice(list(self.hosts))
 
     async def _ask(
         self,
@@ -221,6 +255,8 @@
         body: bytes | None = None,
     ) -> None:
         vm = vm or self._choose_vm()
+        if vm not in self.running:
+            return
         self._ids += 1
         request_id = f"{prefix}{self._ids:06x}"
         body = b"%d" % self._ids if body is None else body
@@ -284,6 +320,7 @@
         vm = self.fault_random.choice(list(self.hosts))
         if vm not in self.running:
             return
+        self.stops += 1
         process = self.fixture.processes[vm]
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGSTOP)
@@ -328,7 +365,10 @@
 
     def _check(self) -> list[str]:
         broken = [f"turned away: {line}" for line in self.turned_away[:3]]
-        most_ends = MOST_ENDS + ENDS_FOR_POWER * self.power_losses
+        had_store = "refuse_store" not in self.harms
+        for_power = ENDS_FOR_POWER if had_store else ENDS_FOR_POWER_WITHOUT_STORE
+        most_ends = MOST_ENDS + for_power * self.power_losses
+        most_ends += ENDS_FOR_STOP * self.stops
         for name, record in self.servers.records.items():
             ends, late = len(record.ends), self.count_late(name)
             if late > MOST_LATE:
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -350,10 +350,16 @@
 
     async def read_metrics(self, vm: str, host: str) -> str:
         """Return what a gateway answers to the question for its metrics."""
+        return await self.ask_operator(vm, host, "/metrics")
+
+    async def ask_operator(self, vm: str, host: str, target: str) -> str:
+        """Return what a gateway answers to an operator."""
         started = self.find_started(vm)
         assert started is not None
         reader, writer = await asyncio.open_connection(host, started["operations"])
-        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        writer.write(
+            f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode()
+        )
         head = await reader.readuntil(b"\r\n\r\n")
         [length] = re.findall(rb"content-length: (\d+)", head.lower())
         body = await reader.readexactly(int(length))
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -14,11 +14,15 @@
 
 from features.platform_support import PlatformFixture, StoreStandIn
 from ramppin.errors import SettingsError
-from ramppin.gateway.connection.datagrams import HomeHint
+from ramppin.gateway.connection.datagrams import EndHint, HomeHint, SuspectHint
 from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.routing.homes import PrefixHomes
-from ramppin.gateway.process.routing.homesnapshot import HomeSnapshot, HomeSnapshots
+from ramppin.gateway.process.routing.homesnapshot import (
+    HomeSnapshot,
+    HomeSnapshots,
+    decode_snapshot,
+)
 from ramppin_platform.records import PlatformDecoder
 from standins.common import wait_for
 
@@ -178,14 +182,19 @@
 
 @then("snapshots of homes of any bytes are taken, or leave what was known")
 def step_any_snapshot(context):
-    good = msgspec.msgpack.encode(HomeSnapshot("vm-1", [HomeHint(9, "i-1", 40)]))
+    suspect = SuspectHint(8, [EndHint("i-2@4", 30, 20)], 1, ["i-3@4"], True, 70)
+    snapshot = HomeSnapshot("vm-1", [HomeHint(9, "i-1", 40)], [suspect])
+    good = msgspec.msgpack.encode(snapshot)
 
     async def take(value: bytes) -> None:
         homes = PrefixHomes(lambda server: server == "i-1")
         homes.note_placed(7, "i-1", asyncio.get_running_loop().time())
         members = FleetMembers("vm-1", "porto")
         snapshots = HomeSnapshots("vm-1", None, members, homes, lambda: True)
-        snapshots._take(value)
+        snapshot = decode_snapshot(value)
+        if snapshot is not None:
+            snapshots._suspects.take(snapshot.suspects, 0.0)
+            snapshots._take_homes(snapshot)
         assert homes.find(7) == "i-1"
 
     @settings(max_examples=300, suppress_health_check=list(HealthCheck), deadline=None)
--- a/src/ramppin/errors.py
+++ b/src/ramppin/errors.py
@@ -135,9 +135,27 @@
 class NotSentError(RamppinError):
     """A request of which no byte left for the backend server.
 
+    Args:
+        message: what was wrong.
+        step: the step at which it arose.
+        peer: the backend server.
+        is_refused: whether the server's machine refused the connection: nothing
+            listens there.
+
     .. versionadded:: 0.1
     """
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str = "",
+        peer: str = "",
+        is_refused: bool = False,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.is_refused = is_refused
+
 
 class PlaceLostError(NotSentError):
     """A place that went to another while this process was paused.
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams between VMs: hints on homes, failures and loads, which may be lost.
+"""Datagrams between VMs: hints on homes, loads, failures; they may be lost.
 
 MessagePack through msgspec in place of CBOR over WebSockets: a hint needs no
 connection, and msgspec checks each message against its type while decoding.
@@ -46,6 +46,40 @@
     count: int
 
 
+class EndHint(msgspec.Struct, array_like=True, frozen=True):
+    """A backend server that ended under a request.
+
+    Attributes:
+        server: its id.
+        age_ms: time since its end.
+        held_ms: time for which it had had the request.
+    """
+
+    server: str
+    age_ms: int
+    held_ms: int
+
+
+class SuspectHint(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of a request under which servers ended.
+
+    Attributes:
+        fingerprint: the request's.
+        ends: of servers since it last ran well.
+        count: ends one after the other, by the sender's count.
+        cleared: servers whose ends no longer count, since it ran well after them.
+        was_served: whether it is known to have run well before.
+        tried_age_ms: time since a copy was let through on trial; None if none was.
+    """
+
+    fingerprint: int
+    ends: list[EndHint] = []
+    count: int = 0
+    cleared: list[str] = []
+    was_served: bool = False
+    tried_age_ms: int | None = None
+
+
 class PeerHints(msgspec.Struct, array_like=True, frozen=True):
     """One datagram.
 
@@ -57,6 +91,8 @@
         loads: of servers that answered the sender's requests.
         waits: of servers that keep the sender's requests waiting, or no longer do.
         hot: keys of prefixes that need more servers than their home.
+        suspects: requests under which servers ended, or that ran well since.
+        held: one number for all requests that the sender refuses.
     """
 
     vm: str
@@ -66,6 +102,8 @@
     loads: list[LoadHint] = []
     waits: list[WaitHint] = []
     hot: list[int] = []
+    suspects: list[SuspectHint] = []
+    held: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/ramppin/gateway/connection/pool.py
+++ b/src/ramppin/gateway/connection/pool.py
@@ -54,6 +54,19 @@
             if _is_usable(connection, now, limit_s):
                 return connection
             connection.abort()
+        return await self.open(peer, host, port)
+
+    async def open(self, peer: str, host: str, port: int) -> UpstreamConnection:
+        """Return a new connection.
+
+        Args:
+            peer: the backend server's id.
+            host: its address.
+            port: its port.
+
+        Raises:
+            NotSentError: it did not come up.
+        """
         self.opened += 1
         return await open_connection(host, port, peer, timeout_s=CONNECT_TIMEOUT_S)
 
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -70,6 +70,7 @@
         keep_alive_s: seconds for which the server said that it keeps the connection
             idle; None if it did not say.
         was_silent: whether it ended because the peer acknowledged nothing.
+        was_lost: whether it ended otherwise while a request was in flight.
 
     .. versionadded:: 0.2
     """
@@ -79,6 +80,7 @@
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.was_silent = False
+        self.was_lost = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._receiver: AnswerReceiver | None = None
@@ -134,6 +136,7 @@
         """Fail the request in flight."""
         self._reusable = False
         self.was_silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
+        self.was_lost = self._receiver is not None and not self.was_silent
         self._fail(f"connection lost: {exc or 'closed by the peer'}")
 
     # the caller's side
@@ -299,5 +302,10 @@
             f"no connection within {timeout_s:.2f} s", step="connect", peer=peer
         ) from error
     except OSError as error:
-        raise NotSentError(str(error), step="connect", peer=peer) from error
+        raise NotSentError(
+            str(error),
+            step="connect",
+            peer=peer,
+            is_refused=isinstance(error, ConnectionRefusedError),
+        ) from error
     return connection
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -17,6 +17,8 @@
 from ramppin.gateway.connection.pool import ConnectionPool
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
+from ramppin.gateway.process.quarantine.quarantine import Quarantine
+from ramppin.gateway.process.quarantine.servercheck import ServerChecks
 from ramppin.gateway.process.reporting.decisions import DecisionLog
 from ramppin.gateway.process.reporting.explanations import Explanations
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
@@ -49,6 +51,8 @@
         plain_selection: for all others.
         generator: random numbers.
         retry_budget: retries that this VM may make.
+        quarantine: requests under which servers end.
+        server_checks: tell whether a server to which a connection was lost has ended.
         listener: what callers' connections share.
         metrics: of the process.
         explanations: the decisions of the last requests.
@@ -71,6 +75,8 @@
     plain_selection: NearestSelection
     generator: random.Random
     retry_budget: RetryBudget
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    server_checks: ServerChecks = field(init=False)
     listener: ListenerState = field(default_factory=ListenerState)
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     explanations: Explanations = field(default_factory=Explanations)
@@ -83,6 +89,9 @@
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.server_checks = ServerChecks(self.pool, self.quarantine)
+
     @property
     def version(self) -> int:
         """The version of the settings in force; -1 before the first."""
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -31,9 +31,11 @@
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
 from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.operations import GatewayState, OperationsResponder
+from ramppin.gateway.process.quarantine.news import QuarantineNews
 from ramppin.gateway.process.recovery.peeranswers import RecordsResponder
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
 from ramppin.gateway.process.reporting.decisions import DecisionLog
+from ramppin.gateway.process.reporting.quarantinelines import note_quarantine
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
@@ -102,8 +104,9 @@
             failure_domain=config.failure_domain,
         )
         self.context.listener.note_refused = self._note_refused
+        self._suspects = QuarantineNews(self.context.quarantine, generator)
         self.tables = GatewayTables(
-            config, sources, self.context, self.homes, generator
+            config, sources, self.context, self.homes, generator, self._suspects
         )
         self._hints: HintExchange | None = None
         self._inner_listener = ListenerState()
@@ -157,6 +160,7 @@
             ServerNews(self.context.directory, config.failure_domain),
             LoadNews(self.context.directory),
             self.tables.contact.is_up,
+            self._suspects,
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
             task = asyncio.create_task(work)
@@ -297,6 +301,8 @@
                 connection.check_timeouts(now)
             context.pool.sweep(now)
             self.tables.remove_missing(now)
+            context.quarantine.forget(now)
+            note_quarantine(context, now)
             context.live_vms = 1 + len(self.tables.members.list_live(now))
             context.retry_budget.share(context.live_vms)
             if now - refilled_at >= REFILL_S:
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -90,6 +90,7 @@
         metrics.in_flight.set(context.in_flight)
         metrics.version.set(context.version)
         metrics.homes.set(self._count_homes())
+        metrics.quarantined.set(len(context.quarantine.held))
         metrics.connections_opened.set(context.pool.opened)
         for table in self._tables:
             name = table.replica.name
--- a/src/ramppin/gateway/process/recovery/changes.py
+++ b/src/ramppin/gateway/process/recovery/changes.py
@@ -111,6 +111,7 @@
             return False
         if verdict is StartVerdict.LATER:
             context.pool.drop_peer(known.id)
+            context.quarantine.note_server_ended(known.id)
             context.decisions.note(
                 "server_restarted",
                 server=server.name,
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -20,6 +20,7 @@
     Member,
     announce,
 )
+from ramppin.gateway.process.quarantine.news import QuarantineNews
 from ramppin.gateway.process.recovery.changes import RecordChanges
 from ramppin.gateway.process.recovery.follower import FollowedTable, Follower
 from ramppin.gateway.process.recovery.logcontact import (
@@ -103,6 +104,7 @@
         context: takes what records change.
         homes: where prefixes are.
         generator: random numbers.
+        suspects: requests under which servers end.
 
     .. versionadded:: 0.2
     """
@@ -114,6 +116,7 @@
         context: GatewayContext,
         homes: PrefixHomes,
         generator: random.Random,
+        suspects: QuarantineNews,
     ) -> None:
         self._config = config
         self.contact = LogContact(context.metrics.log_calls)
@@ -142,6 +145,7 @@
             self.members,
             homes,
             lambda: self.servers.started,
+            suspects,
         )
         context.servers_confirmed_at = lambda: self.servers.confirmed_at
 
@@ -203,6 +207,7 @@
         """Forget backend servers whose entry is missing."""
         for state in self._context.directory.remove_missing(now):
             self._context.pool.drop_peer(state.id)
+            self._context.quarantine.note_server_ended(state.id)
             self._context.decisions.note("server_gone", server=state.server.name)
 
     # the tables
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -144,6 +144,12 @@
             "Turns of the process that came late by 0.1 s or more.",
         )
 
+        self.quarantine_changes = CounterTally(
+            "ramppin_gateway_quarantine_changes_total",
+            "Requests that were quarantined, tried and cleared, by change.",
+            ("change",),
+        )
+
     def _measure_state(self) -> None:
         self.in_flight = GaugeTally(
             "ramppin_gateway_requests_in_flight", "Requests in flight."
@@ -176,6 +182,10 @@
             "ramppin_gateway_prefix_homes",
             "Prefixes whose backend server is known.",
         )
+        self.quarantined = GaugeTally(
+            "ramppin_gateway_quarantined_requests",
+            "Requests that are refused since backend servers ended under them.",
+        )
         self.connections_opened = GaugeTally(
             "ramppin_gateway_connections_opened",
             "Connections opened to backend servers since the start.",
--- /dev/null
+++ b/src/ramppin/gateway/process/reporting/quarantinelines.py
@@ -0,0 +1,34 @@
+"""Lines and counts about requests under which backend servers end."""
+
+from __future__ import annotations
+
+from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.quarantine.quarantine import QuarantineChange
+
+
+def note_quarantine(context: GatewayContext, now: float) -> None:
+    """Write and count what became of requests since the last call.
+
+    Args:
+        context: has the quarantine, and takes the lines.
+        now: the loop's time.
+    """
+    for change in context.quarantine.take_changes():
+        context.metrics.quarantine_changes.inc(change.kind.value)
+        context.decisions.note(
+            change.kind.value,
+            fingerprint=f"{change.fingerprint:016x}",
+            ends=_show_ends(change, now),
+            version=context.version,
+        )
+
+
+def _show_ends(change: QuarantineChange, now: float) -> list[dict[str, object]]:
+    return [
+        {
+            "server": end.server,
+            "age_s": round(now - end.ended_at, 2),
+            "held_ms": round((end.ended_at - end.sent_at) * 1000),
+        }
+        for end in change.ends
+    ]
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -1,14 +1,15 @@
 """Tells other VMs what this one learnt, and takes what they tell.
 
-Told are homes of prefixes and which prefixes are hot, failures of servers and loads of
-servers, in datagrams. One without any of these is the heartbeat by which VMs know each
-other live. Owns the times of the last messages to near and to far VMs, and how many
-datagrams may still be sent.
+Told are homes of prefixes and which prefixes are hot, failures of servers, loads of
+servers, and requests under which servers end, in datagrams. One without any of these is
+the heartbeat by which VMs know each other live. Owns the times of the last messages to
+near and to far VMs, and how many datagrams may still be sent.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from ramppin.gateway.connection.datagrams import (
@@ -20,6 +21,8 @@
 )
 from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.membership.members import FleetMembers
+from ramppin.gateway.process.quarantine.news import QuarantineNews
+from ramppin.gateway.process.quarantine.quarantine import Quarantine
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.gateway.process.routing.servernews import ServerNews
 
@@ -56,6 +59,7 @@
         servers: what VMs tell each other of servers that fail.
         loads: what VMs tell each other of servers' loads.
         is_log_up: returns whether the shared log serves this VM.
+        suspects: what VMs tell each other of requests under which servers end.
 
     .. versionadded:: 0.2
     """
@@ -70,6 +74,7 @@
         servers: ServerNews,
         loads: LoadNews,
         is_log_up: Callable[[float], bool] = lambda now: True,
+        suspects: QuarantineNews | None = None,
     ) -> None:
         self._vm = vm
         self._link = link
@@ -79,7 +84,10 @@
         self._servers = servers
         self._loads = loads
         self._is_log_up = is_log_up
+        self._suspects = suspects or QuarantineNews(Quarantine())
         self._told_log_up = True
+        self._woken = asyncio.Event()
+        self._suspects.watch(self._woken.set)
         self._datagrams_left = float(BURST_DATAGRAMS)
         self._looked_at = float("-inf")
         self._due_at = float("-inf")
@@ -90,11 +98,21 @@
         """Send hints until cancelled."""
         try:
             while True:
-                await asyncio.sleep(SHORTEST_PERIOD_S)
+                await self._wait_for_turn()
                 self.send_due(asyncio.get_running_loop().time())
         finally:
             self._link.close()
 
+    async def _wait_for_turn(self) -> None:
+        """Wait for the next turn, or until a server has ended under a request.
+
+        Each copy of such a request that comes before the others know ends a server.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SHORTEST_PERIOD_S):
+                await self._woken.wait()
+        self._woken.clear()
+
     def take(self, hints: PeerHints, host: str, now: float) -> None:
         """Take a message of another VM.
 
@@ -111,6 +129,7 @@
             self._homes.take_notice(notice, now)
         self._homes.hot.take(hints.hot, now)
         self._loads.take(hints, now)
+        self._answer_suspects(hints, host, now)
         if hints.failures:
             domain = self._members.find_failure_domain(hints.vm)
             self._servers.take(hints.failures, domain, now)
@@ -132,7 +151,8 @@
         if now >= self._due_at:
             self._due_at = now + self._choose_period()
             return True
-        return self._homes.has_placed and self._may_tell_all()
+        is_urgent = self._homes.has_placed or self._suspects.is_urgent
+        return is_urgent and self._may_tell_all()
 
     def are_loads_due(self, now: float) -> bool:
         """Return whether to tell loads now, beside what is told in turn."""
@@ -164,8 +184,9 @@
         loads = self._loads.collect(now)
         log_up = self._is_log_up(now)
         hot = self._homes.hot.collect()
+        suspects = self._suspects.collect(now)
         has_news = (
-            bool(notices or failures or loads.waits or hot)
+            bool(notices or failures or loads.waits or hot or suspects)
             or log_up != self._told_log_up
         )
         self._told_log_up = log_up
@@ -174,7 +195,17 @@
             waits = now - self._sent_at[near] < due_s
             if not has_news and not told and waits:
                 continue
-            hints = PeerHints(self._vm, homes, log_up, failures, told, loads.waits, hot)
+            hints = PeerHints(
+                self._vm,
+                homes,
+                log_up,
+                failures,
+                told,
+                loads.waits,
+                hot,
+                suspects,
+                self._suspects.digest,
+            )
             self._send_to(hints, near, now)
 
     def _send_loads(self, now: float) -> None:
@@ -191,7 +222,24 @@
     def _build_load_hints(
         self, loads: list[LoadHint], waits: list[WaitHint]
     ) -> PeerHints:
-        return PeerHints(self._vm, [], self._told_log_up, [], loads, waits)
+        held = self._suspects.digest
+        return PeerHints(self._vm, [], self._told_log_up, [], loads, waits, held=held)
+
+    def _answer_suspects(self, hints: PeerHints, host: str, now: float) -> None:
+        """Take what a VM knows of suspects, and tell it alone what it lacks."""
+        outdated = self._suspects.take(hints.suspects, now)
+        messages = self._suspects.reply(host, hints.held, now)
+        if outdated:
+            messages.append(outdated)
+        for suspects in messages:
+            hints = PeerHints(
+                self._vm,
+                [],
+                self._told_log_up,
+                suspects=suspects,
+                held=self._suspects.digest,
+            )
+            self._link.send(hints, [host], self._port)
 
     def _send_to(self, hints: PeerHints, near: bool, now: float) -> None:
         self._sent_at[near] = now
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -1,4 +1,4 @@
-"""A snapshot of the homes of prefixes in the shared log.
+"""A snapshot in the shared log: homes of prefixes, and requests that are refused.
 
 VMs keep nothing, and all of them may lose power together. One VM of the fleet
 writes what it knows every few seconds; a VM that starts reads it once. A snapshot
@@ -18,8 +18,10 @@
 import msgspec
 
 from ramppin.errors import LogUnavailableError
-from ramppin.gateway.connection.datagrams import HomeHint
+from ramppin.gateway.connection.datagrams import HomeHint, SuspectHint
 from ramppin.gateway.process.membership.members import FleetMembers
+from ramppin.gateway.process.quarantine.news import QuarantineNews
+from ramppin.gateway.process.quarantine.quarantine import Quarantine
 from ramppin.gateway.process.recovery.sources import RecordLog
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.ranking import rank_vms
@@ -30,9 +32,16 @@
 SNAPSHOT_PERIOD_S = 2.0
 """Seconds between two snapshots, if a home has changed."""
 
+SUSPECT_PERIOD_S = 0.25
+"""Seconds between two snapshots, if other requests are refused than in the last one: if
+all VMs lose power before it is written, each of those ends three servers more."""
+
 MAX_SNAPSHOT_HOMES = 5_000
 """Homes of one snapshot; at 40 bytes each it stays below a record's limit."""
 
+MAX_SNAPSHOT_SUSPECTS = 200
+"""Refused requests of one snapshot, 22 kB at 110 bytes each."""
+
 LOAD_TIMEOUT_S = 1.0
 """Seconds that one read of the snapshot may take."""
 
@@ -55,6 +64,7 @@
 
     vm: str
     homes: list[HomeHint]
+    suspects: list[SuspectHint] = []
 
 
 class HomeSnapshots:
@@ -66,6 +76,7 @@
         members: the other VMs.
         homes: where prefixes are.
         has_servers: returns whether the backend servers are known.
+        suspects: requests under which servers end.
 
     .. versionadded:: 0.2
     """
@@ -77,32 +88,48 @@
         members: FleetMembers,
         homes: PrefixHomes,
         has_servers: Callable[[], bool],
+        suspects: QuarantineNews | None = None,
     ) -> None:
         self._vm = vm
         self._log = log
         self._members = members
         self._homes = homes
         self._has_servers = has_servers
+        self._suspects = suspects or QuarantineNews(Quarantine())
         self._written_changes = 0
+        self._written_digest = 0
 
     async def run(self) -> None:
         """Load the snapshot, then write it in turn until cancelled."""
         await self._load()
         self._written_changes = self._homes.changes
+        self._written_digest = self._suspects.digest
+        homes_due_at = self._find_next_turn()
         while True:
-            await asyncio.sleep(SNAPSHOT_PERIOD_S)
-            if self._homes.changes != self._written_changes and self._is_writer():
+            await asyncio.sleep(SUSPECT_PERIOD_S)
+            is_due = self._suspects.digest != self._written_digest
+            if asyncio.get_running_loop().time() >= homes_due_at:
+                homes_due_at = self._find_next_turn()
+                is_due |= self._homes.changes != self._written_changes
+            if is_due and self._is_writer():
                 await self._write()
 
+    def _find_next_turn(self) -> float:
+        return asyncio.get_running_loop().time() + SNAPSHOT_PERIOD_S
+
     async def _load(self) -> None:
-        """Read the snapshot while the servers are read, and take it after them."""
+        """Read the snapshot while the servers are read; take homes after them."""
         value = await self._read()
+        snapshot = None if value is None else decode_snapshot(value)
+        if snapshot is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._suspects.take(snapshot.suspects, now)
         for _ in range(SERVER_CHECKS):
             if self._has_servers():
                 break
             await asyncio.sleep(SERVER_CHECK_S)
-        if value is not None:
-            self._take(value)
+        self._take_homes(snapshot)
 
     async def _read(self) -> bytes | None:
         for _ in range(LOAD_ATTEMPTS):
@@ -118,12 +145,7 @@
             return None
         return None
 
-    def _take(self, value: bytes) -> None:
-        try:
-            snapshot = msgspec.msgpack.decode(value, type=HomeSnapshot)
-        except msgspec.MsgspecError as error:
-            LOG.warning("unreadable snapshot: %s", error, extra={"step": "homes"})
-            return
+    def _take_homes(self, snapshot: HomeSnapshot) -> None:
         now = asyncio.get_running_loop().time()
         for hint in snapshot.homes:
             # The writer's age is a lower limit; it is older by now.
@@ -137,15 +159,26 @@
 
     async def _write(self) -> None:
         now = asyncio.get_running_loop().time()
-        changes = self._homes.changes
+        changes, digest = self._homes.changes, self._suspects.digest
         homes = [
             HomeHint(notice.key, notice.server, int(notice.age_s * 1000))
             for notice in self._homes.list_newest(now, MAX_SNAPSHOT_HOMES)
         ]
-        value = msgspec.msgpack.encode(HomeSnapshot(self._vm, homes))
+        suspects = self._suspects.collect_held(now, MAX_SNAPSHOT_SUSPECTS)
+        value = msgspec.msgpack.encode(HomeSnapshot(self._vm, homes, suspects))
         try:
             await self._log.append(SNAPSHOT_KEY, value)
         except LogUnavailableError as error:
             LOG.warning("no snapshot written: %s", error, extra={"step": "homes"})
         else:
             self._written_changes = changes
+            self._written_digest = digest
+
+
+def decode_snapshot(value: bytes) -> HomeSnapshot | None:
+    """Return a snapshot, or None if it can't be read."""
+    try:
+        return msgspec.msgpack.decode(value, type=HomeSnapshot)
+    except msgspec.MsgspecError as error:
+        LOG.warning("unreadable snapshot: %s", error, extra={"step": "homes"})
+        return None
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -16,6 +16,7 @@
 from ramppin.gateway.process.load.view import LoadView, measure_loads
 from ramppin.gateway.process.routing.directory import ServerState
 from ramppin.gateway.process.routing.eligibility import list_eligible
+from ramppin.ranking import RendezvousRanking
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +29,14 @@
         max_in_flight: requests that this VM should have at one server; None for
             any number.
         bad: ids of servers that the fleet sees failing.
+        suspect_key: the request's fingerprint if servers may have ended under it.
     """
 
     prefix_key: int | None = None
     exclude: frozenset[str] = frozenset()
     max_in_flight: int | None = None
     bad: frozenset[str] = frozenset()
+    suspect_key: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +85,12 @@
         )
         if not eligible:
             return None
-        return self._choose_among(request, eligible, self._measure(states, now), now)
+        view = self._measure(states, now)
+        if request.suspect_key is not None:
+            confined = _confine(request.suspect_key, eligible, view)
+            if confined is not None:
+                return build_selection(confined, 1, view, now)
+        return self._choose_among(request, eligible, view, now)
 
     def _measure(self, states: Sequence[ServerState], now: float) -> LoadView:
         """Return the loads of all open servers."""
@@ -106,6 +114,24 @@
         """
 
 
+def _confine(
+    key: int, eligible: list[ServerState], view: LoadView
+) -> ServerState | None:
+    """Return the server for a request under which servers may have ended, or None.
+
+    Copies of it that come at one time through several VMs go to one server, so they
+    end that one at most. Servers at the bound are passed over.
+
+    Args:
+        key: the request's fingerprint.
+        eligible: the servers to choose from.
+        view: the loads of all open servers.
+    """
+    room = {s.id: s for s in eligible if view.loads[s.id] < view.bound}
+    order = RendezvousRanking().rank(key, list(room))
+    return room[order[0]] if order else None
+
+
 def build_selection(
     state: ServerState, rank: int, view: LoadView, now: float
 ) -> Selection:
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -28,6 +28,7 @@
     parse_deadline,
 )
 from ramppin.gateway.request.attempt import Attempt
+from ramppin.gateway.request.crashwatch import CrashWatch
 from ramppin.gateway.request.finalanswer import (
     Ending,
     FinalAnswer,
@@ -155,16 +156,19 @@
         builder = RequestHeadBuilder(
             self._context.names, self._request, admission.route, admission.customer
         )
+        watch = CrashWatch(self._context, admission.fingerprint)
         last: AttemptResult | None = None
         while not self._disconnected:
-            selection = self._select(admission)
+            selection = self._select(admission, watch)
             if isinstance(selection, Verdict):
-                pause_s = self._choose_retry_after_s(admission)
+                pause_s = self._choose_retry_after_s(admission, watch)
                 final = answer_stopped(self._progress, last, selection, pause_s)
                 self._end(admission, final)
                 return
+            started = self._loop.time()
             last = await self._try(admission, selection, builder)
             now = self._loop.time()
+            watch.note_attempt(selection.state, last, started, now)
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
                 self._report.note_attempt(admission, selection, last, now)
                 status = 0 if self._disconnected else last.status
@@ -172,20 +176,24 @@
                 return
             if last.last_event_id is not None:
                 builder.resume_after(last.last_event_id)
-            verdict = self._judge_retry(admission, last)
+            verdict = self._judge_retry(admission, last, watch)
             self._report.note_attempt(admission, selection, last, now, verdict)
             if not verdict.allows:
-                pause_s = self._choose_retry_after_s(admission)
+                pause_s = self._choose_retry_after_s(admission, watch)
                 final = answer_failed(self._progress, last, verdict, pause_s)
                 self._end(admission, final)
                 return
 
     # choosing and sending
 
-    def _select(self, admission: Admission) -> Selection | Verdict:
+    def _select(self, admission: Admission, watch: CrashWatch) -> Selection | Verdict:
         """Return the server for the next attempt, or why there is none."""
         context, now = self._context, self._loop.time()
-        verdict = judge_try(self._progress, self._ends_at - now)
+        verdict = judge_try(
+            self._progress,
+            self._ends_at - now,
+            is_quarantined=not watch.may_try(now),
+        )
         if not verdict.allows:
             return verdict
         states = context.directory.list_open(admission.service)
@@ -194,6 +202,7 @@
             frozenset(self._tried),
             context.share_connections(admission.service),
             context.find_bad_servers(admission.service, states, now),
+            admission.fingerprint if watch.is_suspect() else None,
         )
         strategy = context.choose_strategy(admission.prefix_key is not None)
         return strategy.choose(request, states, now) or Verdict.NO_SERVER
@@ -219,6 +228,7 @@
             result = await self._send(admission, selection, builder, connection)
             if result.end is AttemptEnd.DELIVERED:
                 state.times.stay.note(self._loop.time() - started)
+            result.lost = connection.was_lost or state.restarted
             if connection.was_silent:
                 self._context.pool.note_silent(connection)
             share = self._context.share_connections(admission.service)
@@ -241,6 +251,8 @@
             )
         except NotSentError as error:
             selection.state.health.note_outcome(Outcome.UNREACHABLE, self._loop.time())
+            if error.is_refused:
+                self._context.quarantine.note_server_ended(server.id)
             return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
 
     async def _send(
@@ -275,13 +287,19 @@
 
     # sending again
 
-    def _judge_retry(self, admission: Admission, result: AttemptResult) -> Verdict:
+    def _judge_retry(
+        self, admission: Admission, result: AttemptResult, watch: CrashWatch
+    ) -> Verdict:
         """Return whether another attempt may follow; count it in the budget."""
         budget, now = self._context.retry_budget, self._loop.time()
         service = admission.service
         has_budget = budget.has_left(service, now)
         verdict = judge_retry(
-            admission.route, self._progress, result.end, has_budget=has_budget
+            admission.route,
+            self._progress,
+            result.end,
+            has_budget=has_budget,
+            ends_servers=watch.may_end_another(),
         )
         if verdict is Verdict.BUDGET_SPENT:
             self._report.count_refused_retry(service)
@@ -304,9 +322,13 @@
 
     # ends
 
-    def _choose_retry_after_s(self, admission: Admission) -> float:
+    def _choose_retry_after_s(self, admission: Admission, watch: CrashWatch) -> float:
         """Return when the caller may come back if no server ran its request."""
         context, now = self._context, self._loop.time()
+        rest_s = watch.find_rest_s(now)
+        if rest_s > 0:
+            # Before that it would be refused again.
+            return rest_s
         states = context.directory.list_open(admission.service)
         return choose_retry_after_s(
             opening_s=find_opening_s(states, now),
--- a/src/ramppin/gateway/request/result.py
+++ b/src/ramppin/gateway/request/result.py
@@ -41,6 +41,8 @@
         last_event_id: the last event that the caller got, or None.
         message: what was wrong, for the log.
         first_byte_at: the loop's time at which the caller got the first byte.
+        lost: whether the connection ended before the answer did, or the server is
+            known to have ended.
     """
 
     end: AttemptEnd
@@ -49,3 +51,4 @@
     last_event_id: bytes | None = None
     message: str = ""
     first_byte_at: float | None = None
+    lost: bool = False
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -45,6 +45,7 @@
     """Whether a request is sent, or the rule that forbids it."""
 
     SEND = "it may be sent"
+    QUARANTINED = "servers ended under it, one after the other"
     NO_SERVER = "no server is left to choose from"
     TRIES_SPENT = "it has tried as many servers as one request may"
     TIME_SPENT = "too little time is left"
@@ -60,13 +61,18 @@
         return self is Verdict.SEND
 
 
-def judge_try(progress: Progress, time_left_s: float) -> Verdict:
+def judge_try(
+    progress: Progress, time_left_s: float, *, is_quarantined: bool = False
+) -> Verdict:
     """Return whether a request may be sent to one more server.
 
     Args:
         progress: how far the request has come.
         time_left_s: seconds until the request is given up.
+        is_quarantined: whether it is refused since servers ended under it.
     """
+    if is_quarantined:
+        return Verdict.QUARANTINED
     if progress.tries >= MAX_TRIES:
         return Verdict.TRIES_SPENT
     if time_left_s < MIN_TIME_LEFT_S:
@@ -75,7 +81,12 @@
 
 
 def judge_retry(
-    route: Route, progress: Progress, end: AttemptEnd, *, has_budget: bool
+    route: Route,
+    progress: Progress,
+    end: AttemptEnd,
+    *,
+    has_budget: bool,
+    ends_servers: bool = False,
 ) -> Verdict:
     """Return whether a request may be sent again after an attempt.
 
@@ -86,11 +97,14 @@
         progress: how far the request has come.
         end: how the attempt ended.
         has_budget: whether the budget allows one more retry.
+        ends_servers: whether sending it again is likely to end one server more.
     """
     if end is AttemptEnd.NOT_SENT:
         return Verdict.SEND
     if end is AttemptEnd.TIMED_OUT:
         return Verdict.TIMED_OUT
+    if ends_servers:
+        return Verdict.QUARANTINED
     if end is not AttemptEnd.REJECTED:
         verdict = _judge_run_again(route, progress)
         if not verdict.allows:
