Time while a VM is suspended counts: one clock since boot for loop, leases and all ages

Cause: loop.time() and time.monotonic do not count a suspension. After 30 s a request whose time was over waited on, a report of before looked new, and a router's lease that another holds by then still seemed its own. Ruled out: the time of day (it jumps); noticing suspensions by their difference in each part.

--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -18,6 +18,7 @@
 from returns.result import Failure, Success
 
 from ramppin import formatting
+from ramppin.clock import run
 from ramppin.document import read_document, validate_document
 from ramppin.errors import RamppinError
 from ramppin.gateway.process.gateway import Gateway
@@ -87,7 +88,7 @@
     match load_config(settings, flags=flags):
         case Success(config):
             start_logging(config.vm, config.log_level)
-            asyncio.run(_run_router(config))
+            run(_run_router(config))
         case Failure(error):
             _exit(error)
 
@@ -104,7 +105,7 @@
             if caller_port is not None:
                 found = found.model_copy(update={"caller_port": caller_port})
             start_logging(found.vm, log_level, limit_repeats=True)
-            asyncio.run(_run_gateway(found))
+            run(_run_gateway(found))
         case Failure(error):
             _exit(error)
 
@@ -120,7 +121,7 @@
         from standins.demo import run_demo
     except ImportError:
         _exit(RamppinError("the demo needs the stand-ins", hint="run it from a clone"))
-    asyncio.run(run_demo(port))
+    run(run_demo(port))
 
 
 @app.command()
@@ -315,7 +316,7 @@
 
 def _ask(work: Coroutine[Any, Any, dict[str, Any]]) -> dict[str, Any]:
     try:
-        return asyncio.run(work)
+        return run(work)
     except RamppinError as error:
         _exit(error)
 
--- a/src/ramppin/logs.py
+++ b/src/ramppin/logs.py
@@ -5,11 +5,11 @@
 import json
 import logging
 import sys
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
+from ramppin.clock import Clock, read_clock
+
 _FIELDS = ("request_id", "step", "peer", "outcome", "version", "shard", "suppressed")
 
 REPEATS = 20
@@ -46,7 +46,7 @@
     .. versionadded:: 0.2
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, *, clock: Clock = read_clock) -> None:
         super().__init__()
         self._clock = clock
         self._kinds: dict[tuple[str, str], _Kind] = {}
--- a/src/ramppin/router/process/parts.py
+++ b/src/ramppin/router/process/parts.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ramppin.clock import Clock, read_clock
 from ramppin.router.connection.backends import BackendClient, build_sessions
 from ramppin.router.connection.links import Meter, PeerLinks
 from ramppin.router.connection.log import LogClient
@@ -45,7 +46,7 @@
 
     Args:
         config: the process's own settings.
-        clock: monotonic clock.
+        clock: never goes back, and counts the time of a suspension.
         wall_clock: seconds since the epoch.
         run: number that differs each time the VM's process starts.
 
@@ -56,7 +57,7 @@
         self,
         config: RouterConfig,
         *,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Clock = read_clock,
         wall_clock: Callable[[], float] = time.time,
         run: int | None = None,
     ) -> None:
--- a/src/ramppin/router/process/router.py
+++ b/src/ramppin/router/process/router.py
@@ -11,6 +11,7 @@
 import anyio
 import anyio.lowlevel
 
+from ramppin.clock import Clock, read_clock
 from ramppin.router.connection.listener import Listener
 from ramppin.router.connection.peerserver import PeerServer
 from ramppin.router.process.callers import CallerApp
@@ -37,7 +38,7 @@
 
     Args:
         config: the process's own settings.
-        clock: monotonic clock.
+        clock: never goes back, and counts the time of a suspension.
         wall_clock: seconds since the epoch.
         run: number that differs each time the VM's process starts.
 
@@ -48,7 +49,7 @@
         self,
         config: RouterConfig,
         *,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Clock = read_clock,
         wall_clock: Callable[[], float] = time.time,
         run: int | None = None,
     ) -> None:
