Operators see requests under which servers ended, and let one run again

Cause: a request that is refused by mistake waited for a minute and more; nobody could help. Ruled out: a command that needs the store; GET, which would change what is done. Change: /dump lists them (quarantine), POST /quarantine/clear/FINGERPRINT at any VM clears one at all.

--- a/features/gateway/operations.feature
+++ b/features/gateway/operations.feature
@@ -33,3 +33,14 @@
       | rejected | /once/  | "end":"rejected"      |
       | reset    | /once/  | connection lost       |
       | silent   | /brief/ | "end":"timed out"     |
+
+  Scenario: a request under which servers ended is shown, and runs again by an operator's word
+    When a request is refused since 3 servers ended under it
+    Then "/dump" shows ""fingerprint": "00000000000000ab""
+    And an operator who asks "<method> <target>" gets <status> "<text>"
+      | method | target                             | status | text              |
+      | GET    | /quarantine/clear/00000000000000ab | 405    | Allow: POST       |
+      | POST   | /quarantine/clear/ab               | 400    | 16 hex digits     |
+      | POST   | /quarantine/clear/00000000000000cd | 200    | "cleared": false  |
+      | POST   | /quarantine/clear/00000000000000ab | 200    | "cleared": true   |
+    And the request is sent again, and a line tells "quarantine_cleared"
--- a/features/steps/gateway_operation_steps.py
+++ b/features/steps/gateway_operation_steps.py
@@ -4,17 +4,19 @@
 
 import asyncio
 
-from behave import then
+from behave import then, when
+
+from standins.common import wait_for
 
 
 def run(context, work):
     return context.loop.run_until_complete(work)
 
 
-async def ask(context, target: str) -> str:
+async def ask(context, target: str, method: str = "GET") -> str:
     port = context.fixture.gateway.operations_port
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    request = f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    request = f"{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
     writer.write(request.encode())
     data = await asyncio.wait_for(reader.read(), 20)
     writer.close()
@@ -40,3 +42,35 @@
     lines = context.fixture.log_path.read_text().splitlines()
     about = [line for line in lines if f'"request_id":"{request_id}"' in line]
     assert any(text in line for line in about), lines
+
+
+REFUSED = 0xAB
+
+
+@when("a request is refused since {ends:d} servers ended under it")
+def step_refused(context, ends):
+    quarantine = context.fixture.gateway.context.quarantine
+    begin = context.loop.time() - ends
+    for n in range(ends):
+        quarantine.note_lost(REFUSED, f"s-{n}", begin + n, begin + n + 1)
+        quarantine.note_server_ended(f"s-{n}")
+    assert not quarantine.admit(REFUSED, context.loop.time())
+
+
+@then('an operator who asks "<method> <target>" gets <status> "<text>"')
+def step_operator(context):
+    for row in context.table:
+        answer = run(context, ask(context, row["target"], row["method"]))
+        assert f" {row['status']} " in answer.splitlines()[0], answer
+        assert row["text"] in answer, answer
+
+
+@then('the request is sent again, and a line tells "{event}"')
+def step_sent_again(context, event):
+    fixture = context.fixture
+    assert fixture.gateway.context.quarantine.admit(REFUSED, context.loop.time())
+
+    def find() -> bool:
+        return f'"event":"{event}"' in fixture.log_path.read_text()
+
+    run(context, wait_for(find, f"a line {event}"))
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -1,7 +1,8 @@
 """What operators may ask one gateway process: metrics, state, explanations.
 
-Reads the process's parts and changes none. No key of a caller is in any answer. The
-keys of the answers are an interface of operators (features/interfaces).
+Reads the process's parts and changes none, but for a request that is let run again. No
+key of a caller is in any answer. The keys of the answers are an interface of operators
+(features/interfaces).
 """
 
 from __future__ import annotations
@@ -17,10 +18,17 @@
 from ramppin.gateway.process.reporting.explanations import Explanations
 from ramppin.gateway.process.reporting.exposition import expose
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
+from ramppin.gateway.request.fingerprint import read_fingerprint, show_fingerprint
 
 METRICS_TARGET = b"/metrics"
 DUMP_TARGET = b"/dump"
 EXPLAIN_PREFIX = b"/explain/"
+CLEAR_PREFIX = b"/quarantine/clear/"
+"""Followed by a fingerprint; with POST alone, since it changes what is done."""
+
+MAX_SUSPECTS = 100
+"""Requests under which servers ended that a dump lists: those that are refused, and the
+newest of the others."""
 
 
 class GatewayState:
@@ -79,11 +87,32 @@
                 }
                 for state in context.directory
             ],
+            "quarantine": self._list_suspects(now),
             "peers": self._list_peers(),
             "prefix_homes": self._count_homes(),
             "connections_opened": context.pool.opened,
         }
 
+    def clear(self, fingerprint: int, now: float) -> bool:
+        """Let a request run again; return whether anything was known against it."""
+        return self._context.quarantine.clear(fingerprint, now)
+
+    def _list_suspects(self, now: float) -> list[dict[str, object]]:
+        quarantine = self._context.quarantine
+        found = [(f, record) for f, record in quarantine if record.ends]
+        found.sort(key=lambda item: (not item[1].is_held, -item[1].last_end_at))
+        return [
+            {
+                "fingerprint": show_fingerprint(fingerprint),
+                "ends": len(record.ends),
+                "counted": record.count_ends(),
+                "refused_s": _shorten(record.find_rest_s(now)),
+                "last_end_age_s": _measure_age(now, record.last_end_at),
+                "was_served": record.was_served,
+            }
+            for fingerprint, record in found[:MAX_SUSPECTS]
+        ]
+
     def update(self, metrics: GatewayMetrics, now: float) -> None:
         """Set the gauges."""
         context = self._context
@@ -141,6 +170,8 @@
             request_id = request.target[len(EXPLAIN_PREFIX) :].decode("latin-1")
             found = self._explanations.find(request_id)
             self._send_json({"request_id": request_id, "decisions": found})
+        elif request.target.startswith(CLEAR_PREFIX):
+            self._clear(request, now)
         else:
             self._connection.send_whole(404, [], b"")
 
@@ -150,6 +181,20 @@
     def accept_backpressure(self, *, paused: bool) -> None:
         """Answers here are small."""
 
+    def _clear(self, request: CallerRequest, now: float) -> None:
+        """Let a request run again, if it is asked for in due form."""
+        if request.method != b"POST":
+            self._connection.send_whole(405, [(b"Allow", b"POST")], b"")
+            return
+        text = request.target[len(CLEAR_PREFIX) :].decode("latin-1")
+        fingerprint = read_fingerprint(text)
+        if fingerprint is None:
+            message = b"a fingerprint is 16 hex digits, as lines show it\n"
+            self._connection.send_whole(400, [], message)
+            return
+        was_known = self._state.clear(fingerprint, now)
+        self._send_json({"fingerprint": text, "cleared": was_known})
+
     def _send_json(self, value: object) -> None:
         self._send(json.dumps(value).encode(), "application/json")
 
--- a/src/ramppin/gateway/process/quarantine/quarantine.py
+++ b/src/ramppin/gateway/process/quarantine/quarantine.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -97,6 +97,9 @@
             digest ^= fingerprint
         return digest
 
+    def __iter__(self) -> Iterator[tuple[int, CrashRecord]]:
+        return iter(self._records.items())
+
     def find(self, fingerprint: int) -> CrashRecord | None:
         """Return what is known of a request, or None."""
         return self._records.get(fingerprint)
@@ -198,7 +201,11 @@
         return record.last_end_at if record else float("-inf")
 
     def clear(self, fingerprint: int, now: float) -> bool:
-        """Let a request run again; return whether anything was known against it."""
+        """Let a request run again, by an operator's word, here and at all other VMs.
+
+        Returns:
+            Whether anything was known against it.
+        """
         record = self._records.get(fingerprint)
         if record is None or not record.ends:
             return False
--- a/src/ramppin/gateway/request/fingerprint.py
+++ b/src/ramppin/gateway/request/fingerprint.py
@@ -8,11 +8,15 @@
 
 from __future__ import annotations
 
+import re
+
 import xxhash
 
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.version.routing import Customer
 
+_SHOWN = re.compile(r"[0-9a-f]{16}")
+
 SEPARATOR = b"\0"
 """Stands between the parts; none of them can hold it."""
 
@@ -35,6 +39,11 @@
     return hasher.intdigest()
 
 
+def read_fingerprint(text: str) -> int | None:
+    """Return the fingerprint that lines show as a text; None if it is none."""
+    return int(text, 16) if _SHOWN.fullmatch(text) else None
+
+
 def show_fingerprint(fingerprint: int) -> str:
     """Return a fingerprint as lines and operators write it: 16 hex digits."""
     return f"{fingerprint:016x}"
