A process that was suspended takes neither connections nor other VMs for gone

Cause: what lies unread when a process goes on says more than its timers do. A connection that came up meanwhile timed out first: its server was ejected and told as failing. VMs whose heartbeats were not read yet did not count as live, so the one that woke took all of the fleet's retries. Ruled out: refused connections, which are certain also then; shortening other limits.

--- a/features/gateway/clock.feature
+++ b/features/gateway/clock.feature
@@ -28,6 +28,30 @@
       | 3       | yes  |
       | 30      | no   |
 
+  # What lies unread when a process goes on says more than its timers do: connections that
+  # came up meanwhile counted as unreachable servers, and VMs whose heartbeats were not read
+  # yet as gone, so that the one that woke took all of the fleet's retries for its own.
+  Scenario Outline: a connection that does not come up while the VM is <state>
+    Given a gateway whose VM can be suspended, before a server that takes no connection
+    When a request is sent there and the VM is <state>
+    Then the server is <judged>
+
+    Examples:
+      | state             | judged      |
+      | running           | ejected     |
+      | suspended for 3 s | not ejected |
+
+  Scenario Outline: other VMs after <seconds> s of suspension
+    When a VM that knows 5 live ones, and 1 that is gone, is suspended for <seconds> s
+    Then it counts 5 as live when it goes on
+    And it counts 0 as live 20 s later if it hears of none
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 3       |
+      | 30      |
+
   Scenario: every program reads the clock that counts suspensions
     Then the clock of a process is the system's clock since boot
     And these take it where none is given: "RouterParts Router RepeatLimit"
--- a/features/steps/gateway_clock_steps.py
+++ b/features/steps/gateway_clock_steps.py
@@ -5,12 +5,16 @@
 import asyncio
 import inspect
 import json
+import socket
 import time
 
+import msgspec
 from behave import given, then, when
 
 from features.gateway_support import GatewayFixture, build_tree, encode_request
 from ramppin.clock import ClockLoop, read_clock
+from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
+from ramppin.gateway.process.recovery.replica import Record
 from ramppin.logs import RepeatLimit
 from ramppin.router.process.membership.leases import LeaseHolder, LeaseTable
 from ramppin.router.process.parts import RouterParts
@@ -35,13 +39,17 @@
     return context.loop.run_until_complete(work)
 
 
-@given("a gateway whose VM can be suspended, before a server that answers {how}")
-def step_gateway(context, how):
+def use_clock(context) -> None:
     context.clock = JumpingClock()
     context.loop.close()
     context.loop = ClockLoop(context.clock)
     asyncio.set_event_loop(context.loop)
 
+
+@given("a gateway whose VM can be suspended, before a server that answers {how}")
+def step_gateway(context, how):
+    use_clock(context)
+
     async def answer(reply) -> None:
         if how == "nothing":
             await asyncio.sleep(60.0)
@@ -123,6 +131,76 @@
     assert find()[0]["late_ms"] >= seconds * 1000 - 250
 
 
+@given("a gateway whose VM can be suspended, before a server that takes no connection")
+def step_full(context):
+    use_clock(context)
+
+    async def start() -> None:
+        fixture = context.fixture = GatewayFixture()
+        context.cleanups.append(fixture.stop)
+        fixture.publish(build_tree())
+        backend = await fixture.add_backend("i-1", "plain")
+        await backend.stop()
+        listener = socket.create_server(("127.0.0.1", backend.port), backlog=0)
+        # The kernel takes one connection beyond the backlog, and drops what follows.
+        waiting = [socket.socket() for _ in range(3)]
+        for connection in waiting:
+            connection.setblocking(False)
+            connection.connect_ex(("127.0.0.1", backend.port))
+        context.kept = [listener, *waiting]
+        await fixture.start()
+        await fixture.wait_until_ready(1)
+
+    run(context, start())
+
+
+@when("a request is sent there and the VM is running")
+@when("a request is sent there and the VM is suspended for {seconds:g} s")
+def step_send_there(context, seconds=0.0):
+    async def send() -> None:
+        fixture = context.fixture
+        turns = fixture.gateway.context.directory.turns
+        await wait_for(lambda: turns._due_at is not None, "a first turn")
+        caller = await fixture.connect()
+        await caller.send(encode_request("/again/x", request_id="r1"))
+        pool = fixture.gateway.context.pool
+        await wait_for(lambda: pool.opened, "a connection is being opened")
+        context.clock.suspended_s += seconds
+        await caller.read()
+
+    run(context, send())
+
+
+@then("the server is {judged}")
+def step_judged(context, judged):
+    [state] = list(context.fixture.gateway.context.directory)
+    assert (state.health.ejected_until > 0) == (judged == "ejected")
+
+
+@when(
+    "a VM that knows {live:d} live ones, and {gone:d} that is gone, is suspended for "
+    "{seconds:g} s"
+)
+def step_members(context, live, gone, seconds):
+    context.members = members = FleetMembers("vm-0", "porto")
+    entry = msgspec.json.encode(MemberRecord("127.0.0.9", "porto"))
+    for n in range(live + gone):
+        seen_at = 100.0 if n < live else 50.0
+        members.take_record(Record(f"vm-{n + 1}", entry, n), seen_at)
+    context.now = 101.0 + seconds
+    members.note_stall(seconds, context.now)
+
+
+@then("it counts {count:d} as live when it goes on")
+def step_live(context, count):
+    assert len(context.members.list_live(context.now)) == count
+
+
+@then("it counts {count:d} as live {seconds:d} s later if it hears of none")
+def step_live_later(context, count, seconds):
+    assert len(context.members.list_live(context.now + seconds)) == count
+
+
 @then("the clock of a process is the system's clock since boot")
 def step_clock(context):
     before = time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -372,6 +372,14 @@
     await wait_for_event("given_up")
     await wait_for_event("attempt_failed")
 
+    quarantine = gateway.context.quarantine
+    begin = asyncio.get_running_loop().time() - 100.0
+    for n in range(3):
+        quarantine.note_lost(0xAB, f"s-{n}", begin + n, begin + n + 1)
+        quarantine.note_server_ended(f"s-{n}")
+    await wait_for_event("quarantined")
+    assert quarantine.admit(0xAB, asyncio.get_running_loop().time())
+    await wait_for_event("quarantine_trial")
     operator = Operator(gateway.operations_port)
     answers = {
         "/dump": describe_keys(await operator.ask("/dump")),
@@ -382,11 +390,13 @@
     }
     decisions = (await operator.ask("/explain/failed"))["decisions"]
     answers["given up"] = describe_keys(decisions[-1:])
+    quarantine.clear(0xAB, asyncio.get_running_loop().time())
+    await wait_for_event("quarantine_cleared")
     fixture.servers.put("p1", None)
     await wait_for_event("server_gone")
     gateway.reload(gateway.config)
     await wait_for_event("reloaded")
-    gateway._note_turn(STALL_S)
+    gateway._note_turn(STALL_S, asyncio.get_running_loop().time())
     await wait_for_event("stalled")
     gateway.start_drain()
     await wait_for_event("draining")
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -296,7 +296,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now = loop.time()
-            self._note_turn(self._turns.note_turn(now))
+            self._note_turn(self._turns.note_turn(now), now)
             for connection in list(context.listener.connections):
                 connection.check_timeouts(now)
             context.pool.sweep(now)
@@ -310,14 +310,16 @@
                 context.decisions.refill()
             context.decisions.flush()
 
-    def _note_turn(self, late_s: float) -> None:
+    def _note_turn(self, late_s: float, now: float) -> None:
         """Tell that this process got its turn late: its machine stalled, or its loop.
 
         Args:
             late_s: seconds since the turn was due.
+            now: the loop's time.
         """
         if late_s < STALL_S:
             return
+        self.tables.members.note_stall(late_s, now)
         context = self.context
         context.metrics.stalls.inc()
         context.decisions.note(
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -130,6 +130,19 @@
         member.log_up = log_up
         return True
 
+    def note_stall(self, late_s: float, now: float) -> None:
+        """Note that this VM stalled: what others sent meanwhile is not read yet.
+
+        Without this a VM that wakes holds itself for the only live one, and takes all
+        of the fleet's retries and connections for its own.
+
+        Args:
+            late_s: seconds for which it stalled.
+            now: the loop's time.
+        """
+        for member in self._members.values():
+            member.last_seen_at = min(now, member.last_seen_at + late_s)
+
     def find_failure_domain(self, vm: str) -> str:
         """Return where a known VM stands; empty if it is not known."""
         member = self._members.get(vm)
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -11,13 +11,11 @@
 import asyncio
 import contextlib
 
-from ramppin.errors import NotSentError
 from ramppin.gateway.connection.callerwire import CallerConnection
 from ramppin.gateway.connection.httpwire import Headers, find_header, keep_end_to_end
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
-from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
 from ramppin.gateway.request.admission import (
@@ -28,6 +26,7 @@
     parse_deadline,
 )
 from ramppin.gateway.request.attempt import Attempt
+from ramppin.gateway.request.connecting import connect
 from ramppin.gateway.request.crashwatch import CrashWatch
 from ramppin.gateway.request.finalanswer import (
     Ending,
@@ -219,7 +218,7 @@
         state.in_flight += 1
         started = self._loop.time()
         try:
-            connection = await self._connect(admission, selection)
+            connection = await connect(self._context, admission.route, state)
             if isinstance(connection, AttemptResult):
                 return connection
             if self._disconnected or self._ends_at <= self._loop.time():
@@ -238,23 +237,6 @@
         finally:
             state.in_flight -= 1
 
-    async def _connect(
-        self, admission: Admission, selection: Selection
-    ) -> UpstreamConnection | AttemptResult:
-        server = selection.state.server
-        try:
-            return await self._context.pool.acquire(
-                server.id,
-                server.host,
-                server.port,
-                repeatable=admission.route.repeatable,
-            )
-        except NotSentError as error:
-            selection.state.health.note_outcome(Outcome.UNREACHABLE, self._loop.time())
-            if error.is_refused:
-                self._context.quarantine.note_server_ended(server.id)
-            return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
-
     async def _send(
         self,
         admission: Admission,
