--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Measures: ``python -m bench placement|latency|capacity|vms|all``."""
+"""Measures: ``python -m bench placement|latency|capacity|vms|crashes|all``."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from bench.model import Scenario
 from bench.policies import POLICIES
 from bench.replay import Replay, Result
+from bench.vms import crashes as vms_crashes
 from bench.vms import fleet as vms_fleet
 from bench.vms import pattern as vms_pattern
 from bench.vms import plain as vms_plain
@@ -162,6 +163,36 @@
     typer.echo(report.format_table(rows, VMS_SHOWN))
 
 
+CRASHES_SHOWN = (
+    "vms",
+    "lost_share",
+    "copies_per_s",
+    "crash_after_s",
+    "cut_vms",
+    "off",
+    "ends",
+    "ends_most",
+    "late_most",
+    "refusing",
+    "vm_bytes",
+    "vm_datagrams",
+)
+
+
+@app.command()
+def crashes(
+    seeds: Annotated[int, typer.Option(help="Runs of each pattern.")] = 5,
+    sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "8,87,195,360",
+) -> None:
+    """Play a request that ends servers through many VMs' quarantine."""
+    rows = [
+        row
+        for size in sizes.split(",")
+        for row in vms_crashes.tabulate(int(size), range(1, seeds + 1))
+    ]
+    typer.echo(report.format_table(rows, CRASHES_SHOWN))
+
+
 @app.command(name="all")
 def run_everything() -> None:
     """Measure everything."""
--- a/features/quarantine/rules.feature
+++ b/features/quarantine/rules.feature
@@ -105,3 +105,20 @@
   Scenario: VMs of before take what is told, and what they tell is taken
     Then a message without suspects is read as one that refuses none
     And a message with suspects is read by a VM that does not know them
+
+  Scenario Outline: <vms> VMs, <lost> of 10 datagrams lost: servers that a request ends
+    When a harmful request comes 3 times a second to <vms> VMs that lose <lost> of 10 datagrams
+    Then with seeds 1 to 3 it ends <ends> servers at most, and 3 copies at most come late
+    And every VM that may refuse it does
+
+    Examples: on the model of many VMs
+      | vms | lost | ends |
+      | 8   | 0    | 5    |
+      | 87  | 0    | 5    |
+      | 195 | 0    | 5    |
+      | 360 | 0    | 5    |
+      | 195 | 3    | 5    |
+
+  Scenario: VMs that do not tell each other let a request end one server after the other
+    When a harmful request comes to 87 VMs that tell each other nothing
+    Then with seeds 1 to 3 it ends 20 servers or more
--- a/features/steps/quarantine_rule_steps.py
+++ b/features/steps/quarantine_rule_steps.py
@@ -8,6 +8,7 @@
 import msgspec
 from behave import then, when
 
+from bench.vms.crashes import CrashPattern, play_crashes
 from ramppin.gateway.connection.datagrams import HomeHint, PeerHints, SuspectHint
 from ramppin.gateway.process.quarantine.news import QuarantineNews
 from ramppin.gateway.process.quarantine.quarantine import MAX_RECORDS, Quarantine
@@ -285,3 +286,46 @@
     new = PeerHints("vm-1", [HomeHint(9, "i-1", 40)], suspects=[SuspectHint(8)], held=8)
     found = msgspec.msgpack.decode(msgspec.msgpack.encode(new), type=OldHints)
     assert found.homes == new.homes
+
+
+# the model of many VMs
+
+
+@when(
+    "a harmful request comes 3 times a second to {vms:d} VMs that lose {lost:d} of 10 "
+    "datagrams"
+)
+def step_model(context, vms, lost):
+    context.vms = vms
+    context.results = [
+        play_crashes(CrashPattern(vms, seed, lost / 10)) for seed in (1, 2, 3)
+    ]
+
+
+@when("a harmful request comes to {vms:d} VMs that tell each other nothing")
+def step_model_silent(context, vms):
+    context.results = [
+        play_crashes(CrashPattern(vms, seed, tells=False)) for seed in (1, 2, 3)
+    ]
+
+
+@then(
+    "with seeds 1 to 3 it ends {ends:d} servers at most, and {late:d} copies at most "
+    "come late"
+)
+def step_model_ends(context, ends, late):
+    for result in context.results:
+        assert result.ends <= ends, result
+        assert result.late <= late, result
+
+
+@then("every VM that may refuse it does")
+def step_model_refuse(context):
+    for result in context.results:
+        assert result.refusing == context.vms, result
+
+
+@then("with seeds 1 to 3 it ends {ends:d} servers or more")
+def step_model_many(context, ends):
+    for result in context.results:
+        assert result.ends >= ends, result
