Soaks share callers, options and seeds; each run takes addresses of its own

Cause: two soaks wrote the same loops, and two load soaks at one time both used 127.0.0.n. Ruled out: a port of its own for each run (peers reach each other at one port on all VMs). Change: features/soak_runs.py; draws stay in the order in which they were. No check is changed.

--- a/features/crash_soak.py
+++ b/features/crash_soak.py
@@ -22,7 +22,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import random
 import signal
 import sys
@@ -31,11 +30,11 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Any
 
 from features.crash_servers import CRASH_MARK, PLAIN, CrashServer, CrashServers
 from features.gateway_support import RawAnswer, RawCaller
 from features.platform_support import PlatformFixture, build_config
+from features.soak_runs import Callers, build_parser, list_hosts, run_seeds
 from standins.common import wait_for
 
 DOMAINS = ("porto", "braga", "faro", "evora")
@@ -110,12 +109,10 @@
             crash_share=self.crash_share,
         )
         self.resets = self.fault_random.random() < 0.5
-        # Several runs at once must not share addresses.
-        block = f"127.{1 + os.getpid() % 250}.{self.seed % 250}"
-        self.hosts = {f"vm-{n}": f"{block}.{n}" for n in range(1, self.vms + 1)}
+        self.hosts = list_hosts(self.vms, self.seed)
         self.running: dict[str, str] = {}
         self.disturbed_at: dict[str, list[float]] = {vm: [] for vm in self.hosts}
-        self._tasks: set[asyncio.Task] = set()
+        self.callers = Callers(self.random)
         self._ids = 0
 
     async def run(self) -> list[str]:
@@ -126,11 +123,14 @@
             until = self._started + self.seconds
             reviving = asyncio.ensure_future(self._revive())
             await asyncio.gather(
-                *(self._call_until(until, *kind) for kind in self._list_callers()),
+                *(
+                    self.callers.come_until(until, *kind)
+                    for kind in self._list_callers()
+                ),
                 self._harm_servers_until(until),
                 self._harm_until(until),
             )
-            await asyncio.gather(*self._tasks)
+            await self.callers.wait()
             reviving.cancel()
             self._read_lines()
         finally:
@@ -171,9 +171,7 @@
         return True
 
     async def _stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.callers.cancel()
         await self.fixture.stop()
 
     def _announce(self, server_id: str, server: CrashServer) -> None:
@@ -187,7 +185,7 @@
         while True:
             server = await self.servers.ended.get()
             await server.end(resets=self.resets)
-            self._launch(self._start_again(server))
+            self.callers.launch(self._start_again(server))
 
     async def _start_again(self, server: CrashServer) -> None:
         [server_id] = [i for i, b in self.fixture.backends.items() if b is server]
@@ -219,23 +217,9 @@
             partial(self._ask_harmful, paths[n % 2], n) for n in range(self.harmful)
         ]
         await asyncio.gather(
-            *(self._call_until(until, HARMFUL_PER_S, ask) for ask in asked)
+            *(self.callers.come_until(until, HARMFUL_PER_S, ask) for ask in asked)
         )
 
-    async def _call_until(
-        self, until: float, per_s: float, ask: Callable[[], Coroutine]
-    ) -> None:
-        due = time.monotonic()
-        while due < until:
-            due += self.random.expovariate(per_s)
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self._launch(ask())
-
-    def _launch(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _ask_harmful(self, path: str, number: int) -> None:
         vm = self._choose_vm()
         prefix = f"{HARMFUL_ID}{int(vm.partition('-')[2]):04d}"
@@ -435,24 +419,13 @@
     broken = asyncio.run(soak.run())
     state = "BROKEN" if broken else "kept"
     print(f"seed {seed}: {state}; same id {soak.same_id}; {soak.show()}")
-    for line in broken:
-        print(f"    broken: {line}")
-    sys.stdout.flush()
     return broken
 
 
 def main() -> int:
     """Run the seeds and return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=9.0, help="for each seed")
-    parser.add_argument("--seeds", default="1-10", help="FIRST-LAST")
-    parser.add_argument("--vms", type=int, default=8, help="gateway processes")
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    failed = [seed for seed in seeds if run_seed(seed, options)]
-    print(f"{len(seeds)} seeds, {len(failed)} broken: {failed}")
-    return 1 if failed else 0
+    parser = build_parser(__doc__, seconds=9.0, vms=8)
+    return run_seeds(parser.parse_args(), run_seed)
 
 
 if __name__ == "__main__":
--- a/features/load_soak.py
+++ b/features/load_soak.py
@@ -23,13 +23,13 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from features.gateway_support import RawAnswer, RawCaller
 from features.load_arrivals import find_worst
 from features.load_servers import LoadServers
 from features.platform_support import PlatformFixture, build_config
+from features.soak_runs import Callers, build_parser, list_hosts, run_seeds
 
 DOMAINS = ("porto", "braga", "faro", "evora")
 ENGINES_PER_DOMAIN = 2
@@ -73,8 +73,8 @@
         self.servers = LoadServers(self.random)
         # Apart from the callers', so that a seed's faults come at the same moments.
         self.fault_random = random.Random(self.seed)
-        self.hosts = {f"vm-{n}": f"127.0.0.{n}" for n in range(1, self.vms + 1)}
-        self._calls: set[asyncio.Task] = set()
+        self.hosts = list_hosts(self.vms, self.seed)
+        self.callers = Callers(self.random)
 
     def find_domain(self, vm: str) -> str:
         """Return the failure domain of a VM."""
@@ -87,11 +87,11 @@
             self._started = time.monotonic()
             until = self._started + self.seconds
             await asyncio.gather(
-                self._call_until(until, self.plain_per_s, self._ask_plain),
-                self._call_until(until, self.prompts_per_s, self._ask_prompt),
+                self.callers.come_until(until, self.plain_per_s, self._ask_plain),
+                self.callers.come_until(until, self.prompts_per_s, self._ask_prompt),
                 self._harm_until(until),
             )
-            await asyncio.gather(*self._calls)
+            await self.callers.wait()
         finally:
             await self._stop()
         return self._check()
@@ -127,21 +127,6 @@
 
     # callers
 
-    async def _call_until(
-        self, until: float, per_s: float, ask: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Let callers come at random moments, whether others are served or not."""
-        due = time.monotonic()
-        while due < until:
-            due += self.random.expovariate(per_s)
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self._launch(ask())
-
-    def _launch(self, call: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(call)
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
-
     async def _ask_plain(self, vm: str | None = None) -> None:
         await self._ask(vm, "/a/x", "", PLAIN_DEADLINE_MS)
 
@@ -210,7 +195,7 @@
         domain = self.fault_random.choice(DOMAINS)
         vms = [vm for vm in self.hosts if self.find_domain(vm) == domain]
         for _ in range(self.fault_random.randint(10, 40)):
-            self._launch(self._ask_plain(self.fault_random.choice(vms)))
+            self.callers.launch(self._ask_plain(self.fault_random.choice(vms)))
 
     async def _hot_subject(self) -> None:
         """Let many prompts be about one subject for some seconds."""
@@ -223,7 +208,7 @@
         await asyncio.sleep(0)
         hot_share, self.hot_share = self.hot_share, 0.5
         for _ in range(self.fault_random.randint(10, 40)):
-            self._launch(self._ask_prompt())
+            self.callers.launch(self._ask_prompt())
         await asyncio.sleep(0.02)
         self.hot_share = hot_share
 
@@ -263,29 +248,18 @@
     print(f"    {' '.join(soak.faults)}")
     for service, arrivals in sorted(soak.servers.arrivals.items()):
         print(f"    {service}: {find_worst(arrivals).show(soak._started)}")
-    for line in broken:
-        print(f"    broken: {line}")
-    sys.stdout.flush()
     return broken
 
 
 def main() -> int:
     """Run the seeds and return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=15.0, help="for each seed")
-    parser.add_argument("--seeds", default="1-10", help="FIRST-LAST")
-    parser.add_argument("--vms", type=int, default=40, help="gateway processes")
+    parser = build_parser(__doc__, seconds=15.0, vms=LoadSoak.vms)
     parser.add_argument(
         "--harms",
         default=",".join(LoadSoak.harms),
         help="kinds of harm, joined by commas; empty for none",
     )
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    failed = [seed for seed in seeds if run_seed(seed, options)]
-    print(f"{len(seeds)} seeds, {len(failed)} broken: {failed}")
-    return 1 if failed else 0
+    return run_seeds(parser.parse_args(), run_seed)
 
 
 if __name__ == "__main__":
