Allocator: counts of customers and the rate of freed places are modules of their own

Moves only; what they do is unchanged. Ruled out: moving places whose holder is gone, which need most of the allocator's state.

--- a/src/ramppin/router/process/routing/allocator.py
+++ b/src/ramppin/router/process/routing/allocator.py
@@ -17,10 +17,11 @@
 
 import heapq
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from ramppin.ranking import Ranking, RendezvousRanking
 from ramppin.router.process.routing.choice import Chooser
+from ramppin.router.process.routing.customers import CustomerCounts
+from ramppin.router.process.routing.freerate import FreeRate
 from ramppin.router.process.routing.homes import Homes
 from ramppin.router.process.routing.load import (
     START_TRANSIT_S,
@@ -45,19 +46,6 @@
 MAX_RETRY_AFTER_S = 60.0
 """Seconds of the longest time to come back that a refusal names."""
 
-RATE_MEMORY_S = 10.0
-"""Over how long the rate of places that come free is averaged."""
-
-MIN_FREES = 50
-"""Places that must have come free before their rate says how long a wait is."""
-
-
-@dataclass(slots=True)
-class _Customer:
-    in_flight: int = 0
-    waiting: int = 0
-    weight: float = 1.0
-
 
 class Allocator:
     """Counts, places, queues and refuses the requests of one pool.
@@ -86,13 +74,10 @@
         self._ranking = ranking or RendezvousRanking()
         self._chooser = Chooser(self.load, self.homes, self._ranking)
         self._on_change = on_change
-        self._customers: dict[str, _Customer] = {}
-        self._active_weight = 0.0
+        self._customers = CustomerCounts()
+        self._free_rate = FreeRate()
         self._timers: list[float] = []
         self._transit_timer = float("-inf")
-        self._free_rate = 0.0
-        self._frees = 0
-        self._freed_at: float | None = None
         self._settled = True
 
     # -- what the shell tells it ------------------------------------------
@@ -154,7 +139,7 @@
         """
         waiter = self.queue.remove(place)
         if waiter:
-            self._count_customer(waiter.request.customer, waiting=-1)
+            self._customers.add(waiter.request.customer, waiting=-1)
         held = self.load.held.get(place)
         if held:
             self._note_result(held.server, now, failed=failed)
@@ -163,8 +148,8 @@
             self._set_timer(now + self.load.policy.orphan_hold_s)
         elif held:
             self.load.free(place)
-            self._count_customer(held.customer, in_flight=-1)
-            self._note_freed(now)
+            self._customers.add(held.customer, in_flight=-1)
+            self._free_rate.note_freed(now)
         return self._serve_waiting(now)
 
     def restore(self, place: PlaceId, server: str, customer: str) -> None:
@@ -176,7 +161,7 @@
         known = self.load.servers.get(server)
         if known:
             self.load.take(place, known, customer, 0.0)
-            self._count_customer(customer, in_flight=1)
+            self._customers.add(customer, in_flight=1)
             if known.unexplained:
                 self.load.set_unexplained(
                     known, known.unexplained - 1, known.unexplained_at
@@ -186,7 +171,7 @@
         """A VM is lost: its requests may still run, its waiters are gone."""
         for waiter in self.queue.list_by_vm(vm):
             self.queue.remove(waiter.request.place)
-            self._count_customer(waiter.request.customer, waiting=-1)
+            self._customers.add(waiter.request.customer, waiting=-1)
         for place in self.load.list_places(vm):
             self.load.orphan(place, now)
         self._set_timer(now + self.load.policy.orphan_hold_s)
@@ -255,14 +240,14 @@
         request = waiter.request
         if not self._settled or not self._may_run(request):
             return None
-        self.load.estimate_transit(now, self._free_rate)
+        self.load.estimate_transit(now, self._free_rate.per_s)
         choice = self._chooser.choose(request, may_spill=now >= waiter.spill_at)
         if choice is None:
             return None
         cap = self.load.cap
         self.load.take(request.place, choice.server, request.customer, now)
         self.load.note_granted(now)
-        self._count_customer(request.customer, in_flight=1, weight=request.weight)
+        self._customers.add(request.customer, in_flight=1, weight=request.weight)
         return Grant(
             place=request.place,
             backend_server=choice.server.name,
@@ -275,14 +260,13 @@
         )
 
     def _may_run(self, request: PlaceRequest) -> bool:
-        customer = self._customers.get(request.customer)
-        in_flight = customer.in_flight if customer else 0
+        in_flight = self._customers.get_in_flight(request.customer)
         if request.max_in_flight and in_flight >= request.max_in_flight:
             return False
         capacity = self.load.capacity
         if self.load.total < (1 - self.load.policy.reserve) * capacity:
             return True
-        weights = max(self._active_weight, request.weight)
+        weights = max(self._customers.active_weight, request.weight)
         return in_flight < capacity * request.weight / weights
 
     # -- waiting ----------------------------------------------------------
@@ -295,7 +279,7 @@
         if estimate > request.max_wait_s:
             return [self._refuse(request, Reason.WAIT_TOO_LONG)]
         self.queue.push(waiter)
-        self._count_customer(request.customer, waiting=1, weight=request.weight)
+        self._customers.add(request.customer, waiting=1, weight=request.weight)
         self._set_timer(waiter.give_up_at)
         self._set_transit_timer(now)
         if now < waiter.spill_at < waiter.give_up_at:
@@ -313,7 +297,7 @@
                 grant = self._try_to_place(waiter, now)
                 if grant:
                     self.queue.serve(waiter)
-                    self._count_customer(waiter.request.customer, waiting=-1)
+                    self._customers.add(waiter.request.customer, waiting=-1)
                     decisions.append(grant)
                     served = True
                     break
@@ -323,7 +307,7 @@
 
     def _give_up(self, waiter: Waiter, reason: Reason) -> Refusal:
         self.queue.remove(waiter.request.place)
-        self._count_customer(waiter.request.customer, waiting=-1)
+        self._customers.add(waiter.request.customer, waiting=-1)
         return self._refuse(waiter.request, reason)
 
     def _refuse(self, request: PlaceRequest, reason: Reason) -> Refusal:
@@ -334,42 +318,13 @@
 
     def _estimate_wait(self, request: PlaceRequest) -> float:
         ahead = self.queue.count(request.customer)
-        if self._frees < MIN_FREES:
+        if not self._free_rate.is_known:
             return 0.0
         share = self.queue.compute_share(request.customer, request.weight)
-        return ahead / (self._free_rate * share)
+        return ahead / (self._free_rate.per_s * share)
 
     # -- counting ---------------------------------------------------------
 
-    def _count_customer(
-        self,
-        name: str,
-        *,
-        in_flight: int = 0,
-        waiting: int = 0,
-        weight: float | None = None,
-    ) -> None:
-        customer = self._customers.get(name)
-        if customer is None:
-            customer = self._customers[name] = _Customer(weight=weight or 1.0)
-            self._active_weight += customer.weight
-        elif weight is not None and weight != customer.weight:
-            self._active_weight += weight - customer.weight
-            customer.weight = weight
-        customer.in_flight += in_flight
-        customer.waiting += waiting
-        if not customer.in_flight and not customer.waiting:
-            del self._customers[name]
-            self._active_weight -= customer.weight
-
-    def _note_freed(self, now: float) -> None:
-        if self._freed_at is not None:
-            elapsed = now - self._freed_at
-            decay = max(0.0, 1.0 - elapsed / RATE_MEMORY_S)
-            self._free_rate = self._free_rate * decay + 1.0 / RATE_MEMORY_S
-        self._freed_at = now
-        self._frees += 1
-
     def _note_result(self, server: ServerLoad, now: float, *, failed: bool) -> None:
         if not failed:
             self.load.note_success(server)
@@ -419,7 +374,7 @@
     def _free_orphan(self, place: PlaceId) -> None:
         held = self.load.free(place)
         if held:
-            self._count_customer(held.customer, in_flight=-1)
+            self._customers.add(held.customer, in_flight=-1)
 
     def _tell(self, server: str, *, serving: bool) -> None:
         if self._on_change:
