--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -155,6 +155,8 @@
         builder = RequestHeadBuilder(
             self._context.names, self._request, admission.route, admission.customer
         )
+        # What a request did to servers must outlast its exchange: one that ended each
+        # server that ran it was sent to the next, by this VM and by all others.
         watch = CrashWatch(self._context, admission.fingerprint)
         last: AttemptResult | None = None
         while not self._disconnected:
