--- a/src/ramppin/gateway/process/quarantine/news.py
+++ b/src/ramppin/gateway/process/quarantine/news.py
@@ -35,6 +35,7 @@
 """Such replies of one VM in a second, whatever the size of the fleet."""
 
 MS_PER_S = 1000
+"""Milliseconds of a second: hints carry ages in milliseconds, the rules use seconds."""
 
 
 class QuarantineNews:
