A failure domain that the operator empties gets nothing until it is taken back

Change: records of the settings' table that empty a failure domain are followed with the settings, so through relays, peers and a table read anew; by offset, so that older word undoes nothing. What is emptied is asked where servers are listed, which every way to a server passes: choice, retry, takeover, resumed streams, homes, hot prefixes, suspects, last resort. Any value empties, whatever it says: the key says all. With every domain of a service emptied its requests are refused at once (rule evacuated): the operator's word goes before service, and a refusal that says so lets callers come back. Ruled out: a flag in each server's entry, which would go stale when a server comes up later.

--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -356,6 +356,9 @@
     await fixture.wait_until_ready(1)
     fixture.publish(build_tree(2))
     await wait_for_event("settings_older")
+    for value, event in ((b"{}", "domain_evacuated"), (None, "domain_restored")):
+        fixture.settings.put("evacuated/faro", value)
+        await wait_for_event(event)
     fixture.publish({"version": "none"})
     await wait_for_event("settings_refused")
     fixture.servers.put("bad", b"{}")
--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -40,7 +40,8 @@
         server_pace_s: seconds between two reads of the backend servers' table; 0.8
             keeps a change within the bound of 2.
         settings_wait_s: longest wait in seconds of one read of the settings' table.
-        settings_bound_s: seconds in which accepted settings must be in force.
+        settings_bound_s: seconds in which accepted settings, and the emptying of a
+            failure domain, must be in force.
         leaving_bound_s: seconds after which a leaving server gets no new work.
         retry_rules: the fleet's budget of retries, and this VM's part.
         drain_times: how long a planned stop may take.
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -77,7 +77,7 @@
                     "started_ms": state.server.started_ms,
                     "service": state.server.service,
                     "failure_domain": state.server.failure_domain,
-                    "open": state.open,
+                    "open": context.directory.may_get_work(state),
                     "in_flight": state.in_flight,
                     "load": state.find_known_load(now),
                     "report_age_s": _shorten(state.load.measure_age(now)),
@@ -87,6 +87,14 @@
                 }
                 for state in context.directory
             ],
+            "evacuations": [
+                {
+                    "domain": evacuation.domain,
+                    "offset": evacuation.offset,
+                    "age_s": _measure_age(now, evacuation.since),
+                }
+                for evacuation in context.directory.evacuations
+            ],
             "quarantine": self._list_suspects(now),
             "peers": self._list_peers(),
             "prefix_homes": self._count_homes(),
@@ -118,6 +126,7 @@
         context = self._context
         metrics.in_flight.set(context.in_flight)
         metrics.version.set(context.version)
+        metrics.evacuated_domains.set(len(context.directory.evacuations))
         metrics.homes.set(self._count_homes())
         metrics.quarantined.set(len(context.quarantine.held))
         metrics.connections_opened.set(context.pool.opened)
--- a/src/ramppin/gateway/process/recovery/changes.py
+++ b/src/ramppin/gateway/process/recovery/changes.py
@@ -46,10 +46,14 @@
 
     def take_settings(self, record: Record) -> None:
         """Put settings in force, unless they are older or can't be read."""
-        if record.key != self._settings_key:
-            return
         context = self._context
         try:
+            domain = self._decoder.find_evacuated(record)
+            if domain is not None:
+                self._take_evacuation(domain, record)
+                return
+            if record.key != self._settings_key:
+                return
             table = self._decoder.decode_table(record)
         except SettingsError as error:
             context.metrics.refused_entries.inc("settings")
@@ -71,6 +75,30 @@
             routes=len(table.routes),
         )
 
+    def _take_evacuation(self, domain: str, record: Record) -> None:
+        """Empty a failure domain, or take it back."""
+        context, now = self._context, asyncio.get_running_loop().time()
+        evacuations = context.directory.evacuations
+        servers = len(context.directory.list_domain(domain))
+        if record.value is not None:
+            if evacuations.begin(domain, record.offset, now):
+                context.decisions.note(
+                    "domain_evacuated",
+                    domain=domain,
+                    servers=servers,
+                    offset=record.offset,
+                )
+            return
+        ended = evacuations.end(domain)
+        if ended is not None:
+            context.decisions.note(
+                "domain_restored",
+                domain=domain,
+                servers=servers,
+                offset=record.offset,
+                evacuated_s=round(now - ended.since, 2),
+            )
+
     def take_server(self, record: Record) -> None:
         """Take a backend server's entry, or the end of one."""
         if record.value is None:
--- a/src/ramppin/gateway/process/recovery/filetables.py
+++ b/src/ramppin/gateway/process/recovery/filetables.py
@@ -4,6 +4,7 @@
 
     {
       "routing": {...},           // see ramppin.gateway.version.routingfile
+      "evacuated_domains": ["porto"],  // failure domains whose servers get nothing
       "backend_servers": {"id": {"service": ..., "address": "IP:PORT"}}
     }
 """
@@ -25,12 +26,14 @@
     RecordLog,
     RecordSource,
 )
+from ramppin.gateway.process.routing.evacuation import EVACUATION_PREFIX
 
 POLL_S = 0.2
 """Seconds between two checks of whether the file changed."""
 
 ROUTING_PART = "routing"
 SERVERS_PART = "backend_servers"
+EVACUATED_PART = "evacuated_domains"
 SETTINGS_KEY = "settings"
 
 
@@ -105,13 +108,27 @@
                     error.show(), step="read", peer=str(self._path)
                 )
         if self._part == ROUTING_PART:
-            return {SETTINGS_KEY: json.dumps(part).encode()}
+            emptied = self._list_evacuated(document)
+            return {SETTINGS_KEY: json.dumps(part).encode()} | emptied
         if not isinstance(part, dict):
             raise LogUnavailableError(
                 f"{self._part}: an object is needed", step="read", peer=str(self._path)
             )
         return {key: json.dumps(value).encode() for key, value in part.items()}
 
+    def _list_evacuated(self, document: Mapping[str, object]) -> dict[str, bytes]:
+        """Return the records of the failure domains that the file lists as emptied."""
+        domains = document.get(EVACUATED_PART, [])
+        if not isinstance(domains, list) or not all(
+            isinstance(d, str) for d in domains
+        ):
+            raise LogUnavailableError(
+                f"{EVACUATED_PART}: a list of names is needed",
+                step="read",
+                peer=str(self._path),
+            )
+        return {f"{EVACUATION_PREFIX}{domain}": b"{}" for domain in domains}
+
 
 class LocalTable(RecordLog):
     """A table that only this process sees.
--- a/src/ramppin/gateway/process/recovery/sources.py
+++ b/src/ramppin/gateway/process/recovery/sources.py
@@ -104,6 +104,17 @@
             SettingsError: the record breaks the schema.
         """
 
+    @abstractmethod
+    def find_evacuated(self, record: Record) -> str | None:
+        """Return the failure domain that a record of the settings' table empties.
+
+        A record without a value takes it back; any value empties it. None if the record
+        is not about that.
+
+        Raises:
+            SettingsError: the record names no failure domain.
+        """
+
     @abstractmethod
     def decode_server(self, record: Record) -> BackendServer:
         """Return the backend server that a record announces.
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -178,6 +178,10 @@
             "Open backend servers that are ejected or unresponsive, by service.",
             ("service",),
         )
+        self.evacuated_domains = GaugeTally(
+            "ramppin_gateway_evacuated_domains",
+            "Failure domains that the operator has emptied.",
+        )
         self.homes = GaugeTally(
             "ramppin_gateway_prefix_homes",
             "Prefixes whose backend server is known.",
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.process.load.waiting import WaitingRequests
 from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
+from ramppin.gateway.process.routing.evacuation import Evacuations
 from ramppin.gateway.process.turns import Turns
 
 
@@ -102,7 +103,7 @@
 
     @property
     def open(self) -> bool:
-        """Whether the server may get new work."""
+        """Whether the server itself takes new work, wherever it stands."""
         closed = self.missing or self.refused or self.restarted
         return not self.server.draining and not closed
 
@@ -158,12 +159,14 @@
 
     Attributes:
         turns: of this process.
+        evacuations: failure domains whose servers get no new work.
 
     .. versionadded:: 0.2
     """
 
     def __init__(self, turns: Turns | None = None) -> None:
         self.turns = turns or Turns()
+        self.evacuations = Evacuations()
         self._states: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._times: dict[str, ServiceTimes] = {}
@@ -247,7 +250,11 @@
     def is_open(self, server_id: str) -> bool:
         """Return whether a backend server may get new work."""
         state = self._states.get(server_id)
-        return state is not None and state.open
+        return state is not None and self.may_get_work(state)
+
+    def may_get_work(self, state: ServerState) -> bool:
+        """Return whether a server may get new work: itself, and where it stands."""
+        return state.open and state.server.failure_domain not in self.evacuations
 
     def list_services(self) -> list[str]:
         """Return the services that have, or had, backend servers."""
@@ -266,5 +273,20 @@
     def list_open(self, service: str) -> list[ServerState]:
         """Return the backend servers of a service that may get new work."""
         return [
-            state for state in self._by_service.get(service, {}).values() if state.open
+            state
+            for state in self._by_service.get(service, {}).values()
+            if self.may_get_work(state)
+        ]
+
+    def list_domain(self, domain: str) -> list[ServerState]:
+        """Return the backend servers of a failure domain."""
+        return [s for s in self if s.server.failure_domain == domain]
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has servers, all in emptied failure domains."""
+        domains = [
+            state.server.failure_domain
+            for state in self._by_service.get(service, {}).values()
+            if state.open
         ]
+        return bool(domains) and all(name in self.evacuations for name in domains)
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -206,7 +206,12 @@
             admission.fingerprint if watch.is_suspect() else None,
         )
         strategy = context.choose_strategy(admission.prefix_key is not None)
-        return strategy.choose(request, states, now) or Verdict.NO_SERVER
+        selection = strategy.choose(request, states, now)
+        if selection is not None:
+            return selection
+        if context.directory.is_evacuated(admission.service):
+            return Verdict.EVACUATED
+        return Verdict.NO_SERVER
 
     async def _try(
         self, admission: Admission, selection: Selection, builder: RequestHeadBuilder
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -14,6 +14,7 @@
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import RecordDecoder
 from ramppin.gateway.process.routing.directory import BackendServer
+from ramppin.gateway.process.routing.evacuation import EVACUATION_PREFIX, read_domain
 from ramppin.gateway.version.address import parse_address
 from ramppin.gateway.version.routing import (
     CallerLimits,
@@ -132,6 +133,10 @@
             return None
         return build_table(_decode(record, RoutingTree))
 
+    def find_evacuated(self, record: Record) -> str | None:
+        """Return the failure domain that a record empties, or None."""
+        return read_domain(record.key, EVACUATION_PREFIX)
+
     def decode_server(self, record: Record) -> BackendServer:
         """Return the backend server of a record."""
         node = _decode(record, ServerNode)
