--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -234,6 +234,7 @@
         state: str = "ready",
         zone: str = "porto",
         born: int | None = None,
+        cold_ms: int = 0,
     ) -> None:
         entry = {
             "service": service,
@@ -242,7 +243,7 @@
             "version": "v1",
             "capacity": 8,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": cold_ms,
             "sequence": 1,
         }
         if born is not None:
