What all VMs send a cold server stays within the rate that its service names

Change: an entry tells how long its server is cold. The number is the lesser of the rate and half of what a server bears in a second (settings: cold_overage, cold_slack), since two windows may fall into one second. A VM without a place passes the server over on every way; where only cold servers are left its request is refused at once, until the next window. VMs that were silent for less than a minute count, so that parts of a cut fleet don't each take all; a VM that does not know the fleet yet has no place. The servers of a failure domain that is taken back count as cold until their entries tell: the word that it is back comes first.

--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -361,6 +361,9 @@
         await wait_for_event(event)
     fixture.publish({"version": "none"})
     await wait_for_event("settings_refused")
+    fixture.announce("p1", "plain", slots=2, cold_s=1.0)
+    await wait_for_event("server_cold")
+    fixture.announce("p1", "plain", slots=2)
     fixture.servers.put("bad", b"{}")
     await wait_for_event("server_refused")
 
--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from ramppin.gateway.connection.httpwire import HeaderNames
+from ramppin.gateway.process.limits.coldturns import ColdRules
 from ramppin.gateway.process.limits.drain import DrainTimes
 from ramppin.gateway.process.limits.retrybudget import RetryRules
 
@@ -44,6 +45,7 @@
             failure domain, must be in force.
         leaving_bound_s: seconds after which a leaving server gets no new work.
         retry_rules: the fleet's budget of retries, and this VM's part.
+        cold_rules: what a cold server bears beside the rate that its service names.
         drain_times: how long a planned stop may take.
         seed: of the random numbers.
     """
@@ -65,5 +67,6 @@
     settings_bound_s: float = 2.0
     leaving_bound_s: float = 2.0
     retry_rules: RetryRules = field(default_factory=RetryRules)
+    cold_rules: ColdRules = field(default_factory=ColdRules)
     drain_times: DrainTimes = field(default_factory=DrainTimes)
     seed: int | None = None
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.connection.callerwire import ListenerState
 from ramppin.gateway.connection.httpwire import HeaderNames
 from ramppin.gateway.connection.pool import ConnectionPool
+from ramppin.gateway.process.limits.coldturns import ColdTurns
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
@@ -51,6 +52,7 @@
         plain_selection: for all others.
         generator: random numbers.
         retry_budget: retries that this VM may make.
+        cold_turns: requests that this VM may send to cold servers.
         quarantine: requests under which servers end.
         server_checks: tell whether a server to which a connection was lost has ended.
         listener: what callers' connections share.
@@ -75,6 +77,7 @@
     plain_selection: NearestSelection
     generator: random.Random
     retry_budget: RetryBudget
+    cold_turns: ColdTurns
     quarantine: Quarantine = field(default_factory=Quarantine)
     server_checks: ServerChecks = field(init=False)
     listener: ListenerState = field(default_factory=ListenerState)
@@ -121,6 +124,25 @@
             states, self.failure_domain, own_per_s * self.live_vms, now
         )
 
+    def find_cold_rate(self, service: str) -> float:
+        """Return how many requests a second a cold server takes; 0 for any number."""
+        spec = self.table.services.get(service) if self.table else None
+        return spec.cold_per_s if spec else 0.0
+
+    def list_closed_cold(
+        self, service: str, states: Sequence[ServerState], now: float
+    ) -> frozenset[str]:
+        """Return the ids of cold servers at which this VM has no place now."""
+        per_s = self.find_cold_rate(service)
+        if not per_s:
+            return frozenset()
+        return frozenset(
+            state.id
+            for state in states
+            if state.coldness.is_cold(now)
+            and self.cold_turns.count_left(state.id, per_s, now) < 1
+        )
+
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
         """Return the strategy for a request."""
         return self.prefix_selection if keeps_prefix else self.plain_selection
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -38,6 +38,10 @@
 off from here."""
 
 
+RECENT_S = 60.0
+"""Seconds for which a VM that falls silent counts where VMs share what is scarce: VMs
+that are cut off from each other must not each take the whole of it."""
+
 MAX_LOGGED = 200
 """Characters of an entry's key, or of what is wrong with it, that are logged."""
 
@@ -189,6 +193,10 @@
             if now - member.last_seen_at <= (near_s if self._is_near(member) else far_s)
         ]
 
+    def list_recent(self, now: float) -> list[Member]:
+        """Return the VMs that are live, or were a while ago."""
+        return [m for m in self._members.values() if now - m.last_seen_at <= RECENT_S]
+
     def list_last_seen_first(self) -> list[Member]:
         """Return all members, the one seen last first."""
         return sorted(
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -84,6 +84,7 @@
                     "failure_rate": round(state.health.failure_rate, 2),
                     # The key's name is older than the code's word for it.
                     "aside": state.health.is_suspect(now),
+                    "cold_s": _shorten(state.coldness.measure_left_s(now)),
                 }
                 for state in context.directory
             ],
@@ -140,6 +141,8 @@
             suspect = sum(state.health.is_suspect(now) for state in states)
             metrics.open_servers.set(len(states), service)
             metrics.suspect_servers.set(suspect, service)
+            cold = sum(state.coldness.is_cold(now) for state in states)
+            metrics.cold_servers.set(cold, service)
 
 
 class OperationsResponder(Responder):
--- a/src/ramppin/gateway/process/recovery/changes.py
+++ b/src/ramppin/gateway/process/recovery/changes.py
@@ -91,6 +91,7 @@
             return
         ended = evacuations.end(domain)
         if ended is not None:
+            self._suppose_cold(domain, now)
             context.decisions.note(
                 "domain_restored",
                 domain=domain,
@@ -99,6 +100,20 @@
                 evacuated_s=round(now - ended.since, 2),
             )
 
+    def _suppose_cold(self, domain: str, now: float) -> None:
+        """Take the servers of a failure domain that is back for cold.
+
+        They may have been cleared meanwhile, and their entries that tell it come later
+        than the word that the domain is back.
+        """
+        table = self._context.table
+        if table is None:
+            return
+        for state in self._context.directory.list_domain(domain):
+            spec = table.services.get(state.server.service)
+            if spec is not None and spec.cold_s:
+                state.coldness.suppose(spec.cold_s, now)
+
     def take_server(self, record: Record) -> None:
         """Take a backend server's entry, or the end of one."""
         if record.value is None:
@@ -114,7 +129,8 @@
         if known is not None and not self._take_start(known, server, record):
             return
         was_refused = known is not None and known.refused
-        context.directory.put(server)
+        state = context.directory.put(server)
+        self._take_coldness(state, record.offset)
         if known is None or known.server != server or was_refused:
             self._note_known(server, record.offset)
 
@@ -149,6 +165,22 @@
             )
         return True
 
+    def _take_coldness(self, state: ServerState, offset: int) -> None:
+        """Take for how long a server is still cold."""
+        context, server = self._context, state.server
+        now = asyncio.get_running_loop().time()
+        if state.coldness.note_told(server.cold_s, now):
+            context.decisions.note(
+                "server_cold",
+                server=server.name,
+                service=server.service,
+                cold_s=round(server.cold_s, 2),
+                per_s=context.find_cold_rate(server.service),
+                offset=offset,
+            )
+        elif not state.coldness.is_cold(now):
+            context.cold_turns.forget(state.id)
+
     def _refuse_server(self, record: Record, reason: str) -> None:
         """Take no entry that can't be read; its server gets no new work meanwhile."""
         context = self._context
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -203,11 +203,22 @@
             self._config.peers.host,
         )
 
+    def list_sharing_vms(self, now: float) -> list[str]:
+        """Return the names of the VMs that share what servers take, this one included.
+
+        None before the table of VMs is known: a VM that has just started would take
+        itself for the only one.
+        """
+        if not self._member_table.replica.started:
+            return []
+        return [self._config.vm, *(m.vm for m in self.members.list_recent(now))]
+
     def remove_missing(self, now: float) -> None:
         """Forget backend servers whose entry is missing."""
         for state in self._context.directory.remove_missing(now):
             self._context.pool.drop_peer(state.id)
             self._context.quarantine.note_server_ended(state.id)
+            self._context.cold_turns.forget(state.id)
             self._context.decisions.note("server_gone", server=state.server.name)
 
     # the tables
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -178,6 +178,11 @@
             "Open backend servers that are ejected or unresponsive, by service.",
             ("service",),
         )
+        self.cold_servers = GaugeTally(
+            "ramppin_gateway_cold_servers",
+            "Open backend servers that are cold, by service.",
+            ("service",),
+        )
         self.evacuated_domains = GaugeTally(
             "ramppin_gateway_evacuated_domains",
             "Failure domains that the operator has emptied.",
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ramppin.gateway.process.load.estimate import ServerLoad
 from ramppin.gateway.process.load.times import ServiceTimes
 from ramppin.gateway.process.load.waiting import WaitingRequests
+from ramppin.gateway.process.membership.coldness import ServerColdness
 from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
 from ramppin.gateway.process.routing.evacuation import Evacuations
@@ -32,6 +33,8 @@
         slots: requests that it runs at once; only a change of it is logged.
         draining: whether it takes no new work.
         started_ms: Unix time of its start in milliseconds; None if it does not say.
+        cold_s: seconds for which it is still cold as it writes its entry; of no weight
+            when entries are compared, since each tells less than the one before.
     """
 
     name: str
@@ -42,6 +45,7 @@
     slots: int = 0
     draining: bool = False
     started_ms: int | None = None
+    cold_s: float = field(default=0.0, compare=False)
 
     @property
     def id(self) -> str:
@@ -72,6 +76,7 @@
         times: of its service's requests.
         health: what this VM saw of it.
         evidence: what all VMs saw of it.
+        coldness: whether it is cold.
         missing: whether its entry has vanished.
         refused: whether its newest entry can't be read.
         restarted: whether it has ended, since a later start is known.
@@ -96,6 +101,7 @@
         self.times = times or ServiceTimes()
         self.health = ServerHealth(turns)
         self.evidence = FleetEvidence()
+        self.coldness = ServerColdness()
         self.missing = False
         self.refused = False
         self.restarted = False
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -198,9 +198,10 @@
         if not verdict.allows:
             return verdict
         states = context.directory.list_open(admission.service)
+        cold = context.list_closed_cold(admission.service, states, now)
         request = SelectionRequest(
             admission.prefix_key,
-            frozenset(self._tried),
+            cold | self._tried,
             context.share_connections(admission.service),
             context.find_bad_servers(admission.service, states, now),
             admission.fingerprint if watch.is_suspect() else None,
@@ -208,7 +209,10 @@
         strategy = context.choose_strategy(admission.prefix_key is not None)
         selection = strategy.choose(request, states, now)
         if selection is not None:
+            context.cold_turns.note_sent(selection.state.id)
             return selection
+        if cold - self._tried:
+            return Verdict.COLD
         if context.directory.is_evacuated(admission.service):
             return Verdict.EVACUATED
         return Verdict.NO_SERVER
@@ -300,12 +304,13 @@
         """Return whether another server may take over from the current one."""
         context, now = self._context, self._loop.time()
         states = context.directory.list_open(admission.service)
+        cold = context.list_closed_cold(admission.service, states, now)
         if self._attempt is not None:
             self._progress.answer_started = self._attempt.started
         return judge_takeover(
             admission.route,
             self._progress,
-            has_other_server=has_healthy_server(states, self._tried, now),
+            has_other_server=has_healthy_server(states, cold | self._tried, now),
             has_budget=context.retry_budget.has_left(admission.service, now),
         )
 
@@ -319,8 +324,13 @@
             # Before that it would be refused again.
             return rest_s
         states = context.directory.list_open(admission.service)
+        cold = context.list_closed_cold(admission.service, states, now)
+        opening_s = find_opening_s([s for s in states if s.id not in cold], now)
+        if cold and len(cold) == len(states):
+            per_s = context.find_cold_rate(admission.service)
+            opening_s = context.cold_turns.measure_wait_s(per_s)
         return choose_retry_after_s(
-            opening_s=find_opening_s(states, now),
+            opening_s=opening_s,
             time_left_s=self._ends_at - now,
             rank=admission.route.priority,
             point=context.generator.random(),
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -47,6 +47,7 @@
     SEND = "it may be sent"
     QUARANTINED = "servers ended under it, one after the other"
     NO_SERVER = "no server is left to choose from"
+    COLD = "its servers are cold, and this VM has no place there now"
     EVACUATED = "all its servers stand in emptied failure domains"
     TRIES_SPENT = "it has tried as many servers as one request may"
     TIME_SPENT = "too little time is left"
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -80,10 +80,14 @@
         name: the service's name.
         max_connections: connections that one backend server takes in all; 0 for
             any number.
+        cold_s: seconds for which one is cold after its start.
+        cold_per_s: requests a second that one takes while cold; 0 for any number.
     """
 
     name: str
     max_connections: int = 0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -68,6 +68,8 @@
     """
 
     max_connections: int = 0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
     rules: RouteRules = msgspec.field(default_factory=RouteRules)
@@ -111,6 +113,7 @@
         draining: whether it takes no new work.
         started_ms: Unix time of its start in milliseconds: a later one under the same
             id says that it has started again and knows nothing of before.
+        cold_s: seconds for which it is still cold.
     """
 
     service: str
@@ -119,6 +122,7 @@
     slots: int = 0
     draining: bool = False
     started_ms: int | None = None
+    cold_s: float = 0.0
 
 
 class TreeDecoder(RecordDecoder):
@@ -155,6 +159,7 @@
             slots=node.slots,
             draining=node.draining,
             started_ms=node.started_ms,
+            cold_s=node.cold_s,
         )
 
 
@@ -174,7 +179,7 @@
         version=tree.version,
         routes=tuple(routes),
         services={
-            name: ServiceSpec(name, node.max_connections)
+            name: ServiceSpec(name, node.max_connections, node.cold_s, node.cold_per_s)
             for name, node in tree.services.items()
         },
         customers={
