Soak: emptied failure domains and cold servers, with real processes

VMs are killed, stopped and killed all at once, the store refuses, domains are emptied for 0.3 to 8 s and come back cold, engines end and come back cold, beside a hot prompt that asks for one server 60 times a second.

--- /dev/null
+++ b/features/cold_and_emptied/processes.feature
@@ -0,0 +1,8 @@
+Feature: emptied failure domains and cold servers, with real processes
+
+  VMs are killed, stopped for a while and turned away by the store while failure domains
+  are emptied and taken back, and servers come back cold.
+
+  Scenario: nothing reaches an emptied domain, nor too much a cold server
+    Then a domain soak of 8 processes, 12 seconds and seed 1 breaks no promise
+    And a domain soak of 8 processes, 12 seconds and seed 4 breaks no promise
--- a/features/crash_soak.py
+++ b/features/crash_soak.py
@@ -23,7 +23,6 @@
 import contextlib
 import json
 import random
-import signal
 import sys
 import time
 from collections import Counter
@@ -33,11 +32,11 @@
 
 from features.crash_servers import CRASH_MARK, PLAIN, CrashServer, CrashServers
 from features.gateway_support import RawAnswer, RawCaller
-from features.platform_support import PlatformFixture, build_config
-from features.soak_runs import Callers, build_parser, list_hosts, run_seeds
+from features.platform_support import build_config
+from features.soak_runs import build_parser, run_seeds
+from features.soak_vms import DOMAINS, VmSoak
 from standins.common import wait_for
 
-DOMAINS = ("porto", "braga", "faro", "evora")
 ENGINES, PLAIN_SERVERS = 12, 6
 PROMPTS_PER_S, PLAIN_PER_S, POPULAR_PER_S, HARMFUL_PER_S = 15.0, 15.0, 5.0, 3.0
 DEADLINE_MS = 4000
@@ -77,7 +76,7 @@
 
 
 @dataclass
-class CrashSoak:
+class CrashSoak(VmSoak):
     """One run with one seed.
 
     Attributes:
@@ -86,41 +85,28 @@
         same_id: whether a server that is back keeps its id.
     """
 
-    seed: int
-    seconds: float
-    vms: int = 8
-    harms: tuple[str, ...] = ()
     harmful: int = 1
     same_id: bool = False
     crash_share: float = 1.0
-    fixture: PlatformFixture = field(default_factory=PlatformFixture)
     statuses: Counter = field(default_factory=Counter)
-    faults: list[str] = field(default_factory=list)
     turned_away: list[str] = field(default_factory=list)
-    power_losses: int = 0
-    stops: int = 0
 
     def __post_init__(self) -> None:
-        self.random = random.Random(self.seed)
-        self.fault_random = random.Random(self.seed)
+        super().__post_init__()
         self.servers = CrashServers(
             self.random,
             crash_after_s=self.fault_random.uniform(0.02, 0.12),
             crash_share=self.crash_share,
         )
         self.resets = self.fault_random.random() < 0.5
-        self.hosts = list_hosts(self.vms, self.seed)
-        self.running: dict[str, str] = {}
-        self.disturbed_at: dict[str, list[float]] = {vm: [] for vm in self.hosts}
-        self.callers = Callers(self.random)
         self._ids = 0
 
     async def run(self) -> list[str]:
         """Run, and return what broke a promise."""
         await self._start()
         try:
-            self._started = time.monotonic()
-            until = self._started + self.seconds
+            self.started_at = time.monotonic()
+            until = self.started_at + self.seconds
             reviving = asyncio.ensure_future(self._revive())
             await asyncio.gather(
                 *(
@@ -162,14 +148,6 @@
         # Before that they can't tell each other anything.
         await wait_for(self._know_each_other, "VMs know each other")
 
-    async def _know_each_other(self) -> bool:
-        """Return whether each VM knows the others."""
-        for vm, host in self.running.items():
-            dump = json.loads(await self.fixture.ask_operator(vm, host, "/dump"))
-            if dump["tables"]["members"]["records"] < len(self.running):
-                return False
-        return True
-
     async def _stop(self) -> None:
         await self.callers.cancel()
         await self.fixture.stop()
@@ -266,71 +244,11 @@
 
     # harm
 
-    async def _harm_until(self, until: float) -> None:
-        running = []
-        due = list(self.harms)
-        while due and time.monotonic() < until - 1.0:
-            await asyncio.sleep(self.fault_random.uniform(0.3, 1.5))
-            name = due.pop(self.fault_random.randrange(len(due)))
-            if not due and name not in ("kill_all", "start_vm"):
-                due = [name]
-            at = time.monotonic() - self._started
-            self.faults.append(f"{name}@{at:.1f}")
-            running.append(asyncio.ensure_future(getattr(self, f"_{name}")()))
-        await asyncio.gather(*running)
-
-    async def _begin(self, vm: str) -> None:
-        domain = DOMAINS[int(vm.partition("-")[2]) % len(DOMAINS)]
-        await self.fixture.start_gateway(vm, self.hosts[vm], domain)
-        self.running[vm] = self.hosts[vm]
-        self.disturbed_at[vm].append(time.monotonic())
-
-    async def _kill_vm(self) -> None:
-        """Kill a VM's process, and start it again."""
-        vm = self.fault_random.choice(list(self.hosts))
-        if vm in self.running:
-            await self._kill(vm)
-            await self._begin(vm)
-
-    async def _kill(self, vm: str) -> None:
-        self.running.pop(vm, None)
-        self.disturbed_at[vm].append(time.monotonic())
-        with contextlib.suppress(ProcessLookupError):
-            self.fixture.processes[vm].kill()
-        await self.fixture.processes[vm].wait()
-
-    async def _stop_vm(self) -> None:
-        """Stop a VM's process for a while."""
-        vm = self.fault_random.choice(list(self.hosts))
-        if vm not in self.running:
-            return
-        self.stops += 1
-        process = self.fixture.processes[vm]
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self.fault_random.uniform(0.3, 3.0))
-            process.send_signal(signal.SIGCONT)
-        self.disturbed_at[vm].append(time.monotonic())
-
-    async def _refuse_store(self) -> None:
-        """Let the store refuse every call for a while."""
-        self.fixture.store.refuse = 503
-        await asyncio.sleep(self.fault_random.uniform(0.5, 3.0))
-        self.fixture.store.refuse = 0
-
     async def _start_vm(self) -> None:
         if self.late is not None:
             vm, self.late = self.late, None
             await self._begin(vm)
 
-    async def _kill_all(self) -> None:
-        """Kill all VMs at once, and start them again."""
-        await asyncio.sleep(self.fault_random.uniform(0.0, 0.4 * self.seconds))
-        self.power_losses += 1
-        vms = list(self.running)
-        await asyncio.gather(*map(self._kill, vms))
-        await asyncio.gather(*map(self._begin, vms))
-
     # the promises
 
     def _read_lines(self) -> None:
@@ -376,9 +294,7 @@
 
     def _was_calm(self, request_id: str, at: float) -> bool:
         vm = f"vm-{int(request_id[len(HARMFUL_ID) : len(HARMFUL_ID) + 4])}"
-        return not any(
-            at - CONTACT_S < moment <= at for moment in self.disturbed_at[vm]
-        )
+        return self.was_calm(vm, at, CONTACT_S)
 
     def show(self) -> str:
         """Return what harmful requests did, and what harmless ones got."""
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -202,6 +202,7 @@
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
     shared_ports: tuple[int, int] | None = None
+    more_settings: dict[str, str] = field(default_factory=dict)
     scratch: tempfile.TemporaryDirectory = field(
         default_factory=tempfile.TemporaryDirectory
     )
@@ -281,7 +282,7 @@
             "seed_nodes": f"127.0.0.1:{records}",
             "bounds.grace_s": "6",
             "platform.address": f"127.0.0.1:{(store or self.store).port}",
-        }
+        } | self.more_settings
         path = Path(self.scratch.name) / f"{vm}.conf"
         path.write_text("".join(f"{name}={v}\n" for name, v in fields.items()))
         self.find_log(vm).unlink(missing_ok=True)
--- a/features/suite.py
+++ b/features/suite.py
@@ -23,6 +23,7 @@
 
 ALONE = frozenset(
     {
+        "cold_and_emptied",
         "leaving",
         "load_limit",
         "planned_stop",
