A prompt that passes over a home at the bound prefers a cold server with a place

Change: such a prompt goes to a cold server at which this VM has a place, the first in the prefix's order; its prefix is copied there, as to any other server.

--- a/features/platform/cold_servers.feature
+++ b/features/platform/cold_servers.feature
@@ -44,6 +44,19 @@
       | 12  | 1     | 1    |
       | 65  | 0     | 1    |
 
+  Scenario Outline: where a prompt goes beside cold servers: <case>
+    Then with loads "<loads>", home "<home>" and cold "<cold>" a prompt goes to "<chosen>" and its home is "<after>"
+
+    Examples: servers in the prefix's order; a cold one is there only while this VM has a place
+      | case                             | loads   | home  | cold         | chosen | after |
+      | the home has room                | 2 1 1 0 | first | fourth       | first  | first |
+      | the home is at the bound         | 9 1 1 0 | first | fourth       | fourth | first |
+      | two are cold                     | 9 1 0 0 | first | third fourth | third  | first |
+      | the cold one is at the bound too | 9 1 1 9 | first | fourth       | second | first |
+      | none is cold                     | 9 1 1 0 | first | none         | second | first |
+      | the home itself is cold          | 2 1 1 1 | first | first        | first  | first |
+      | no home yet                      | 1 1 1 0 | none  | fourth       | first  | first |
+
   Scenario Outline: how long a server is cold: <words>
     Then with "<words>" a server is cold for <left> s more
 
--- a/features/steps/platform_cold_steps.py
+++ b/features/steps/platform_cold_steps.py
@@ -5,15 +5,21 @@
 import asyncio
 import json
 import math
+import random
 from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
 
 from bench.vms.coldstarts import Turns, list_cold_patterns, play_cold
+from features.gateway_support import build_server, read_names
 from features.platform_support import PlatformFixture, build_config
 from ramppin.gateway.process.limits.coldturns import ColdRules, ColdTurns
 from ramppin.gateway.process.membership.coldness import ServerColdness
+from ramppin.gateway.process.routing.homes import PrefixHomes
+from ramppin.gateway.process.routing.prefixselection import PrefixSelection
+from ramppin.gateway.process.routing.selection import SelectionRequest
+from ramppin.ranking import RendezvousRanking
 from standins.common import wait_for
 
 NOW = 100.0
@@ -91,6 +97,34 @@
     assert coldness.is_cold(now) == (left > 0)
 
 
+ORDER = ("first", "second", "third", "fourth")
+"""Servers of the prompt's prefix in their order by hash."""
+
+PREFIX = 77
+
+
+@then(
+    'with loads "{loads}", home "{home}" and cold "{cold}" a prompt goes to '
+    '"{chosen}" and its home is "{after}"'
+)
+def step_prompt(context, loads, home, cold, chosen, after):
+    ids = RendezvousRanking().rank(PREFIX, [f"s{n}" for n in range(len(ORDER))])
+    by_name = dict(zip(ORDER, ids, strict=True))
+    states = {
+        name: build_server(by_name[name], int(load))
+        for name, load in zip(ORDER, loads.split(), strict=True)
+    }
+    for name in read_names(cold):
+        states[name].coldness.note_told(COLD_MS / 1000, NOW)
+    homes = PrefixHomes(lambda server: True)
+    if home != "none":
+        homes.note_placed(PREFIX, by_name[home], NOW)
+    strategy = PrefixSelection(homes, generator=random.Random(1))
+    found = strategy.choose(SelectionRequest(PREFIX), list(states.values()), NOW)
+    assert found.state is states[chosen], (found, by_name)
+    assert homes.find(PREFIX) == by_name[after]
+
+
 # the whole path
 
 
--- a/src/ramppin/gateway/process/routing/prefixselection.py
+++ b/src/ramppin/gateway/process/routing/prefixselection.py
@@ -47,7 +47,8 @@
     becomes the home. A server at or above the bound is passed over for the next in the
     prefix's order; the home stays, for the next prompt. With every server at the bound,
     the least loaded one gets the prompt. A hot prefix is shared by its home and the
-    next servers, as many as the home's last peak needs.
+    next servers, as many as the home's last peak needs. A prompt that passes over a
+    home at the bound prefers cold servers.
 
     Args:
         homes: where prefixes are.
@@ -57,7 +58,8 @@
 
     .. versionadded:: 0.2
     .. versionchanged:: 0.3
-        A hot prefix is shared by several servers; ``generator`` is new.
+        A hot prefix is shared by several servers; ``generator`` is new. Cold servers
+        are preferred to others in place of a home at the bound.
     """
 
     def __init__(
@@ -90,7 +92,7 @@
         if home is not None and place == 0 and view.loads[home.id] < view.bound:
             chosen, rank = home.id, 0
         else:
-            chosen, rank = self._pass_home(key, list(by_id), place, view, now)
+            chosen, rank = self._pass_home(key, by_id, place, view, now)
         if home is not None and chosen == home.id:
             self._homes.note_used(key, now)
         last_home = self._homes.find_last(key)
@@ -119,19 +121,24 @@
         return peak / (HOT_HOME_SHARE * view.bound)
 
     def _pass_home(
-        self, key: int, ids: list[str], place: int, view: LoadView, now: float
+        self,
+        key: int,
+        by_id: dict[str, ServerState],
+        place: int,
+        view: LoadView,
+        now: float,
     ) -> tuple[str, int]:
         """Return a server in place of the home of a prefix, and its rank.
 
         Args:
             key: of the prefix.
-            ids: of the servers to choose from.
+            by_id: the servers to choose from.
             place: which of those below the bound to use, the home being number 0.
             view: the loads of all open servers.
             now: the loop's time.
         """
         home = self._homes.find(key)
-        ranked = self._ranking.rank(key, ids)
+        ranked = self._ranking.rank(key, list(by_id))
         below = [
             server_id for server_id in ranked if view.loads[server_id] < view.bound
         ]
@@ -140,6 +147,11 @@
         elif home is None:
             chosen = _choose_home(below, view)
             self._homes.note_placed(key, chosen, now)
+        elif place == 0 and home in by_id:
+            # The cold ones here are those at which this VM has a place now. They are
+            # empty while others are at their worst load, and an unused place is lost.
+            cold = [s for s in below if by_id[s].coldness.is_cold(now)]
+            chosen = (cold or below)[0]
         else:
             below.sort(key=lambda server_id: server_id != home)
             chosen = below[min(place, len(below) - 1)]
