Sight: lines tell a prompt's prefix and the server to copy it from

Which prompts met a server that had not read their shared part could not be told from lines: the fingerprint is of the whole request.

--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -82,6 +82,8 @@
             "route": admission.route.name,
             "version": admission.table.version,
             "server": selection.state.server.name,
+            "prefix": _show_prefix(admission.prefix_key),
+            "copy_from": selection.copy_from or "",
             "rank": selection.rank,
             "shared_by": selection.shared_by,
             "load": round(selection.load),
@@ -171,5 +173,10 @@
     return None if seconds is None else round(seconds * 1000)
 
 
+def _show_prefix(key: int | None) -> str:
+    """Return the key of a prompt's prefix as hex digits; empty if there is none."""
+    return "" if key is None else f"{key:016x}"
+
+
 def _round_bound(bound: float) -> float | None:
     return round(bound, 1) if bound != float("inf") else None
