--- a/src/ramppin/gateway/process/load/estimate.py
+++ b/src/ramppin/gateway/process/load/estimate.py
@@ -15,9 +15,7 @@
 
 PEAK_LIFE_S = 5.0
 """Seconds in which a peak of load fades to a third. Requests of a hot prefix come in
-bunches, as after each stall of the VMs, and the server is calm between: of the choices
-in the worst 5 s 0.019 met a server over twice the mean and 3, 0.025 with 3 s here (87
-VMs, 37 servers, mean of eight seeds of the model of many VMs)."""
+bunches, as after each stall of the VMs, and the server is calm between."""
 
 NEVER = float("-inf")
 """The loop's time of what has not happened."""
--- a/src/ramppin/gateway/process/load/news.py
+++ b/src/ramppin/gateway/process/load/news.py
@@ -22,9 +22,8 @@
 
 HIGH_SHARE = 0.8
 """Part of the bound from which on a report is told to all VMs: below it a server takes
-what comes, above it a few more requests put it past the bound. From 0.5 on 180 kB a
-second more crossed failure domains, and no fewer servers were overrun (195 VMs, mean of
-two seeds of the model of many VMs)."""
+what comes, above it a few more requests put it past the bound. A lower part costs bytes
+between failure domains, and overruns no fewer servers."""
 
 SERVERS_PER_MESSAGE = 24
 """Servers in one message, 500 bytes: with the rest it is not split."""
--- a/src/ramppin/gateway/process/load/view.py
+++ b/src/ramppin/gateway/process/load/view.py
@@ -15,10 +15,8 @@
 BOUND_RATIO = 1.5
 """Multiple of the mean load of a service's servers that one of them may hold. Callers
 of a home at the bound go elsewhere, where their prefix must be copied or read; a server
-past it slows all that it runs. Of the choices in the worst 5 s of a hot subject 0.027
-met a server over twice the mean and 3 with 1.8 and 2 here, 0.012 with 1.5 and 1.5, for
-46 GB of prompt memory moved in 18 s in place of 18; 1.3 and 1 gave 0.001 for 91 GB (195
-VMs, 37 servers, mean of two seeds of the model of many VMs)."""
+past it slows all that it runs. A lower bound overruns fewer servers and moves more
+memory."""
 
 BOUND_SLACK = 1.5
 """Requests that a server may hold beyond that; see :data:`BOUND_RATIO`."""
@@ -29,8 +27,7 @@
 
 REPORTED_ONE = 1.0
 """Requests by which a report is above what its server holds at other moments: the one
-that was answered. Counted in, it put the mean of 37 servers with 3.2 requests each 1.39
-times too high, and left out 1.11 times (median over a run of 195 VMs)."""
+that was answered."""
 
 MEAN_STEPS = 20
 """Halvings of the interval in which :func:`weigh_mean` looks: to a millionth of it."""
--- a/src/ramppin/gateway/process/load/waiting.py
+++ b/src/ramppin/gateway/process/load/waiting.py
@@ -24,10 +24,8 @@
 
 ABANDONED_HELD_S = 1.0
 """Seconds for which an overdue request that this VM gave up still counts as held,
-unless the server answers another before: one that is silent does not see it end. Of the
-requests in the worst 5 s of a silent server 0.027 met it over the limit with 0 here,
-0.003 with 1, 0.002 with 2, for fewer callers given up with 1 (87 VMs, 4 servers, worst
-of three seeds of the model of many VMs)."""
+unless the server answers another before: one that is silent does not see it end, and
+would fill up with what is given up."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -34,9 +34,8 @@
 broken."""
 
 UNRESPONSIVE_AFTER_S = 0.8
-"""Seconds without a byte, an answer being due, after which a server is unresponsive.
-Giving such servers up took requests that ran into their deadline from 78 to 24 and from
-51 to 12 on two days of our own."""
+"""Seconds without a byte, an answer being due, after which a server is unresponsive:
+a request that another server can still answer must not wait until its deadline."""
 
 
 class Outcome(Enum):
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -27,8 +27,7 @@
 """Seconds between two heartbeats within a failure domain."""
 
 FAR_HEARTBEATS_PER_S = 40.0
-"""Heartbeats that one VM sends to other failure domains, whatever their size: worked
-out for 360 VMs, not measured there."""
+"""Heartbeats that one VM sends to other failure domains, whatever their size."""
 
 MISSED_HEARTBEATS = 2.4
 """Heartbeats without which a VM no longer counts as live: two may be lost."""
--- a/src/ramppin/gateway/process/recovery/relayrules.py
+++ b/src/ramppin/gateway/process/recovery/relayrules.py
@@ -40,8 +40,8 @@
 MAX_NEWS_AGE_SHARE = 1.0
 """Share of the bound up to which a relay's knowledge is accepted once if it brings
 news: records that came late in the relay's wait, and took it a while to read, are still
-newer than what the asking VM has. Without it each change of the settings sent most VMs
-to the log, 1,136 times on a calm day of 195 VMs with two changes, by their lines."""
+newer than what the asking VM has. Without it each change of the settings sends most VMs
+to the log."""
 
 SETTLE_SHARE = 0.1
 """Share of the bound for which the question after old news waits: the relay has read
--- a/src/ramppin/gateway/process/routing/homes.py
+++ b/src/ramppin/gateway/process/routing/homes.py
@@ -7,9 +7,8 @@
 higher for the prefix: all VMs come to the same answer in whatever order the
 announcements arrive.
 
-Owns the homes that this VM knows, and which of them to announce. No I/O. Measured:
-without announcements 1,108,812 prompt tokens were read again in a day, with them
-326,123.
+Without announcements each VM reads a prefix again at a server of its own choice. Owns
+the homes that this VM knows, and which of them to announce. No I/O.
 """
 
 from __future__ import annotations
--- a/src/ramppin/gateway/process/routing/homesnapshot.py
+++ b/src/ramppin/gateway/process/routing/homesnapshot.py
@@ -5,8 +5,7 @@
 is a hint like any other, so it needs no lease: if two VMs write, the last one
 counts, and what is out of date is put right by the VMs' own hints.
 
-Measured: on days that end with a loss of power fewer prompt tokens are read again,
-525,113 to 274,360 and 829,166 to 518,140.
+After a loss of all VMs prompts find the servers that have their prefixes.
 """
 
 from __future__ import annotations
--- a/src/ramppin/gateway/process/routing/nearestselection.py
+++ b/src/ramppin/gateway/process/routing/nearestselection.py
@@ -25,14 +25,11 @@
     domain whose callers come at once, or that wake together after a stall, would all
     choose the server there. So this VM prefers near servers for a share of its requests
     only, such that no server gets more than :data:`BOUND_RATIO` times its part however
-    many VMs choose alike, and remote ones for the rest. Of the requests in the worst
-    5 s of callers in bunches 0.085 met a server over twice the mean and 3 with near
-    servers first, none so (87 VMs, 4 servers, model of many VMs).
+    many VMs choose alike, and remote ones for the rest.
 
     What other VMs tell is used in the same way. A server at the bound is closed; those
     that keep no VM's requests waiting get 1.5 times their part, not all: VMs that hear
-    the same would all choose the least loaded one, 0.042 in place of none while all
-    servers stalled (the same model).
+    the same would all choose the least loaded one, and overrun it.
 
     Args:
         failure_domain: where this process runs.
--- a/src/ramppin/gateway/process/routing/prefixselection.py
+++ b/src/ramppin/gateway/process/routing/prefixselection.py
@@ -34,9 +34,7 @@
 HOT_HOME_SHARE = 1 / 3
 """Part of the bound for which a hot prefix gets a server, once the peak of its home was
 at the bound. Many VMs that choose at one moment, as after a stall, all believe the home
-to be free: of the choices in the worst 5 s of a hot subject and stalls 0.051 met a
-server over twice the mean and 3 without this rule, 0.025 with a half, 0.020 with a
-third (87 VMs, 37 servers, mean of four seeds of the model of many VMs)."""
+to be free, and would overrun it."""
 
 
 class PrefixSelection(SelectionStrategy):
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -120,9 +120,7 @@
     """Return the server for a request under which servers may have ended, or None.
 
     Copies of it that come at one time through several VMs go to one server, so they
-    end that one at most: 5.9 servers in place of 10.2 where 10 copies a second each end
-    theirs after 0.3 s (model of 8 VMs, mean of 20 seeds). Servers at the bound are
-    passed over.
+    end that one at most. Servers at the bound are passed over.
 
     Args:
         key: the request's fingerprint.
--- a/src/ramppin/gateway/request/fingerprint.py
+++ b/src/ramppin/gateway/request/fingerprint.py
@@ -24,8 +24,7 @@
 def hash_request(request: CallerRequest, customer: Customer | None) -> int:
     """Return the fingerprint of a request, the same at every VM.
 
-    Not seeded, since VMs tell each other fingerprints. Of a body of 1 kB the
-    hash takes 0.4 us, of 140 kB 2.6 us (mean of 20,000 calls on one core).
+    Not seeded, since VMs tell each other fingerprints.
 
     Args:
         request: the request, whole.
--- a/src/ramppin/gateway/request/retryafter.py
+++ b/src/ramppin/gateway/request/retryafter.py
@@ -33,8 +33,8 @@
 """Part of the time left that a pause may take."""
 
 START_PAUSE_S = 0.5
-"""Seconds of pause at a VM that has just started, for a caller that names no deadline;
-settings were in force 0.02 to 0.35 s after 300 VMs listened, where the log answered."""
+"""Seconds of pause at a VM that has just started, for a caller that names no deadline:
+longer than settings take to be in force where the log answers."""
 
 STOP_PAUSE_S = 0.05
 """Seconds after which another VM takes what a stopping one refuses: hardly more than a
@@ -58,9 +58,7 @@
 
     Its request has waited in vain for the log and for peers: the log is away, and so
     are the VMs that know what it says. That lasts seconds, while most callers come
-    back but once, so they come back as late as they would. With the log away for 4 s
-    after a start and a deadline of 8.3 s all of them are served, with a pause of 0.5 s
-    0.62 of them (features/gateway/starts.feature).
+    back but once, so they come back as late as they would.
 
     Args:
         time_left_s: time until the caller gives up; None if it is unknown.
--- a/src/ramppin/logs.py
+++ b/src/ramppin/logs.py
@@ -17,7 +17,7 @@
 
 REPEAT_PERIOD_S = 10.0
 """Seconds of a period. Twenty lines in ten seconds show that a fault goes on and how
-it looks; chosen, not measured."""
+it looks."""
 
 MAX_KINDS = 1_000
 """Kinds of line that are counted; past it, counting begins anew."""
