--- a/features/platform/evacuation.feature
+++ b/features/platform/evacuation.feature
@@ -29,6 +29,17 @@
       | is a suspect                     |
       | has no prefix                    |
 
+  Scenario Outline: a prompt whose home takes nothing new is copied from it: <why>
+    Then a prompt whose home <why> goes elsewhere and is copied from "<source>"
+
+    Examples: as long as the home answers
+      | why                               | source |
+      | stands in an emptied domain       | home   |
+      | is draining                       | home   |
+      | is draining and fails             | none   |
+      | has ended                         | none   |
+      | is at the bound                   | home   |
+
   Scenario Outline: records that empty a failure domain: <key>
     Then a record "<key>" empties "<domain>"
 
--- a/features/steps/platform_evacuation_steps.py
+++ b/features/steps/platform_evacuation_steps.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -110,6 +111,30 @@
             assert (found is None) == bool(exclude)
 
 
+@then('a prompt whose home {why} goes elsewhere and is copied from "{source}"')
+def step_copied(context, why, source):
+    directory = build_directory()
+    homes = PrefixHomes(directory.is_open)
+    homes.note_placed(PREFIX, "i-porto", NOW)
+    home = directory.find("i-porto")
+    if why == "stands in an emptied domain":
+        directory.evacuations.begin("porto", 7, NOW)
+    elif why.startswith("is draining"):
+        directory.put(replace(home.server, draining=True))
+    elif why == "has ended":
+        directory.mark_missing("i-porto")
+    elif why == "is at the bound":
+        home.in_flight = 9
+    if why.endswith("and fails"):
+        home.health.note_outcome(Outcome.UNREACHABLE, NOW)
+    strategy = PrefixSelection(homes, generator=random.Random(1))
+    request = SelectionRequest(PREFIX)
+    found = strategy.choose(request, directory.list_open("llm"), NOW)
+    assert found.state is not home
+    copied = directory.find_source(found.copy_from, NOW)
+    assert copied == (home.server if source == "home" else None), found
+
+
 @then('a record "{key}" empties "{domain}"')
 def step_record(context, key, domain):
     record = Record(key.replace("\\x00", "\x00"), b"{}", 3)
