A prompt whose home is leaving, or stands in an emptied domain, is copied from it

Cause: the prefix was placed anew before its last home was asked for, so the new home was taken for the last one and nothing was copied; a server that leaves or is emptied still answers and has what is read again elsewhere (find_source says so, and was never asked). Change: the last home is asked for first. One that fails or has ended is still no source. Reaches every site: servers leave there by releases and scale_in.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Measures: ``python -m bench placement|latency|capacity|vms|crashes|all``."""
+"""Measures: ``python -m bench placement|latency|capacity|vms|crashes|cold|all``."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from bench.model import Scenario
 from bench.policies import POLICIES
 from bench.replay import Replay, Result
+from bench.vms import coldstarts as vms_cold
 from bench.vms import crashes as vms_crashes
 from bench.vms import fleet as vms_fleet
 from bench.vms import pattern as vms_pattern
@@ -193,6 +194,23 @@
     typer.echo(report.format_table(rows, CRASHES_SHOWN))
 
 
+COLD_SHOWN = ("vms", "pattern", "way", "worst", "over_18", "over_bound", "used")
+
+
+@app.command()
+def cold(
+    seeds: Annotated[int, typer.Option(help="Runs of each pattern.")] = 1,
+    sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "8,65",
+) -> None:
+    """Compare ways to share what a cold server takes among many VMs."""
+    rows = [
+        row
+        for size in sizes.split(",")
+        for row in vms_cold.tabulate_cold(int(size), range(1, seeds + 1))
+    ]
+    typer.echo(report.format_table(rows, COLD_SHOWN))
+
+
 @app.command(name="all")
 def run_everything() -> None:
     """Measure everything."""
--- a/src/ramppin/gateway/process/routing/prefixselection.py
+++ b/src/ramppin/gateway/process/routing/prefixselection.py
@@ -85,6 +85,9 @@
         by_id = {state.id: state for state in eligible}
         key = request.prefix_key if request.prefix_key is not None else 0
         home = by_id.get(self._homes.find(key) or "")
+        # Asked for before the prefix is placed anew: a home that is leaving, or stands
+        # in an emptied failure domain, still has what would be read again elsewhere.
+        last_home = self._homes.find_last(key)
         shared = self._measure_shared(key, home, view, now)
         place = int(self._generator.random() * shared)
         if home is not None and place == 0 and view.loads[home.id] < view.bound:
@@ -93,7 +96,6 @@
             chosen, rank = self._pass_home(key, by_id, place, view, now)
         if home is not None and chosen == home.id:
             self._homes.note_used(key, now)
-        last_home = self._homes.find_last(key)
         return replace(
             build_selection(by_id[chosen], rank, view, now),
             copy_from=last_home if last_home != chosen else None,
