A VM that stalled for long reads what it missed before it sends

Change: after a stall of 1 s or more requests wait 0.2 s, in which the loop reads what lies in its sockets and asks for what is due. Also before its turn was noted, since callers' bytes may be read first. Shorter stalls change nothing. Ruled out: to take all servers for cold until their table is confirmed, which would refuse requests that waited already. Costs a woken VM's callers 0.2 s. Tables: platform/cold_servers.feature.

--- a/features/platform/cold_servers.feature
+++ b/features/platform/cold_servers.feature
@@ -93,6 +93,21 @@
     When the operator takes "porto" back, which a VM did not know to be emptied
     Then 40 requests at once end as "all served" with 4 at the most at each of "porto"
 
+  Scenario Outline: a VM that stalled for <late> s sends nothing <after> s after its wake
+    Then after a stall of <late> s, <after> s after its wake a VM waits for <wait> s
+
+    Examples: * before its turn was noted; it reads what it missed before it sends
+      | late | after | wait |
+      | 0.0  | *     | 0.0  |
+      | 0.5  | *     | 0.0  |
+      | 0.5  | 0.0   | 0.0  |
+      | 1.0  | *     | 0.2  |
+      | 3.0  | *     | 0.2  |
+      | 3.0  | 0.0   | 0.2  |
+      | 3.0  | 0.15  | 0.05 |
+      | 3.0  | 0.2   | 0.0  |
+      | 30.0 | 0.24  | 0.0  |
+
   Scenario: a server that is warm before its time gets its part
     Given a gateway and servers of which 1 are cold, taking 2 a second
     When the cold servers tell that they are warm
--- a/features/steps/platform_cold_steps.py
+++ b/features/steps/platform_cold_steps.py
@@ -11,7 +11,8 @@
 
 from behave import given, then, when
 
-from bench.vms.coldstarts import Turns, list_cold_patterns, play_cold
+from bench.vms.coldstarts import Turns as ColdWayTurns
+from bench.vms.coldstarts import list_cold_patterns, play_cold
 from features.gateway_support import build_server, read_names
 from features.platform_support import PlatformFixture, build_config
 from ramppin.gateway.process.limits.coldturns import ColdRules, ColdTurns
@@ -19,6 +20,7 @@
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionRequest
+from ramppin.gateway.process.turns import Turns
 from ramppin.ranking import RendezvousRanking
 from standins.common import wait_for
 
@@ -41,7 +43,7 @@
 @when('{vms:d} VMs want to send a cold server requests as in "{name}"')
 def step_play(context, vms, name):
     [pattern] = [p for p in list_cold_patterns(vms, SEED) if p.name == name]
-    context.result = play_cold(replace(pattern, seconds=SECONDS), Turns)
+    context.result = play_cold(replace(pattern, seconds=SECONDS), ColdWayTurns)
 
 
 @then(
@@ -125,6 +127,21 @@
     assert homes.find(PREFIX) == by_name[after]
 
 
+PERIOD_S = 0.25
+
+
+@then("after a stall of {late:g} s, {after} s after its wake a VM waits for {wait:g} s")
+def step_catch_up(context, late, after, wait):
+    turns = Turns(PERIOD_S)
+    turns.note_turn(NOW)
+    now = NOW + PERIOD_S + late
+    if after != "*":
+        turns.note_turn(now)
+        turns.note_turn(now)
+        now += float(after)
+    assert math.isclose(turns.measure_catch_up_s(now), wait, abs_tol=1e-6)
+
+
 # the whole path
 
 
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -102,6 +102,7 @@
         try:
             if not context.first_read.is_set():
                 await self._wait_for_first_read()
+            await self._catch_up()
             if self._disconnected:
                 return
             admitted = self._admit()
@@ -126,6 +127,12 @@
             async with asyncio.timeout(wait_s):
                 await self._context.first_read.wait()
 
+    async def _catch_up(self) -> None:
+        """Wait while this VM reads what it missed in a long stall."""
+        pause_s = self._context.directory.turns.measure_catch_up_s(self._loop.time())
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
+
     def _find_deadline_s(self) -> float | None:
         """Return the time that the caller will wait, in seconds, if it says so."""
         return parse_deadline(self._request.find(self._context.names.deadline_ms))
