KNOWN-RED: servers that turn cold while the store refuses

Trace: the store refused from 5.2 s on, the domain was emptied at 6.69 and taken back at 7.29, its servers turned cold at 6.99; all VMs read all of it at 7.97. Until then nothing but health answers could have told them, which are not asked for.

--- a/features/cold_and_emptied/processes.feature
+++ b/features/cold_and_emptied/processes.feature
@@ -9,3 +9,6 @@
 
   Scenario: a VM that was stopped knows what it missed before it sends
     Then a domain soak of 8 processes, 12 seconds and seed 121 breaks no promise
+
+  Scenario: servers that turn cold while the store refuses are known to be cold
+    Then a domain soak of 8 processes, 12 seconds and seed 132 breaks no promise
