Soaks share how a request is sent; two comments without figures

Sending a request and reading its answer stood twice, in the crash soak and the domain soak: it is a method of the VMs' soak now.

--- a/features/crash_soak.py
+++ b/features/crash_soak.py
@@ -20,7 +20,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import random
 import sys
@@ -31,7 +30,6 @@
 from functools import partial
 
 from features.crash_servers import CRASH_MARK, PLAIN, CrashServer, CrashServers
-from features.gateway_support import RawAnswer, RawCaller
 from features.platform_support import build_config
 from features.soak_runs import build_parser, run_seeds
 from features.soak_vms import DOMAINS, VmSoak
@@ -40,7 +38,6 @@
 ENGINES, PLAIN_SERVERS = 12, 6
 PROMPTS_PER_S, PLAIN_PER_S, POPULAR_PER_S, HARMFUL_PER_S = 15.0, 15.0, 5.0, 3.0
 DEADLINE_MS = 4000
-ANSWER_TIMEOUT_S = 7.0
 
 RETURN_S = 2.0
 """Seconds until a server that ended is back."""
@@ -227,18 +224,7 @@
         lines += [f"Content-Length: {len(body)}"]
         if path.startswith("/s/"):
             lines += [f"Prefix-Hash: {self._ids % 20 + 16:x}:500,{self._ids:x}:9"]
-        answer = RawAnswer()
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                port = self.fixture.ports[vm]
-                found = await asyncio.open_connection(self.hosts[vm], port)
-                caller = RawCaller(0, *found)
-                try:
-                    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-                    await caller.send(head + body)
-                    await caller.read(answer)
-                finally:
-                    caller.close()
+        answer = await self.send(vm, lines, body)
         served = answer.status == 200 and answer.whole
         self.statuses[kind, 200 if served else answer.status or "closed"] += 1
 
--- a/features/domain_soak.py
+++ b/features/domain_soak.py
@@ -18,7 +18,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import random
 import sys
@@ -28,7 +27,6 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from features.gateway_support import RawAnswer, RawCaller
 from features.platform_support import build_config
 from features.soak_runs import build_parser, run_seeds
 from features.soak_vms import DOMAINS, VmSoak
@@ -40,7 +38,6 @@
 PLAIN_PER_S, PROMPTS_PER_S, HOT_PER_S = 30.0, 40.0, 60.0
 SUBJECTS = 30
 DEADLINE_MS = 4000
-ANSWER_TIMEOUT_S = 7.0
 
 COLD_S = 3.0
 COLD_PER_S, COLD_OVERAGE, COLD_SLACK = 13.0, 1.5, 5.0
@@ -226,18 +223,7 @@
         lines += ["Content-Length: 2"]
         if path.startswith("/s/"):
             lines += [f"Prefix-Hash: {subject + 16:x}:500,{self._ids:x}:9"]
-        answer = RawAnswer()
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                port = self.fixture.ports[vm]
-                found = await asyncio.open_connection(self.hosts[vm], port)
-                caller = RawCaller(0, *found)
-                try:
-                    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-                    await caller.send(head + b"hi")
-                    await caller.read(answer)
-                finally:
-                    caller.close()
+        answer = await self.send(vm, lines, b"hi")
         served = answer.status == 200 and answer.whole
         self.statuses[200 if served else answer.status or "closed"] += 1
 
--- a/features/soak_vms.py
+++ b/features/soak_vms.py
@@ -15,9 +15,12 @@
 import time
 from dataclasses import dataclass, field
 
+from features.gateway_support import RawAnswer, RawCaller
 from features.platform_support import PlatformFixture
 from features.soak_runs import Callers, list_hosts
 
+ANSWER_TIMEOUT_S = 7.0
+
 DOMAINS = ("porto", "braga", "faro", "evora")
 
 
@@ -53,6 +56,28 @@
         self.callers = Callers(self.random)
         self.started_at = 0.0
 
+    async def send(self, vm: str, lines: list[str], body: bytes) -> RawAnswer:
+        """Send a request to a VM and return what came of it until its connection ends.
+
+        Args:
+            vm: its name.
+            lines: of the request's head.
+            body: after the head.
+        """
+        answer = RawAnswer()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                port = self.fixture.ports[vm]
+                found = await asyncio.open_connection(self.hosts[vm], port)
+                caller = RawCaller(0, *found)
+                try:
+                    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+                    await caller.send(head + body)
+                    await caller.read(answer)
+                finally:
+                    caller.close()
+        return answer
+
     def was_calm(self, vm: str, at: float, for_s: float) -> bool:
         """Return whether nothing befell a VM in some seconds before a moment."""
         return not any(at - for_s < moment <= at for moment in self.disturbed_at[vm])
--- a/src/ramppin/gateway/connection/fetch.py
+++ b/src/ramppin/gateway/connection/fetch.py
@@ -1,7 +1,7 @@
 """Small calls over HTTP to one peer, one at a time on a kept connection.
 
 Used for the shared log and for other VMs. In place of aiohttp's client: its import
-alone costs 8 MB and a tenth of a second on the smallest VMs (docs/PLATFORM.md).
+costs memory and a longer start on the smallest VMs (docs/PLATFORM.md).
 """
 
 from __future__ import annotations
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -2,8 +2,7 @@
 
 Names and labels are an interface of operators (features/interfaces). Counts are kept in
 plain numbers, and prometheus_client writes them out when they are asked for: its import
-takes 45 ms of the 195 ms of processor that a start takes, and 3 MB, on VMs that most
-often are not asked.
+would make each start longer, on VMs that most often are not asked.
 """
 
 from __future__ import annotations
