Sight: lines of attempts tell that a server leaves, or what rest it asks for

Change: `read_word` reads the head of each answer, pure: leaving, and the rest of a 503 or 429 by `Retry-After` (seconds, fractions, the three forms of a date, several headers); the fields `leaving` and `rest_s` on `answered` and `attempt_failed`, a warning for a time that is neither. Nothing is decided by it yet. Excluded: no other line changes (features/interfaces: two fields more).

--- /dev/null
+++ b/features/server_words/words.feature
@@ -0,0 +1,67 @@
+Feature: what a server says of itself in its answers is read
+
+  Scenario Outline: a rest of <seconds> s from "<value>", status <status>
+    Then an answer <status> with "Retry-After: <value>" asks for a rest of <seconds> s
+
+    Examples:
+      | status | value                         | seconds  |
+      | 503    | 3                             | 3        |
+      | 503    | 0.25                          | 0.25     |
+      | 503    | .5                            | 0.5      |
+      | 503    | 2.                            | 2        |
+      | 503    | 0                             | 0        |
+      | 503    | 1000000000                    | 31536000 |
+      | 429    | 2                             | 2        |
+      | 200    | 3                             | 0        |
+      | 500    | 3                             | 0        |
+      | 301    | 3                             | 0        |
+      | 421    | 3                             | 0        |
+      | 503    | Sun, 06 Nov 1994 08:49:37 GMT | 10       |
+      | 503    | Sunday, 06-Nov-94 08:49:37 GMT | 10      |
+      | 503    | Sun Nov  6 08:49:37 1994      | 10       |
+      | 503    | Sun, 06 Nov 1994 08:49:20 GMT | 0        |
+
+  Scenario Outline: "<value>" is no time and asks for no rest
+    Then an answer 503 with "Retry-After: <value>" asks for no rest that can be read
+
+    Examples:
+      | value      |
+      | -1         |
+      | 1e9        |
+      | soon       |
+      | inf        |
+      | nan        |
+      | 3, 4       |
+      | 3 s        |
+      | 0x10       |
+      | ٣          |
+      | Sun, 99 Nov 1994 08:49:37 GMT |
+      | Sun, 06 Nov 999999999999999999999 08:49:37 GMT |
+      | Sun, 06 Nov 1994 08:49:37 +99999999999999 |
+
+  Scenario Outline: of several times of rest the longest holds: <values>
+    Then an answer 503 with the times of rest "<values>" asks for a rest of <seconds> s
+
+    Examples:
+      | values  | seconds |
+      | 1 4     | 4       |
+      | 4 1     | 4       |
+      | soon 2  | 2       |
+      | 2 soon  | 2       |
+
+  Scenario: a date counts from the answer's own date, whatever the clock here shows
+    Then a rest until 10 s after the answer's date lasts 10 s by a clock an hour off
+
+  Scenario Outline: a server leaves if it says <value> with status <status>: <leaves>
+    Then an answer <status> with the word of leaving "<value>" says that it leaves: <leaves>
+
+    Examples:
+      | status | value | leaves |
+      | 200    | 1     | yes    |
+      | 404    | 1     | yes    |
+      | 500    | 1     | yes    |
+      | 503    | 1     | yes    |
+      | 421    | 1     | no     |
+      | 200    | 0     | no     |
+      | 200    | true  | no     |
+      | 200    |       | no     |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -19,7 +19,7 @@
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5)]
 PLATFORM_NAMES = re.compile(
     r"(?i:attempt-id|engine-signature|target-instance|not-executed|prefix-hash|"
-    r"engine-load|tenant-id|kv-fetch|kv-retention|kv-pin-ms|kv-backup|kv-from|"
+    r"engine-load|server-leaving|tenant-id|kv-fetch|kv-retention|kv-pin-ms|kv-backup|kv-from|"
     r"expected-version|model-name|token-usage|log-newest|log-read|log-append)|"
     r"keyed\.(op|servers|members|status)|RAMPPIN_SETTINGS\b|listen\.frontend|key_file",
 )
--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -43,6 +43,7 @@
         not_run: marks an answer of a backend server that did not run it.
         signature: proves that an answer is a backend server's own.
         load: a backend server's requests running, waiting, and slots.
+        leaving: ``1`` in answers of a backend server that takes nothing new.
         prompt_parts: the parts of a prompt, ``ID:TOKENS`` joined by commas.
         priority: queueing priority, 0 (first) to 9.
         last_event_id: where a stream is to be continued.
@@ -72,6 +73,7 @@
     not_run: bytes = b"ramppin-not-run"
     signature: bytes = b"ramppin-signature"
     load: bytes = b"ramppin-load"
+    leaving: bytes = b"ramppin-leaving"
     prompt_parts: bytes = b"ramppin-prompt-parts"
     priority: bytes = b"ramppin-priority"
     last_event_id: bytes = b"last-event-id"
--- a/src/ramppin/gateway/request/answerkind.py
+++ b/src/ramppin/gateway/request/answerkind.py
@@ -13,14 +13,11 @@
 from ramppin.gateway.connection.upstream import AnswerHead
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.request.result import AttemptEnd
+from ramppin.gateway.request.serverword import MISDIRECTED
 
 NOT_RUN_STATUSES = frozenset({400, 408, 421, 429, 503})
 """HTTP statuses with which a server may say that it did not run a request."""
 
-MISDIRECTED = 421
-"""HTTP status of a server that is not the one addressed (RFC 9110, section
-15.5.20)."""
-
 
 class AnswerKind(Enum):
     """What an answer says."""
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -31,6 +31,7 @@
 from ramppin.gateway.request.answerkind import AnswerKind, judge_answer
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
+from ramppin.gateway.request.serverword import NO_WORD, ServerWord, read_word
 
 MAX_BUFFERED_BYTES = 262_144
 """Bytes of a whole answer that are kept before it is passed on in pieces: until then a
@@ -88,6 +89,7 @@
         self._connection: UpstreamConnection | None = None
         self._head: AnswerHead | None = None
         self._kind: AnswerKind | None = None
+        self._word: ServerWord = NO_WORD
         self._buffered: list[bytes] = []
         self._buffered_size = 0
         self._forwarding = False
@@ -169,6 +171,7 @@
     def accept_head(self, head: AnswerHead) -> bool:
         """Take the head if it answers this request."""
         self._note_bytes(due=True)
+        self._note_word(head)
         found = find_header(head.headers, self._names.request_id)
         if found is None and head.status < 300:
             return False
@@ -282,6 +285,7 @@
                 last_event_id=events.last_id if events else None,
                 message=message,
                 first_byte_at=self._first_byte_at,
+                word=self._word,
             )
         )
 
@@ -322,6 +326,19 @@
         self._note_received(due=due)
         self._state.waiting.note_bytes(self, self._received_at)
 
+    def _note_word(self, head: AnswerHead) -> None:
+        """Take what the server says of itself, in answers to other requests as well.
+
+        A late answer to another request comes from the same server.
+        """
+        self._word = read_word(head, self._names)
+        if self._word.unreadable:
+            LOG.warning(
+                "a time of rest is neither seconds nor a date and is ignored: %.40r",
+                self._word.unreadable,
+                extra={"peer": self._state.server.name, "step": "answer"},
+            )
+
     def _note_load(self, headers: Headers) -> None:
         """Take the load that an answer reports, ``RUNNING,WAITING,SLOTS``."""
         report = find_header(headers, self._names.load)
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -93,6 +93,8 @@
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
             "end": result.end.value,
             "status": result.status,
+            "leaving": result.word.leaving,
+            "rest_s": round(result.word.rest_s, 3),
             "message": result.message,
             "took_ms": round((now - self._arrived) * 1000),
             "first_ms": self._measure_first_ms(result),
--- a/src/ramppin/gateway/request/result.py
+++ b/src/ramppin/gateway/request/result.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from ramppin.gateway.connection.upstream import AnswerHead
+from ramppin.gateway.request.serverword import NO_WORD, ServerWord
 
 
 class AttemptEnd(Enum):
@@ -43,6 +44,7 @@
         first_byte_at: the loop's time at which the caller got the first byte.
         lost: whether the connection ended before the answer did, or the server is
             known to have ended.
+        word: what the server said of itself.
     """
 
     end: AttemptEnd
@@ -52,3 +54,4 @@
     message: str = ""
     first_byte_at: float | None = None
     lost: bool = False
+    word: ServerWord = NO_WORD
--- /dev/null
+++ b/src/ramppin/gateway/request/serverword.py
@@ -0,0 +1,100 @@
+"""What a server says of itself in an answer: that it leaves, that it wants rest.
+
+Read from the head, so that it is known while the rest of a stream still comes. No I/O.
+"""
+
+from __future__ import annotations
+
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+
+from ramppin.gateway.connection.httpwire import HeaderNames, Headers, find_header
+from ramppin.gateway.connection.upstream import AnswerHead
+
+MISDIRECTED = 421
+"""HTTP status of a server that is not the one addressed (RFC 9110, section
+15.5.20)."""
+
+REST_STATUSES = frozenset({429, 503})
+"""HTTP statuses with which ``Retry-After`` asks for rest; with others it says when a
+resource has moved (RFC 9110, section 10.2.3)."""
+
+LONGEST_REST_S = 365 * 86_400.0
+"""Seconds of the longest rest: no process runs for longer."""
+
+_SECONDS = re.compile(rb"\d+(\.\d*)?|\.\d+")
+
+
+@dataclass(frozen=True, slots=True)
+class ServerWord:
+    """What one answer says of its server.
+
+    Attributes:
+        leaving: whether the server leaves, and takes nothing new.
+        rest_s: seconds for which it wants nothing from this VM; 0 if it does not say.
+        unreadable: a time of rest that can't be read, or empty.
+
+    .. versionadded:: 0.3
+    """
+
+    leaving: bool = False
+    rest_s: float = 0.0
+    unreadable: bytes = b""
+
+
+NO_WORD = ServerWord()
+
+
+def read_word(
+    head: AnswerHead, names: HeaderNames, wall_clock: Callable[[], float] = time.time
+) -> ServerWord:
+    """Return what the head of an answer says of the server that was addressed.
+
+    Args:
+        head: status and headers.
+        names: names of headers.
+        wall_clock: returns Unix time in seconds, for answers that do not tell theirs.
+    """
+    if head.status == MISDIRECTED:
+        # Another server has the address now: it speaks of itself.
+        return NO_WORD
+    leaving = find_header(head.headers, names.leaving) == b"1"
+    if head.status not in REST_STATUSES:
+        return ServerWord(leaving) if leaving else NO_WORD
+    told = [v.strip() for n, v in head.headers if n.lower() == b"retry-after"]
+    rests = [_read_rest_s(value, head.headers, wall_clock) for value in told]
+    readable = [rest_s for rest_s in rests if rest_s is not None]
+    unreadable = [v for v, rest_s in zip(told, rests, strict=True) if rest_s is None]
+    # Of several the longest: what a shorter one allows, the longer one forbids.
+    rest_s = min(LONGEST_REST_S, max(readable, default=0.0))
+    return ServerWord(leaving, rest_s, unreadable[0] if unreadable else b"")
+
+
+def _read_rest_s(
+    value: bytes, headers: Headers, wall_clock: Callable[[], float]
+) -> float | None:
+    """Return seconds of rest, from a number or a date; None if it is neither."""
+    if _SECONDS.fullmatch(value):
+        return float(value)
+    until = _read_date(value)
+    if until is None:
+        return None
+    said_at = _read_date(find_header(headers, b"date") or b"")
+    return max(0.0, until - (wall_clock() if said_at is None else said_at))
+
+
+def _read_date(value: bytes) -> float | None:
+    """Return the Unix time of a date as HTTP writes it, or None."""
+    try:
+        date = parsedate_to_datetime(value.decode("latin-1"))
+    except (ValueError, TypeError, OverflowError):
+        return None
+    aware = date if date.tzinfo else date.replace(tzinfo=UTC)
+    return (aware - _EPOCH).total_seconds()
+
+
+_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
