--- a/bench/vms/fleet.py
+++ b/bench/vms/fleet.py
@@ -16,10 +16,10 @@
 from bench.vms.pattern import Pattern, Prompt, draw_prompts
 from bench.vms.result import Choice, Result
 from ramppin.gateway.connection.datagrams import PeerHints
-from ramppin.gateway.process.routing.directory import BackendServer, ServerState
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
+from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 
 SERVICE = "model"
 LIST_LAG_S = (0.2, 1.2)
--- a/bench/vms/plain.py
+++ b/bench/vms/plain.py
@@ -18,9 +18,9 @@
 from bench.vms.result import Choice, Result
 from ramppin.gateway.connection.datagrams import PeerHints
 from ramppin.gateway.process.membership.health import Outcome
-from ramppin.gateway.process.routing.directory import BackendServer, ServerState
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.selection import SelectionRequest
+from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 
 SERVICE = "plain"
 SLOTS = 6
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -17,7 +17,7 @@
 from ramppin.gateway.process.limits.drain import DrainTimes
 from ramppin.gateway.process.recovery.tables import GatewaySources
 from ramppin.gateway.process.reporting.decisions import DecisionLog
-from ramppin.gateway.process.routing.directory import BackendServer, ServerState
+from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 from ramppin.gateway.version.routing import Route, RouteKind, WeightedService
 from ramppin.gateway.version.routingfile import TreeDecoder
 from standins.backend import BackendStandIn
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -24,7 +24,7 @@
 )
 from ramppin.gateway.process.recovery.replica import Record, Replica
 from ramppin.gateway.process.recovery.vanished import find_hold_end
-from ramppin.gateway.process.routing.directory import BackendServer, ServerDirectory
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.eligibility import (
     list_eligible,
     share_connections,
@@ -32,6 +32,7 @@
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionRequest
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.version.routingfile import TreeDecoder
 from ramppin.ranking import hash_name, mix
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -16,14 +16,11 @@
 from ramppin.gateway.process.load.view import measure_loads, weigh_mean
 from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
 from ramppin.gateway.process.recovery.replica import Record
-from ramppin.gateway.process.routing.directory import (
-    BackendServer,
-    ServerDirectory,
-    ServerState,
-)
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.hints import BURST_DATAGRAMS, HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 
 NOW = 100.0
 MEAN = 2.0
--- a/features/steps/gateway_rule_steps.py
+++ b/features/steps/gateway_rule_steps.py
@@ -19,9 +19,7 @@
 from ramppin.gateway.connection.upstream import AnswerHead
 from ramppin.gateway.process.limits.drain import Drain, DrainTimes
 from ramppin.gateway.process.recovery.replica import Record
-from ramppin.gateway.process.routing.directory import (
-    ServerState,
-)
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
--- a/features/steps/gateway_server_rule_steps.py
+++ b/features/steps/gateway_server_rule_steps.py
@@ -29,11 +29,7 @@
     MemberRecord,
 )
 from ramppin.gateway.process.recovery.replica import Record
-from ramppin.gateway.process.routing.directory import (
-    BackendServer,
-    ServerDirectory,
-    ServerState,
-)
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.eligibility import (
     find_bad_servers,
     list_eligible,
@@ -44,6 +40,7 @@
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionRequest
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 from ramppin.gateway.process.turns import Turns
 from ramppin.ranking import RendezvousRanking
 
--- a/features/steps/platform_evacuation_steps.py
+++ b/features/steps/platform_evacuation_steps.py
@@ -15,11 +15,12 @@
 from ramppin.errors import SettingsError
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.recovery.replica import Record
-from ramppin.gateway.process.routing.directory import BackendServer, ServerDirectory
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionRequest
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin_platform.records import PlatformDecoder
 from standins.common import wait_for
 
--- a/features/steps/platform_restart_steps.py
+++ b/features/steps/platform_restart_steps.py
@@ -16,10 +16,11 @@
 )
 from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.membership.health import Outcome
-from ramppin.gateway.process.routing.directory import BackendServer, ServerDirectory
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.gateway.process.routing.incarnation import judge_start
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from standins.common import wait_for
 
 NOW = 100.0
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -23,7 +23,7 @@
 from ramppin.gateway.process.reporting.decisions import DecisionLog
 from ramppin.gateway.process.reporting.explanations import Explanations
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
-from ramppin.gateway.process.routing.directory import ServerDirectory, ServerState
+from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.eligibility import (
     find_bad_servers,
     share_connections,
@@ -31,6 +31,7 @@
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionStrategy
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.version.routing import RoutingTable
 
 NEVER_S = 999_999.0
--- a/src/ramppin/gateway/process/load/news.py
+++ b/src/ramppin/gateway/process/load/news.py
@@ -18,7 +18,8 @@
 from ramppin.gateway.connection.datagrams import LoadHint, PeerHints, WaitHint
 from ramppin.gateway.process.load.estimate import NEVER, REPORT_TRUST_S
 from ramppin.gateway.process.load.view import measure_loads
-from ramppin.gateway.process.routing.directory import ServerDirectory, ServerState
+from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.serverstate import ServerState
 
 HIGH_SHARE = 0.8
 """Part of the bound from which on a report is told to all VMs: below it a server takes
--- a/src/ramppin/gateway/process/load/view.py
+++ b/src/ramppin/gateway/process/load/view.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 
 BOUND_RATIO = 1.5
 """Multiple of the mean load of a service's servers that one of them may hold. Callers
--- a/src/ramppin/gateway/process/quarantine/servercheck.py
+++ b/src/ramppin/gateway/process/quarantine/servercheck.py
@@ -13,7 +13,7 @@
 from ramppin.errors import NotSentError
 from ramppin.gateway.connection.pool import ConnectionPool
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 
 
 class ServerChecks:
--- a/src/ramppin/gateway/process/recovery/changes.py
+++ b/src/ramppin/gateway/process/recovery/changes.py
@@ -16,8 +16,8 @@
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.recovery.replica import MAX_LOGGED_KEY, Record
 from ramppin.gateway.process.recovery.sources import RecordDecoder
-from ramppin.gateway.process.routing.directory import BackendServer, ServerState
 from ramppin.gateway.process.routing.incarnation import StartVerdict, judge_start
+from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 
 
 class RecordChanges:
--- a/src/ramppin/gateway/process/recovery/sources.py
+++ b/src/ramppin/gateway/process/recovery/sources.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 
 from ramppin.gateway.process.recovery.replica import Record
-from ramppin.gateway.process.routing.directory import BackendServer
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.version.routing import RoutingTable
 
 
--- a/src/ramppin/gateway/process/routing/eligibility.py
+++ b/src/ramppin/gateway/process/routing/eligibility.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Collection, Sequence
 
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 
 CONNECTION_SHARE = 0.9
 """Part of a server's connections that the fleet's VMs divide among themselves; the rest
--- a/src/ramppin/gateway/process/routing/nearestselection.py
+++ b/src/ramppin/gateway/process/routing/nearestselection.py
@@ -5,13 +5,13 @@
 import random
 
 from ramppin.gateway.process.load.view import BOUND_RATIO, LoadView
-from ramppin.gateway.process.routing.directory import ServerState
 from ramppin.gateway.process.routing.selection import (
     Selection,
     SelectionRequest,
     SelectionStrategy,
     build_selection,
 )
+from ramppin.gateway.process.routing.serverstate import ServerState
 
 OTHER_DOMAIN_PENALTY = 1
 """Own requests that a server must have fewer than the preferred ones, those near or
--- a/src/ramppin/gateway/process/routing/prefixselection.py
+++ b/src/ramppin/gateway/process/routing/prefixselection.py
@@ -17,7 +17,6 @@
     LoadView,
     measure_loads,
 )
-from ramppin.gateway.process.routing.directory import ServerState
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.selection import (
     Selection,
@@ -25,6 +24,7 @@
     SelectionStrategy,
     build_selection,
 )
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.ranking import RendezvousRanking
 
 HOME_LOAD_MARGIN = 2
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 
 from ramppin.gateway.process.load.view import LoadView, measure_loads
-from ramppin.gateway.process.routing.directory import ServerState
 from ramppin.gateway.process.routing.eligibility import list_eligible
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.ranking import RendezvousRanking
 
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -27,7 +27,7 @@
     UpstreamConnection,
 )
 from ramppin.gateway.process.membership.health import Outcome
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.answerkind import AnswerKind, judge_answer
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
--- a/src/ramppin/gateway/request/connecting.py
+++ b/src/ramppin/gateway/request/connecting.py
@@ -8,7 +8,7 @@
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.membership.health import Outcome
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.version.routing import Route
 
--- a/src/ramppin/gateway/request/crashwatch.py
+++ b/src/ramppin/gateway/request/crashwatch.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from ramppin.gateway.process.context import GatewayContext
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 
 
--- a/src/ramppin/gateway/request/retryafter.py
+++ b/src/ramppin/gateway/request/retryafter.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Sequence
 
-from ramppin.gateway.process.routing.directory import ServerState
+from ramppin.gateway.process.routing.serverstate import ServerState
 
 SHORTEST_S = 0.1
 """Seconds of the shortest pause, where a server is open now: a few answers of a server,
--- a/src/ramppin/gateway/request/upstreamhead.py
+++ b/src/ramppin/gateway/request/upstreamhead.py
@@ -13,7 +13,7 @@
     keep_end_to_end,
 )
 from ramppin.gateway.connection.requestreader import CallerRequest
-from ramppin.gateway.process.routing.directory import BackendServer
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.version.routing import Customer, Route
 
 MAX_PRIORITY = 9
