One notion of what closes a server: closure, gate, and the choice of one request

Cause: four forms told that a server takes nothing (draining in ServerState.open, emptied domains in the directory, cold places in the context, tried servers in the exchange), and each way to a server joined them by itself. A word more that closes a server would have had to be added to each. Behaviour is the same, but that a request that tried some servers while the others' domains are emptied is told `evacuated`, not `no_server`. `ServerDirectory.is_evacuated` and `ServerState.open` are gone; the two checks that asked them ask the survey and the closure, for each server in place of the service.

--- a/features/steps/platform_evacuation_steps.py
+++ b/features/steps/platform_evacuation_steps.py
@@ -15,7 +15,9 @@
 from ramppin.errors import SettingsError
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.recovery.replica import Record
+from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.gate import ServerGate
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
@@ -62,7 +64,10 @@
     assert found == read_names(left), found
     for state in directory:
         assert directory.is_open(state.id) == (state in directory.list_open("llm"))
-    assert directory.is_evacuated("llm") == (not found)
+    survey = ServerGate(directory, None, lambda service: 0.0).survey("llm", NOW)
+    assert survey.states == directory.list_open("llm")
+    reasons = [closure.reason for closure in survey.closed.values()]
+    assert reasons == [ClosureReason.EVACUATED] * (len(DOMAINS) - len(found)), reasons
 
 
 WAYS = {
--- a/features/steps/platform_restart_steps.py
+++ b/features/steps/platform_restart_steps.py
@@ -16,7 +16,12 @@
 )
 from ramppin.gateway.process.load.news import LoadNews
 from ramppin.gateway.process.membership.health import Outcome
+from ramppin.gateway.process.routing.closure import (
+    ClosureReason,
+    find_lasting_closure,
+)
 from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.evacuation import Evacuations
 from ramppin.gateway.process.routing.homes import HomeNotice, PrefixHomes
 from ramppin.gateway.process.routing.incarnation import judge_start
 from ramppin.gateway.process.routing.servernews import ServerNews
@@ -70,7 +75,7 @@
     assert homes.find(7) is None
     assert directory.find_source(homes.find_last(7), NOW) is None
     assert old.restarted
-    assert not old.open
+    assert find_lasting_closure(old, Evacuations()) is ClosureReason.GONE
     context.old, context.new = old, new
 
 
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -28,6 +28,7 @@
     find_bad_servers,
     share_connections,
 )
+from ramppin.gateway.process.routing.gate import ServerGate
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionStrategy
@@ -54,6 +55,7 @@
         generator: random numbers.
         retry_budget: retries that this VM may make.
         cold_turns: requests that this VM may send to cold servers.
+        gate: tells which servers take requests now.
         quarantine: requests under which servers end.
         server_checks: tell whether a server to which a connection was lost has ended.
         listener: what callers' connections share.
@@ -79,6 +81,7 @@
     generator: random.Random
     retry_budget: RetryBudget
     cold_turns: ColdTurns
+    gate: ServerGate = field(init=False)
     quarantine: Quarantine = field(default_factory=Quarantine)
     server_checks: ServerChecks = field(init=False)
     listener: ListenerState = field(default_factory=ListenerState)
@@ -94,6 +97,7 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
+        self.gate = ServerGate(self.directory, self.cold_turns, self.find_cold_rate)
         self.server_checks = ServerChecks(self.pool, self.quarantine)
 
     @property
@@ -130,20 +134,6 @@
         spec = self.table.services.get(service) if self.table else None
         return spec.cold_per_s if spec else 0.0
 
-    def list_closed_cold(
-        self, service: str, states: Sequence[ServerState], now: float
-    ) -> frozenset[str]:
-        """Return the ids of cold servers at which this VM has no place now."""
-        per_s = self.find_cold_rate(service)
-        if not per_s:
-            return frozenset()
-        return frozenset(
-            state.id
-            for state in states
-            if state.coldness.is_cold(now)
-            and self.cold_turns.count_left(state.id, per_s, now) < 1
-        )
-
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
         """Return the strategy for a request."""
         return self.prefix_selection if keeps_prefix else self.plain_selection
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 
 from ramppin.gateway.process.load.times import ServiceTimes
+from ramppin.gateway.process.routing.closure import find_lasting_closure
 from ramppin.gateway.process.routing.evacuation import Evacuations
 from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 from ramppin.gateway.process.turns import Turns
@@ -116,8 +117,8 @@
         return state is not None and self.may_get_work(state)
 
     def may_get_work(self, state: ServerState) -> bool:
-        """Return whether a server may get new work: itself, and where it stands."""
-        return state.open and state.server.failure_domain not in self.evacuations
+        """Return whether nothing lasting closes a server."""
+        return find_lasting_closure(state, self.evacuations) is None
 
     def list_services(self) -> list[str]:
         """Return the services that have, or had, backend servers."""
@@ -133,23 +134,14 @@
             return None
         return None if state.health.is_suspect(now) else state.server
 
+    def list_service(self, service: str) -> list[ServerState]:
+        """Return the backend servers of a service, closed ones too."""
+        return list(self._by_service.get(service, {}).values())
+
     def list_open(self, service: str) -> list[ServerState]:
-        """Return the backend servers of a service that may get new work."""
-        return [
-            state
-            for state in self._by_service.get(service, {}).values()
-            if self.may_get_work(state)
-        ]
+        """Return the backend servers of a service that nothing lasting closes."""
+        return [s for s in self.list_service(service) if self.may_get_work(s)]
 
     def list_domain(self, domain: str) -> list[ServerState]:
         """Return the backend servers of a failure domain."""
         return [s for s in self if s.server.failure_domain == domain]
-
-    def is_evacuated(self, service: str) -> bool:
-        """Return whether a service has servers, all in emptied failure domains."""
-        domains = [
-            state.server.failure_domain
-            for state in self._by_service.get(service, {}).values()
-            if state.open
-        ]
-        return bool(domains) and all(name in self.evacuations for name in domains)
--- /dev/null
+++ b/src/ramppin/gateway/process/routing/gate.py
@@ -0,0 +1,104 @@
+"""Which backend servers of a service take requests from this VM now.
+
+The one place that joins all that closes a server (:mod:`~.closure`), asked before each
+choice. Owns nothing; relies on the directory for what lasts and on this VM's turns for
+cold servers. No I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from ramppin.gateway.process.limits.coldturns import ColdTurns
+from ramppin.gateway.process.routing.closure import (
+    Closure,
+    ClosureReason,
+    find_lasting_closure,
+)
+from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.serverstate import ServerState
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSurvey:
+    """The servers of one service at one moment.
+
+    Attributes:
+        states: those that nothing lasting closes; loads are measured over them.
+        closed: what closes servers, by their ids; of the others none is missing.
+    """
+
+    states: list[ServerState]
+    closed: dict[str, Closure]
+
+    def list_open(self) -> list[ServerState]:
+        """Return the servers that take requests now."""
+        return [state for state in self.states if state.id not in self.closed]
+
+    def list_reasons(self, tried: Collection[str]) -> set[ClosureReason]:
+        """Return what closes the servers that a request has not tried.
+
+        Args:
+            tried: ids of servers.
+        """
+        return {c.reason for name, c in self.closed.items() if name not in tried}
+
+    def find_opening_at(self) -> float | None:
+        """Return the loop's time at which the first closed server opens, if known."""
+        moments = [c.opens_at for c in self.closed.values() if c.opens_at is not None]
+        return min(moments, default=None)
+
+
+class ServerGate:
+    """Tells which servers take requests from this VM.
+
+    Args:
+        directory: the backend servers.
+        cold_turns: requests that this VM may send to cold servers.
+        find_cold_rate: returns how many requests a second a cold server of a service
+            takes; 0 for any number.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(
+        self,
+        directory: ServerDirectory,
+        cold_turns: ColdTurns,
+        find_cold_rate: Callable[[str], float],
+    ) -> None:
+        self._directory = directory
+        self._cold_turns = cold_turns
+        self._find_cold_rate = find_cold_rate
+
+    def survey(self, service: str, now: float) -> ServiceSurvey:
+        """Return the servers of a service, and which of them are closed.
+
+        Args:
+            service: the service's name.
+            now: the loop's time.
+        """
+        states, closed = [], {}
+        cold_per_s = self._find_cold_rate(service)
+        for state in self._directory.list_service(service):
+            lasting = find_lasting_closure(state, self._directory.evacuations)
+            if lasting is not None:
+                closed[state.id] = Closure(lasting)
+                continue
+            states.append(state)
+            closure = self._find_cold(state, cold_per_s, now)
+            if closure is not None:
+                closed[state.id] = closure
+        return ServiceSurvey(states, closed)
+
+    def _find_cold(
+        self, state: ServerState, per_s: float, now: float
+    ) -> Closure | None:
+        """Return the closure of a cold server at which this VM has no place."""
+        if not per_s or not state.coldness.is_cold(now):
+            return None
+        if self._cold_turns.count_left(state.id, per_s, now) >= 1:
+            return None
+        wait_s = self._cold_turns.measure_wait_s(per_s)
+        return Closure(ClosureReason.COLD, now + wait_s)
--- a/src/ramppin/gateway/process/routing/serverstate.py
+++ b/src/ramppin/gateway/process/routing/serverstate.py
@@ -104,12 +104,6 @@
         self.restarted = False
         self.held_until: float | None = None
 
-    @property
-    def open(self) -> bool:
-        """Whether the server itself takes new work, wherever it stands."""
-        closed = self.missing or self.refused or self.restarted
-        return not self.server.draining and not closed
-
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take the load that an answer reported, in requests."""
         self.load.note_report(running + waiting, self.in_flight, now)
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -16,8 +16,7 @@
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
-from ramppin.gateway.process.routing.eligibility import has_healthy_server
-from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
+from ramppin.gateway.process.routing.selection import Selection
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
@@ -44,7 +43,7 @@
     judge_takeover,
     judge_try,
 )
-from ramppin.gateway.request.retryafter import choose_retry_after_s, find_opening_s
+from ramppin.gateway.request.serverchoice import ServerChoice
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
 
 _LENGTH = frozenset({b"content-length"})
@@ -73,7 +72,6 @@
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
         self._disconnected = False
-        self._tried: set[str] = set()
         self._last_server = ""
         self._progress = Progress()
         self._ends_at = 0.0
@@ -165,16 +163,17 @@
         # What a request did to servers must outlast its exchange: one that ended each
         # server that ran it was sent to the next, by this VM and by all others.
         watch = CrashWatch(self._context, admission.fingerprint)
+        choice = ServerChoice(self._context, admission, watch)
         last: AttemptResult | None = None
         while not self._disconnected:
-            selection = self._select(admission, watch)
+            selection = self._select(choice, watch)
             if isinstance(selection, Verdict):
-                pause_s = self._choose_retry_after_s(admission, watch)
+                pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_stopped(self._progress, last, selection, pause_s)
                 self._end(admission, final)
                 return
             started = self._loop.time()
-            last = await self._try(admission, selection, builder)
+            last = await self._try(admission, selection, builder, choice)
             now = self._loop.time()
             watch.note_attempt(selection.state, last, started, now)
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
@@ -187,50 +186,33 @@
             verdict = self._judge_retry(admission, last, watch)
             self._report.note_attempt(admission, selection, last, now, verdict)
             if not verdict.allows:
-                pause_s = self._choose_retry_after_s(admission, watch)
+                pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_failed(self._progress, last, verdict, pause_s)
                 self._end(admission, final)
                 return
 
     # choosing and sending
 
-    def _select(self, admission: Admission, watch: CrashWatch) -> Selection | Verdict:
+    def _select(self, choice: ServerChoice, watch: CrashWatch) -> Selection | Verdict:
         """Return the server for the next attempt, or why there is none."""
-        context, now = self._context, self._loop.time()
+        now = self._loop.time()
         verdict = judge_try(
             self._progress,
             self._ends_at - now,
             is_quarantined=not watch.may_try(now),
         )
-        if not verdict.allows:
-            return verdict
-        states = context.directory.list_open(admission.service)
-        cold = context.list_closed_cold(admission.service, states, now)
-        request = SelectionRequest(
-            admission.prefix_key,
-            cold | self._tried,
-            context.share_connections(admission.service),
-            context.find_bad_servers(admission.service, states, now),
-            admission.fingerprint if watch.is_suspect() else None,
-        )
-        strategy = context.choose_strategy(admission.prefix_key is not None)
-        selection = strategy.choose(request, states, now)
-        if selection is not None:
-            context.cold_turns.note_sent(selection.state.id)
-            return selection
-        if cold - self._tried:
-            return Verdict.COLD
-        if context.directory.is_evacuated(admission.service):
-            return Verdict.EVACUATED
-        return Verdict.NO_SERVER
+        return choice.select(now) if verdict.allows else verdict
 
     async def _try(
-        self, admission: Admission, selection: Selection, builder: RequestHeadBuilder
+        self,
+        admission: Admission,
+        selection: Selection,
+        builder: RequestHeadBuilder,
+        choice: ServerChoice,
     ) -> AttemptResult:
         """Make one attempt at the chosen server."""
         state = selection.state
         self._progress.tries += 1
-        self._tried.add(state.id)
         self._last_server = state.server.name
         # Counted before the connection is there: other requests must see it.
         state.in_flight += 1
@@ -242,7 +224,7 @@
             if self._disconnected or self._ends_at <= self._loop.time():
                 self._context.pool.release_unused(connection)
                 return AttemptResult(AttemptEnd.NOT_SENT, message="too late")
-            result = await self._send(admission, selection, builder, connection)
+            result = await self._send(admission, selection, builder, choice, connection)
             if result.end is AttemptEnd.DELIVERED:
                 state.times.stay.note(self._loop.time() - started)
             result.lost = connection.was_lost or state.restarted
@@ -260,6 +242,7 @@
         admission: Admission,
         selection: Selection,
         builder: RequestHeadBuilder,
+        choice: ServerChoice,
         connection: UpstreamConnection,
     ) -> AttemptResult:
         """Send the request over a connection and pass its answer on."""
@@ -272,7 +255,7 @@
             previous=self._attempt,
             streams=route.kind.is_stream,
             resumable=route.resumable,
-            may_take_over=lambda: self._judge_takeover(admission).allows,
+            may_take_over=lambda: self._judge_takeover(admission, choice).allows,
         )
         self._attempt = attempt
         source = self._context.directory.find_source(selection.copy_from, now)
@@ -307,42 +290,20 @@
             budget.take(service, now)
         return verdict
 
-    def _judge_takeover(self, admission: Admission) -> Verdict:
+    def _judge_takeover(self, admission: Admission, choice: ServerChoice) -> Verdict:
         """Return whether another server may take over from the current one."""
-        context, now = self._context, self._loop.time()
-        states = context.directory.list_open(admission.service)
-        cold = context.list_closed_cold(admission.service, states, now)
+        now = self._loop.time()
         if self._attempt is not None:
             self._progress.answer_started = self._attempt.started
         return judge_takeover(
             admission.route,
             self._progress,
-            has_other_server=has_healthy_server(states, cold | self._tried, now),
-            has_budget=context.retry_budget.has_left(admission.service, now),
+            has_other_server=choice.has_other(now),
+            has_budget=self._context.retry_budget.has_left(admission.service, now),
         )
 
     # ends
 
-    def _choose_retry_after_s(self, admission: Admission, watch: CrashWatch) -> float:
-        """Return when the caller may come back if no server ran its request."""
-        context, now = self._context, self._loop.time()
-        rest_s = watch.find_rest_s(now)
-        if rest_s > 0:
-            # Before that it would be refused again.
-            return rest_s
-        states = context.directory.list_open(admission.service)
-        cold = context.list_closed_cold(admission.service, states, now)
-        opening_s = find_opening_s([s for s in states if s.id not in cold], now)
-        if cold and len(cold) == len(states):
-            per_s = context.find_cold_rate(admission.service)
-            opening_s = context.cold_turns.measure_wait_s(per_s)
-        return choose_retry_after_s(
-            opening_s=opening_s,
-            time_left_s=self._ends_at - now,
-            rank=admission.route.priority,
-            point=context.generator.random(),
-        )
-
     def _end(self, admission: Admission, final: FinalAnswer) -> None:
         """End a request that no attempt has delivered."""
         if self._disconnected:
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -13,9 +13,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
+from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.request.result import AttemptEnd
 from ramppin.gateway.version.routing import Route
 
@@ -63,6 +65,13 @@
         return self is Verdict.SEND
 
 
+_CLOSURE_VERDICTS = {
+    ClosureReason.COLD: Verdict.COLD,
+    ClosureReason.EVACUATED: Verdict.EVACUATED,
+}
+"""What is told where servers are closed for several reasons: what ends first."""
+
+
 def judge_try(
     progress: Progress, time_left_s: float, *, is_quarantined: bool = False
 ) -> Verdict:
@@ -82,6 +91,18 @@
     return Verdict.SEND
 
 
+def judge_none_left(reasons: Collection[ClosureReason]) -> Verdict:
+    """Return why no server is left to choose from.
+
+    Args:
+        reasons: what closes the servers that the request has not tried.
+    """
+    for reason, verdict in _CLOSURE_VERDICTS.items():
+        if reason in reasons:
+            return verdict
+    return Verdict.NO_SERVER
+
+
 def judge_retry(
     route: Route,
     progress: Progress,
--- /dev/null
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -0,0 +1,88 @@
+"""Which backend server gets the next attempt of one request, or why none does.
+
+Joins what is open (:mod:`ramppin.gateway.process.routing.gate`), what the request has
+tried and what it did to servers, and asks the strategy of its route. Owns the servers
+that the request has tried.
+"""
+
+from __future__ import annotations
+
+from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.routing.eligibility import has_healthy_server
+from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
+from ramppin.gateway.request.admission import Admission
+from ramppin.gateway.request.crashwatch import CrashWatch
+from ramppin.gateway.request.retry import Verdict, judge_none_left
+from ramppin.gateway.request.retryafter import (
+    choose_retry_after_s,
+    find_opening_s,
+)
+
+
+class ServerChoice:
+    """Chooses servers for one request.
+
+    Args:
+        context: what exchanges share.
+        admission: of the request.
+        watch: what the request does to servers.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(
+        self, context: GatewayContext, admission: Admission, watch: CrashWatch
+    ) -> None:
+        self._context = context
+        self._admission = admission
+        self._watch = watch
+        self._tried: set[str] = set()
+
+    def select(self, now: float) -> Selection | Verdict:
+        """Return the server for the next attempt, or why there is none."""
+        context, service = self._context, self._admission.service
+        survey = context.gate.survey(service, now)
+        prefix_key = self._admission.prefix_key
+        request = SelectionRequest(
+            prefix_key,
+            frozenset(survey.closed) | self._tried,
+            context.share_connections(service),
+            context.find_bad_servers(service, survey.states, now),
+            self._admission.fingerprint if self._watch.is_suspect() else None,
+        )
+        strategy = context.choose_strategy(prefix_key is not None)
+        selection = strategy.choose(request, survey.states, now)
+        if selection is None:
+            return judge_none_left(survey.list_reasons(self._tried))
+        self._tried.add(selection.state.id)
+        context.cold_turns.note_sent(selection.state.id)
+        return selection
+
+    def has_other(self, now: float) -> bool:
+        """Return whether a server is open, untried and not suspect."""
+        survey = self._context.gate.survey(self._admission.service, now)
+        return has_healthy_server(survey.list_open(), self._tried, now)
+
+    def choose_retry_after_s(self, now: float, ends_at: float) -> float:
+        """Return when the caller may come back if no server ran its request.
+
+        Args:
+            now: the loop's time.
+            ends_at: the loop's time at which the request is given up.
+        """
+        context = self._context
+        rest_s = self._watch.find_rest_s(now)
+        if rest_s > 0:
+            # Before that it would be refused again.
+            return rest_s
+        survey = context.gate.survey(self._admission.service, now)
+        opening_s = find_opening_s(survey.list_open(), now)
+        opens_at = survey.find_opening_at()
+        if survey.states and opens_at is not None and not survey.list_open():
+            opening_s = max(0.0, opens_at - now)
+        return choose_retry_after_s(
+            opening_s=opening_s,
+            time_left_s=ends_at - now,
+            rank=self._admission.route.priority,
+            point=context.generator.random(),
+        )
