A server that says in its answers that it leaves gets nothing more

Cause: nothing read the word. A VM learnt that a server leaves from its entry in the store alone. Change: the word is taken from each head as it comes (not of 421: another server has the address) and closes that start of the server, as an entry that says draining does. It is kept when the entry vanishes and comes back, whatever the entry says then; a later start has said nothing. One whose start was told only later counts as the same if it began before the word. All servers leave: refused at once by the rule `leaving`.

--- /dev/null
+++ b/features/server_words/exchanges.feature
@@ -0,0 +1,50 @@
+Feature: what a server says of itself binds each way to it
+
+  Background:
+    Given a gateway before 3 servers of "plain" and 3 of "model"
+
+  Scenario Outline: a server got requests after its answer <status> to "<path>" said that it leaves
+    When the servers "<server>" say in an answer <status> to "<path>" that they leave
+    Then of 20 requests to "<path>" none reaches "<server>", and all are served
+
+    Examples:
+      | status | path     | server |
+      | 200    | /once/   | p1     |
+      | 404    | /once/   | p1     |
+      | 500    | /once/   | p1     |
+      | 500    | /again/  | p1     |
+      | 503    | /again/  | p1     |
+      | 200    | /stream/ | m1     |
+      | 200    | /resume/ | m1     |
+      | 200    | /once/   | p1 p2  |
+
+  Scenario: a server got requests while the stream still came whose head said that it leaves
+    When the head of a stream of "m1" says that it leaves, and the stream goes on
+    Then of 20 requests to "/stream/" none reaches "m1", and all are served
+
+  Scenario: another server at its address does not make a server leave
+    When the servers "p1" say in an answer 421 to "/again/" that they leave
+    Then of 20 requests to "/again/" some reach "p1"
+
+  Scenario Outline: a server that leaves got requests after <what>
+    When the servers "p1" say in an answer 200 to "/once/" that they leave
+    And the entry of "p1" <does>
+    Then of 20 requests to "/once/" none reaches "p1", and all are served
+
+    Examples:
+      | what                                      | does                            |
+      | its entry said ready                      | says ready once more            |
+      | its entry vanished and came back the same | vanishes and comes back         |
+
+  Scenario: a later start of a server that left gets requests at once
+    When the servers "p1" say in an answer 200 to "/once/" that they leave
+    And the entry of "p1" tells a later start
+    Then of 20 requests to "/once/" some reach "p1"
+
+  Scenario: callers were kept waiting when all servers leave
+    When the servers "p1 p2 p3" say in an answer 200 to "/once/" that they leave
+    Then a request to "/once/" is refused at once by the rule "leaving", to come back in 0.1 to 2 s
+
+  Scenario: what a server that leaves has in memory is copied from it
+    When the servers "m1" say in an answer 200 to "/stream/" that they leave
+    Then the next prompt of the same prefix is copied from "m1"
--- a/features/server_words/words.feature
+++ b/features/server_words/words.feature
@@ -65,3 +65,26 @@
       | 200    | 0     | no     |
       | 200    | true  | no     |
       | 200    |       | no     |
+
+  Scenario Outline: a word was lost, or outlasted its start: <what>
+    Then after the entries "<entries>" the server leaves: <leaves>
+
+    # Entries: said tells the word; a number is a start, in s before or after the word;
+    # ? tells no start; gone is an entry that vanished.
+    Examples:
+      | what                               | entries               | leaves |
+      | its entry came again               | -60 said -60          | yes    |
+      | its entry vanished                 | -60 said gone -60     | yes    |
+      | twice                              | -60 said gone -60 gone -60 | yes |
+      | no start was ever told             | ? said gone ?         | yes    |
+      | the start was told later           | ? said -60            | yes    |
+      | the start was told later, after a gap | ? said gone -60    | yes    |
+      | a later start, none told before    | ? said 5              | no     |
+      | a later start after a gap          | ? said gone 5         | no     |
+      | a later start                      | -60 said 5            | no     |
+      | a later start whose entry vanished | -60 said 5 gone 5     | no     |
+      | the earlier start's entry again    | -60 said 5 -60        | no     |
+      | said before any entry              | said -60              | yes    |
+
+  Scenario: words of servers that are gone do not pile up
+    Then 5000 starts that said a word and are gone take a bounded memory
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -31,6 +31,7 @@
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import HomeHint, PeerHints
 from ramppin.gateway.process.membership.members import MemberRecord
+from ramppin.gateway.process.membership.serverwords import WordSource
 from ramppin.gateway.process.recovery.peermessages import (
     PeerAnswer,
     PeerQuestion,
@@ -378,6 +379,9 @@
     await wait_for_event("given_up")
     await wait_for_event("attempt_failed")
 
+    now = asyncio.get_running_loop().time()
+    gateway.context.directory.note_leaving("p2", WordSource.ANSWER, now)
+    await wait_for_event("server_closed")
     quarantine = gateway.context.quarantine
     begin = asyncio.get_running_loop().time() - 100.0
     for n in range(3):
--- a/features/steps/server_word_steps.py
+++ b/features/steps/server_word_steps.py
@@ -7,6 +7,10 @@
 from features.gateway_support import is_yes
 from ramppin.gateway.connection.httpwire import HeaderNames
 from ramppin.gateway.connection.upstream import AnswerHead
+from ramppin.gateway.process.membership.serverwords import KEPT_STARTS, WordSource
+from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.incarnation import StartVerdict, judge_start
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.request.serverword import read_word
 
 NAMES = HeaderNames()
@@ -65,3 +69,43 @@
 @then('an answer {status:d} with the word of leaving "" says that it leaves: {leaves}')
 def step_leaving_empty(context, status, leaves):
     step_leaving(context, status, "", leaves)
+
+
+WORD_S = 1_700_000_000
+"""Unix time, in seconds, at which the server said its word."""
+
+
+@then('after the entries "{entries}" the server leaves: {leaves}')
+def step_entries(context, entries, leaves):
+    directory = ServerDirectory(read_time=lambda: WORD_S)
+    for entry in entries.split():
+        known = directory.find_newest("i-1")
+        if entry == "gone":
+            directory.mark_missing("i-1")
+            directory.remove_missing(1.0)
+        elif entry == "said":
+            server_id = known.id if known else f"i-1@{(WORD_S - 60) * 1000}"
+            directory.note_leaving(server_id, WordSource.ANSWER, 1.0)
+        else:
+            started_ms = None if entry == "?" else (WORD_S + int(entry)) * 1000
+            server = BackendServer(
+                "i-1", "plain", "127.0.0.1", 1, started_ms=started_ms
+            )
+            known_ms = known.server.started_ms if known else None
+            if judge_start(known_ms, started_ms) is not StartVerdict.EARLIER:
+                directory.put(server)
+    state = directory.find_newest("i-1")
+    assert directory.is_open(state.id) != is_yes(leaves)
+
+
+@then("{count:d} starts that said a word and are gone take a bounded memory")
+def step_bounded(context, count):
+    directory = ServerDirectory()
+    for number in range(count):
+        directory.put(BackendServer(f"i-{number}", "plain", "127.0.0.1", 1))
+        directory.note_leaving(f"i-{number}", WordSource.ANSWER, 1.0)
+        directory.mark_missing(f"i-{number}")
+        directory.remove_missing(1.0)
+    assert len(directory.kept_words) == KEPT_STARTS
+    directory.put(BackendServer(f"i-{count - 1}", "plain", "127.0.0.1", 1))
+    assert not directory.is_open(f"i-{count - 1}")
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -148,6 +148,11 @@
             "Requests that were quarantined, tried and cleared, by change.",
             ("change",),
         )
+        self.server_words = CounterTally(
+            "ramppin_gateway_server_words_total",
+            "Servers that said in answers what closes them, by word and source.",
+            ("word", "source"),
+        )
 
     def _measure_state(self) -> None:
         self.in_flight = GaugeTally(
--- a/src/ramppin/gateway/process/routing/closure.py
+++ b/src/ramppin/gateway/process/routing/closure.py
@@ -61,7 +61,7 @@
         return ClosureReason.GONE
     if state.refused:
         return ClosureReason.UNREADABLE
-    if state.server.draining:
+    if state.leaving:
         return ClosureReason.LEAVING
     if state.server.failure_domain in evacuations:
         return ClosureReason.EVACUATED
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -6,31 +6,62 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from ramppin.gateway.process.load.times import ServiceTimes
+from ramppin.gateway.process.membership.serverwords import (
+    MS_PER_S,
+    LeavingWord,
+    ServerWords,
+    WordMemory,
+    WordSource,
+)
 from ramppin.gateway.process.routing.closure import find_lasting_closure
 from ramppin.gateway.process.routing.evacuation import Evacuations
 from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 from ramppin.gateway.process.turns import Turns
 
 
+@dataclass(frozen=True, slots=True)
+class WordChange:
+    """A start of a server that said something new.
+
+    Attributes:
+        server_id: the start's id.
+        words: what it has said so far.
+    """
+
+    server_id: str
+    words: ServerWords
+
+
 class ServerDirectory:
     """Backend servers by service.
 
     Args:
         turns: of this process; None where it never stalls.
+        read_time: returns the time of day in seconds.
 
     Attributes:
         turns: of this process.
         evacuations: failure domains whose servers get no new work.
+        kept_words: what starts of servers have said that have no entry now.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, turns: Turns | None = None) -> None:
+    def __init__(
+        self,
+        turns: Turns | None = None,
+        read_time: Callable[[], float] = time.time,
+    ) -> None:
         self.turns = turns or Turns()
         self.evacuations = Evacuations()
+        self._read_time = read_time
+        self.kept_words = WordMemory()
+        self._word_changes: list[WordChange] = []
         self._states: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._times: dict[str, ServiceTimes] = {}
@@ -62,7 +93,9 @@
         state = self._states.get(server.id)
         if state is None:
             times = self._times.setdefault(server.service, ServiceTimes())
-            state = self._states[server.id] = ServerState(server, times, self.turns)
+            words = self.kept_words.take_back(server.id, server.name, server.started_ms)
+            state = ServerState(server, times, self.turns, words)
+            self._states[server.id] = state
         elif state.server.service != server.service:
             self._by_service[state.server.service].pop(server.id, None)
         state.server = server
@@ -106,7 +139,27 @@
             self._remove(state)
         return gone
 
+    def note_leaving(self, server_id: str, source: WordSource, now: float) -> None:
+        """Take a server's word that it leaves, whether its entry is known or not.
+
+        Args:
+            server_id: of the start that said so.
+            source: who brought it.
+            now: the loop's time.
+        """
+        state = self._states.get(server_id)
+        words = state.words if state is not None else self.kept_words.find(server_id)
+        heard_ms = int(self._read_time() * MS_PER_S)
+        if words.note_leaving(LeavingWord(source, now, heard_ms)):
+            self._word_changes.append(WordChange(server_id, words))
+
+    def take_word_changes(self) -> list[WordChange]:
+        """Return what servers said since the last call, where that is news."""
+        changes, self._word_changes = self._word_changes, []
+        return changes
+
     def _remove(self, state: ServerState) -> None:
+        self.kept_words.keep(state.id, state.words)
         del self._states[state.id]
         del self._newest[state.server.name]
         self._by_service[state.server.service].pop(state.id, None)
--- a/src/ramppin/gateway/process/routing/serverstate.py
+++ b/src/ramppin/gateway/process/routing/serverstate.py
@@ -14,6 +14,7 @@
 from ramppin.gateway.process.membership.coldness import ServerColdness
 from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
+from ramppin.gateway.process.membership.serverwords import ServerWords
 from ramppin.gateway.process.turns import Turns
 
 
@@ -63,6 +64,7 @@
         server: as it announced itself.
         times: of its service's requests; None for some of its own.
         turns: of this process; None where it never stalls.
+        words: what this start has said before; None for nothing.
 
     Attributes:
         id: the incarnation's.
@@ -74,6 +76,7 @@
         health: what this VM saw of it.
         evidence: what all VMs saw of it.
         coldness: whether it is cold.
+        words: what it said of itself in its answers.
         missing: whether its entry has vanished.
         refused: whether its newest entry can't be read.
         restarted: whether it has ended, since a later start is known.
@@ -88,6 +91,7 @@
         server: BackendServer,
         times: ServiceTimes | None = None,
         turns: Turns | None = None,
+        words: ServerWords | None = None,
     ) -> None:
         turns = turns or Turns()
         self.id = server.id
@@ -99,11 +103,20 @@
         self.health = ServerHealth(turns)
         self.evidence = FleetEvidence()
         self.coldness = ServerColdness()
+        self.words = words or ServerWords()
         self.missing = False
         self.refused = False
         self.restarted = False
         self.held_until: float | None = None
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it says that it takes nothing new, by its entry or its answers.
+
+        An entry that says otherwise may be older than the answer.
+        """
+        return self.server.draining or self.words.leaving is not None
+
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take the load that an answer reported, in requests."""
         self.load.note_report(running + waiting, self.in_flight, now)
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -58,6 +58,7 @@
         streams: whether pieces are passed on as they come.
         resumable: whether only whole events are passed on.
         may_take_over: returns whether another server could take the request over.
+        note_word: takes what the server says of itself, as soon as its head is there.
 
     Attributes:
         started: whether the caller has got a part of an answer, of this attempt or
@@ -77,6 +78,7 @@
         streams: bool,
         resumable: bool,
         may_take_over: Callable[[], bool],
+        note_word: Callable[[ServerWord], None],
     ) -> None:
         self._names = names
         self._caller = caller
@@ -84,6 +86,7 @@
         self._state = state
         self._streams = streams
         self._may_take_over = may_take_over
+        self._take_word = note_word
         self._loop = asyncio.get_running_loop()
         self._result: asyncio.Future[AttemptResult] = self._loop.create_future()
         self._connection: UpstreamConnection | None = None
@@ -332,6 +335,7 @@
         A late answer to another request comes from the same server.
         """
         self._word = read_word(head, self._names)
+        self._take_word(self._word)
         if self._word.unreadable:
             LOG.warning(
                 "a time of rest is neither seconds nor a date and is ignored: %.40r",
--- a/src/ramppin/gateway/request/crashwatch.py
+++ b/src/ramppin/gateway/request/crashwatch.py
@@ -70,7 +70,7 @@
         was_run = result.end is AttemptEnd.FAILED and result.answer is not None
         if result.end is AttemptEnd.DELIVERED or was_run:
             quarantine.note_served(self._fingerprint, now)
-        elif result.lost and not state.server.draining:
+        elif result.lost and not state.leaving:
             self._lost.add(state.id)
             quarantine.note_lost(self._fingerprint, state.id, sent_at, now)
             if state.restarted or state.missing:
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -16,7 +16,9 @@
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.membership.serverwords import WordSource
 from ramppin.gateway.process.routing.selection import Selection
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
@@ -44,6 +46,7 @@
     judge_try,
 )
 from ramppin.gateway.request.serverchoice import ServerChoice
+from ramppin.gateway.request.serverword import ServerWord
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
 
 _LENGTH = frozenset({b"content-length"})
@@ -256,6 +259,7 @@
             streams=route.kind.is_stream,
             resumable=route.resumable,
             may_take_over=lambda: self._judge_takeover(admission, choice).allows,
+            note_word=lambda word: self._note_word(state, word),
         )
         self._attempt = attempt
         source = self._context.directory.find_source(selection.copy_from, now)
@@ -268,6 +272,12 @@
         self._progress.answer_started = attempt.started
         return result
 
+    def _note_word(self, state: ServerState, word: ServerWord) -> None:
+        """Take what a server says of itself in an answer."""
+        if word.leaving:
+            now = self._loop.time()
+            self._context.directory.note_leaving(state.id, WordSource.ANSWER, now)
+
     # sending again
 
     def _judge_retry(
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -51,6 +51,7 @@
     NO_SERVER = "no server is left to choose from"
     COLD = "its servers are cold, and this VM has no place there now"
     EVACUATED = "all its servers stand in emptied failure domains"
+    LEAVING = "all its servers say that they leave"
     TRIES_SPENT = "it has tried as many servers as one request may"
     TIME_SPENT = "too little time is left"
     TIMED_OUT = "its time was over during an attempt"
@@ -68,6 +69,7 @@
 _CLOSURE_VERDICTS = {
     ClosureReason.COLD: Verdict.COLD,
     ClosureReason.EVACUATED: Verdict.EVACUATED,
+    ClosureReason.LEAVING: Verdict.LEAVING,
 }
 """What is told where servers are closed for several reasons: what ends first."""
 
