A server that asked for rest gets nothing until its rest is over

Cause: `Retry-After` of a server's answer was not read. A server that rejects was passed over for 0.15 s as full, and only as a preference; holding nothing, it then looked best. Change: the rest of a 503 or 429 closes that start of the server to this VM until it ends, from when the answer came, to the millisecond; the longest of several holds; it is kept when the entry vanishes and comes back; a later start has asked for nothing. Homes stay: prompts go to the next server and copy from the home. All servers closed: refused at once by the rule `resting`, told when the first opens, spread by rank. Why it works: a closed server is never chosen, the last resort among them. Excluded: shorter rests that end a longer one, several at once, fractions, after the end (tables of 9 and 6 cases).

--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -48,3 +48,37 @@
   Scenario: what a server that leaves has in memory is copied from it
     When the servers "m1" say in an answer 200 to "/stream/" that they leave
     Then the next prompt of the same prefix is copied from "m1"
+
+  Scenario Outline: a server got requests in the rest that it asked for, by <status> <mark>
+    When the servers "p1" ask for 1.0 s of rest by <status> <mark>
+    Then of 20 requests to "/again/" none reaches "p1", and all are served
+    And after the rest of 1.0 s some of 20 requests to "/again/" reach "p1"
+
+    Examples:
+      | status | mark       |
+      | 503    | not run    |
+      | 503    | unmarked   |
+      | 429    | not run    |
+
+  Scenario Outline: a server got requests in its rest after <what>
+    When the servers "p1" ask for 5.0 s of rest by 503 not run
+    And the entry of "p1" <does>
+    Then of 20 requests to "/again/" none reaches "p1", and all are served
+
+    Examples:
+      | what                                      | does                            |
+      | its entry said ready                      | says ready once more            |
+      | its entry vanished and came back the same | vanishes and comes back         |
+
+  Scenario: a later start of a server that asked for rest gets requests at once
+    When the servers "p1" ask for 5.0 s of rest by 503 not run
+    And the entry of "p1" tells a later start
+    Then of 20 requests to "/again/" some reach "p1"
+
+  Scenario: callers were sent to servers that all want rest
+    When the servers "p1 p2 p3" ask for 2.0 s of rest by 503 not run
+    Then a request to "/again/" is refused at once by the rule "resting", to come back in 1.5 to 3.5 s
+
+  Scenario: a rest that can't be read closes no server
+    When the servers "p1" ask for soon s of rest by 503 not run
+    Then of 20 requests to "/again/" some reach "p1"
--- a/features/server_words/words.feature
+++ b/features/server_words/words.feature
@@ -86,5 +86,33 @@
       | the earlier start's entry again    | -60 said 5 -60        | no     |
       | said before any entry              | said -60              | yes    |
 
+  Scenario Outline: a server that asked for rest is closed as long as it asked: <words>
+    Then with the rests "<words>" a server is closed for <left> s more, then opens
+
+    # A number asks for so many seconds; @ is seconds that pass.
+    Examples:
+      | words         | left |
+      | 3             | 3    |
+      | 0.25          | 0.25 |
+      | 3 @1          | 2    |
+      | 3 @1 1        | 2    |
+      | 3 @1 5        | 5    |
+      | 3 @1 2.005    | 2.005 |
+      | 1 @1          | 0    |
+      | 1 @1.5 2      | 2    |
+      | 3 @3          | 0    |
+
+  Scenario Outline: callers came back while every server was closed: <closed> s, <left> s left
+    Then with every server closed for <closed> s, <left> s left, rank <rank> and the point <point> a refused request comes back after <pause> s
+
+    Examples:
+      | closed | left | rank | point | pause |
+      | 1      | 9    | 0    | 0     | 1     |
+      | 1      | 9    | 0    | 0.5   | 1.25  |
+      | 1      | 9    | 2    | 0.5   | 1.75  |
+      | 1      | 1.3  | 3    | 0.9   | 1.1   |
+      | 3      | 2    | 0    | 0.5   | 3     |
+      | 0.02   | 9    | 0    | 0.5   | 0.045 |
+
   Scenario: words of servers that are gone do not pile up
     Then 5000 starts that said a word and are gone take a bounded memory
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -382,6 +382,8 @@
     now = asyncio.get_running_loop().time()
     gateway.context.directory.note_leaving("p2", WordSource.ANSWER, now)
     await wait_for_event("server_closed")
+    gateway.context.directory.note_rest("p2", 0.1, now)
+    await wait_for_event("server_opened")
     quarantine = gateway.context.quarantine
     begin = asyncio.get_running_loop().time() - 100.0
     for n in range(3):
--- a/features/steps/server_word_exchange_steps.py
+++ b/features/steps/server_word_exchange_steps.py
@@ -79,6 +79,38 @@
         backend.received.clear()
 
 
+async def ask_for_rest(status: int, headers: bytes, reply) -> None:
+    await reply.answer(status, headers=headers)
+
+
+@when('the servers "{names}" ask for {rest} s of rest by {status:d} {mark}')
+def step_ask_for_rest(context, names, rest, status, mark):
+    headers = b"Retry-After: %b\r\n" % rest.encode()
+    headers += NOT_RUN if mark == "not run" else b""
+    for name in names.split():
+        backend = context.fixture.backends[name]
+        backend.script = partial(ask_for_rest, status, headers)
+    context.rested_at = context.loop.time()
+    run(context, ask_until_said(context, "/again/", names.split()))
+
+
+@then(
+    'after the rest of {rest:g} s some of {count:d} requests to "{path}" reach "{name}"'
+)
+def step_after_rest(context, rest, count, path, name):
+    async def wait() -> None:
+        directory = context.fixture.gateway.context.directory
+        words = directory.find_newest(name).words
+        await wait_for(
+            lambda: words.find_rest_end(context.loop.time()) is None, "it has rested"
+        )
+        assert context.loop.time() >= context.rested_at + rest
+
+    run(context, wait())
+    run(context, ask_many(context, path, count))
+    assert context.fixture.backends[name].received
+
+
 async def say(status: int, headers: bytes, reply) -> None:
     if status == 200 and b"prompt" in b"".join(reply.request.headers):
         await answer_events(reply, headers)
--- a/features/steps/server_word_steps.py
+++ b/features/steps/server_word_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from behave import then
 
 from features.gateway_support import is_yes
@@ -9,8 +11,10 @@
 from ramppin.gateway.connection.upstream import AnswerHead
 from ramppin.gateway.process.membership.serverwords import KEPT_STARTS, WordSource
 from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.gate import ServerGate
 from ramppin.gateway.process.routing.incarnation import StartVerdict, judge_start
 from ramppin.gateway.process.routing.serverstate import BackendServer
+from ramppin.gateway.request.retryafter import choose_retry_after_s
 from ramppin.gateway.request.serverword import read_word
 
 NAMES = HeaderNames()
@@ -109,3 +113,32 @@
     assert len(directory.kept_words) == KEPT_STARTS
     directory.put(BackendServer(f"i-{count - 1}", "plain", "127.0.0.1", 1))
     assert not directory.is_open(f"i-{count - 1}")
+
+
+@then('with the rests "{words}" a server is closed for {left:g} s more, then opens')
+def step_rests(context, words, left):
+    directory, now = ServerDirectory(), 100.0
+    state = directory.put(BackendServer("i-1", "plain", "127.0.0.1", 1))
+    gate = ServerGate(directory, None, lambda service: 0.0)
+    for word in words.split():
+        if word.startswith("@"):
+            now += float(word[1:])
+        else:
+            directory.note_rest(state.id, float(word), now)
+    closed = gate.survey("plain", now).closed
+    assert bool(closed) == (left > 0), closed
+    if left:
+        assert math.isclose(closed["i-1"].opens_at, now + left), closed
+        assert gate.survey("plain", now + left - 0.001).closed
+    assert not gate.survey("plain", now + left + 1e-9).closed
+
+
+@then(
+    "with every server closed for {closed:g} s, {left:g} s left, rank {rank:d} and the "
+    "point {point:g} a refused request comes back after {pause:g} s"
+)
+def step_pause(context, closed, left, rank, point, pause):
+    found = choose_retry_after_s(
+        opening_s=closed, closed_s=closed, time_left_s=left, rank=rank, point=point
+    )
+    assert math.isclose(found, pause), found
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -37,7 +37,7 @@
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
 from ramppin.gateway.process.reporting.decisions import DecisionLog
 from ramppin.gateway.process.reporting.quarantinelines import note_quarantine
-from ramppin.gateway.process.reporting.wordlines import note_words
+from ramppin.gateway.process.reporting.wordlines import WordLines
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
@@ -295,6 +295,7 @@
         """Close what is idle too long, and write decision lines."""
         loop = asyncio.get_running_loop()
         context = self.context
+        words = WordLines(context)
         refilled_at = loop.time()
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -306,7 +307,7 @@
             self.tables.remove_missing(now)
             context.quarantine.forget(now)
             note_quarantine(context, now)
-            note_words(context, now)
+            words.note(now)
             context.live_vms = 1 + len(self.tables.members.list_live(now))
             context.retry_budget.share(context.live_vms)
             if now - refilled_at >= REFILL_S:
--- a/src/ramppin/gateway/process/membership/serverwords.py
+++ b/src/ramppin/gateway/process/membership/serverwords.py
@@ -34,12 +34,25 @@
     Attributes:
         source: who brought it.
         heard_at: the loop's time at which this VM heard it.
-        heard_ms: the same as Unix time in milliseconds, to be compared with starts.
     """
 
     source: WordSource
     heard_at: float
-    heard_ms: int
+
+
+@dataclass(slots=True)
+class RestWord:
+    """A server's word that it wants nothing from this VM for a while.
+
+    Attributes:
+        since: the loop's time at which it first asked for this rest.
+        until: the loop's time at which the rest ends.
+        asked: how often it asked for it.
+    """
+
+    since: float
+    until: float
+    asked: int = 1
 
 
 class ServerWords:
@@ -47,17 +60,28 @@
 
     Attributes:
         leaving: its word that it leaves, which is never taken back; None before.
+        rest: the newest rest that it asked for; None before the first.
+        heard_ms: Unix time in milliseconds of its newest word, to be compared with
+            starts.
 
     .. versionadded:: 0.3
     """
 
     def __init__(self) -> None:
         self.leaving: LeavingWord | None = None
+        self.rest: RestWord | None = None
+        self.heard_ms = 0
 
     @property
     def is_worth_keeping(self) -> bool:
         """Whether anything of it may still hold."""
-        return self.leaving is not None
+        return self.leaving is not None or self.rest is not None
+
+    def find_rest_end(self, now: float) -> float | None:
+        """Return the loop's time at which a rest ends that runs now, or None."""
+        if self.rest is None or now >= self.rest.until:
+            return None
+        return self.rest.until
 
     def note_leaving(self, word: LeavingWord) -> bool:
         """Take the word that it leaves; return whether that is news."""
@@ -66,13 +90,31 @@
         self.leaving = word
         return True
 
+    def note_rest(self, rest_s: float, now: float) -> bool:
+        """Take the word that it wants rest; return whether none ran before.
+
+        A shorter rest does not end a longer one: each was asked for by an answer of
+        its own.
+
+        Args:
+            rest_s: seconds for which it wants nothing.
+            now: the loop's time.
+        """
+        until = now + rest_s
+        if self.rest is None or now >= self.rest.until:
+            self.rest = RestWord(now, until)
+            return True
+        self.rest.until = max(self.rest.until, until)
+        self.rest.asked += 1
+        return False
+
     def may_be_of(self, started_ms: int) -> bool:
         """Return whether a start can have said it: a later one can't.
 
         Args:
             started_ms: Unix time of the start in milliseconds.
         """
-        return self.leaving is not None and started_ms <= self.leaving.heard_ms
+        return started_ms <= self.heard_ms
 
 
 class WordMemory:
--- a/src/ramppin/gateway/process/routing/closure.py
+++ b/src/ramppin/gateway/process/routing/closure.py
@@ -28,6 +28,9 @@
     EVACUATED = "evacuated"
     """The operator has emptied its failure domain."""
 
+    RESTING = "resting"
+    """It wants nothing from this VM for a while."""
+
     COLD = "cold"
     """It is cold, and this VM has no place there now."""
 
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -18,7 +18,10 @@
     WordMemory,
     WordSource,
 )
-from ramppin.gateway.process.routing.closure import find_lasting_closure
+from ramppin.gateway.process.routing.closure import (
+    ClosureReason,
+    find_lasting_closure,
+)
 from ramppin.gateway.process.routing.evacuation import Evacuations
 from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 from ramppin.gateway.process.turns import Turns
@@ -31,10 +34,12 @@
     Attributes:
         server_id: the start's id.
         words: what it has said so far.
+        reason: what the word closes it for.
     """
 
     server_id: str
     words: ServerWords
+    reason: ClosureReason
 
 
 class ServerDirectory:
@@ -147,17 +152,38 @@
             source: who brought it.
             now: the loop's time.
         """
-        state = self._states.get(server_id)
-        words = state.words if state is not None else self.kept_words.find(server_id)
-        heard_ms = int(self._read_time() * MS_PER_S)
-        if words.note_leaving(LeavingWord(source, now, heard_ms)):
-            self._word_changes.append(WordChange(server_id, words))
+        words = self._hear(server_id)
+        if words.note_leaving(LeavingWord(source, now)):
+            self._word_changes.append(
+                WordChange(server_id, words, ClosureReason.LEAVING)
+            )
+
+    def note_rest(self, server_id: str, rest_s: float, now: float) -> None:
+        """Take a server's word that it wants nothing from this VM for a while.
+
+        Args:
+            server_id: of the start that said so.
+            rest_s: for how many seconds.
+            now: the loop's time.
+        """
+        words = self._hear(server_id)
+        if words.note_rest(rest_s, now):
+            self._word_changes.append(
+                WordChange(server_id, words, ClosureReason.RESTING)
+            )
 
     def take_word_changes(self) -> list[WordChange]:
         """Return what servers said since the last call, where that is news."""
         changes, self._word_changes = self._word_changes, []
         return changes
 
+    def _hear(self, server_id: str) -> ServerWords:
+        """Return what a start has said, to which something is added now."""
+        state = self._states.get(server_id)
+        words = state.words if state is not None else self.kept_words.find(server_id)
+        words.heard_ms = int(self._read_time() * MS_PER_S)
+        return words
+
     def _remove(self, state: ServerState) -> None:
         self.kept_words.keep(state.id, state.words)
         del self._states[state.id]
--- a/src/ramppin/gateway/process/routing/gate.py
+++ b/src/ramppin/gateway/process/routing/gate.py
@@ -44,10 +44,10 @@
         """
         return {c.reason for name, c in self.closed.items() if name not in tried}
 
-    def find_opening_at(self) -> float | None:
-        """Return the loop's time at which the first closed server opens, if known."""
-        moments = [c.opens_at for c in self.closed.values() if c.opens_at is not None]
-        return min(moments, default=None)
+    def find_first_opening(self) -> Closure | None:
+        """Return the closure that ends first, of those whose end is known."""
+        ending = [c for c in self.closed.values() if c.opens_at is not None]
+        return min(ending, key=lambda closure: closure.opens_at or 0.0, default=None)
 
 
 class ServerGate:
@@ -87,7 +87,7 @@
                 closed[state.id] = Closure(lasting)
                 continue
             states.append(state)
-            closure = self._find_cold(state, cold_per_s, now)
+            closure = _find_rest(state, now) or self._find_cold(state, cold_per_s, now)
             if closure is not None:
                 closed[state.id] = closure
         return ServiceSurvey(states, closed)
@@ -102,3 +102,9 @@
             return None
         wait_s = self._cold_turns.measure_wait_s(per_s)
         return Closure(ClosureReason.COLD, now + wait_s)
+
+
+def _find_rest(state: ServerState, now: float) -> Closure | None:
+    """Return the closure of a server that has asked this VM for rest."""
+    until = state.words.find_rest_end(now)
+    return None if until is None else Closure(ClosureReason.RESTING, until)
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -50,6 +50,7 @@
     QUARANTINED = "servers ended under it, one after the other"
     NO_SERVER = "no server is left to choose from"
     COLD = "its servers are cold, and this VM has no place there now"
+    RESTING = "its servers have asked this VM for rest"
     EVACUATED = "all its servers stand in emptied failure domains"
     LEAVING = "all its servers say that they leave"
     TRIES_SPENT = "it has tried as many servers as one request may"
@@ -68,6 +69,7 @@
 
 _CLOSURE_VERDICTS = {
     ClosureReason.COLD: Verdict.COLD,
+    ClosureReason.RESTING: Verdict.RESTING,
     ClosureReason.EVACUATED: Verdict.EVACUATED,
     ClosureReason.LEAVING: Verdict.LEAVING,
 }
--- a/src/ramppin/gateway/request/retryafter.py
+++ b/src/ramppin/gateway/request/retryafter.py
@@ -3,7 +3,8 @@
 It should find a server that takes it, not meet all others refused at the same
 moment, and have time left for its answer. So the pause lasts until a server is likely
 to be open, is spread, is shorter for the more urgent, and takes no more than a third
-of the time that is left, which is what callers honour. No I/O.
+of the time that is left, which is what callers honour. It is never shorter than the
+time for which every server is known to be closed. No I/O.
 """
 
 from __future__ import annotations
@@ -69,7 +70,12 @@
 
 
 def choose_retry_after_s(
-    *, opening_s: float, time_left_s: float, rank: int, point: float
+    *,
+    opening_s: float,
+    time_left_s: float,
+    rank: int,
+    point: float,
+    closed_s: float = 0.0,
 ) -> float:
     """Return the pause to ask for, in seconds.
 
@@ -78,7 +84,12 @@
         time_left_s: time until the request is given up.
         rank: the route's priority; 0 is the most urgent.
         point: a random number from 0 up to 1.
+        closed_s: seconds for which every server is known to be closed; 0 if one may
+            be open before. A caller that comes back within them is refused again.
     """
     base_s = max(SHORTEST_S, opening_s)
     factor = 1 + RANK_STEP * min(max(rank, 0), LAST_RANK) + SPREAD * point
+    if closed_s > 0:
+        after_s = max(0.0, time_left_s - closed_s)
+        return closed_s + min((factor - 1) * base_s, LONGEST_SHARE * after_s)
     return max(0.0, min(base_s * factor, LONGEST_SHARE * time_left_s))
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
 from ramppin.gateway.request.admission import Admission
@@ -76,12 +77,15 @@
             # Before that it would be refused again.
             return rest_s
         survey = context.gate.survey(self._admission.service, now)
-        opening_s = find_opening_s(survey.list_open(), now)
-        opens_at = survey.find_opening_at()
-        if survey.states and opens_at is not None and not survey.list_open():
-            opening_s = max(0.0, opens_at - now)
+        open_states = survey.list_open()
+        opening_s, closed_s = find_opening_s(open_states, now), 0.0
+        first = None if open_states else survey.find_first_opening()
+        if first is not None and first.opens_at is not None:
+            opening_s = max(0.0, first.opens_at - now)
+            closed_s = opening_s if first.reason is ClosureReason.RESTING else 0.0
         return choose_retry_after_s(
             opening_s=opening_s,
+            closed_s=closed_s,
             time_left_s=ends_at - now,
             rank=self._admission.route.priority,
             point=context.generator.random(),
