VMs tell each other of rests that servers asked them for

Cause: a rest binds one VM, and each of many found a server that sheds by a rejection of its own. Two are kept: a server may turn one VM away for itself. What was told is a preference and closes nothing. Where nothing is open the rule that is told is the one that closes all, also those that this request tried (`resting`, not `no_server`).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
 from bench.vms import fleet as vms_fleet
 from bench.vms import pattern as vms_pattern
 from bench.vms import plain as vms_plain
+from bench.vms import shedding as vms_shedding
 
 app = typer.Typer(add_completion=False, help="Measurements; seeds are printed.")
 
@@ -211,6 +212,33 @@
     typer.echo(report.format_table(rows, COLD_SHOWN))
 
 
+SHEDDING_SHOWN = (
+    "vms",
+    "servers",
+    "share",
+    "vms_share",
+    "told",
+    "rejections",
+    "refused",
+    "passed_over",
+    "vm_bytes_s",
+)
+
+
+@app.command()
+def shedding(
+    seeds: Annotated[int, typer.Option(help="Runs of each pattern.")] = 2,
+    sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "8,65,195",
+) -> None:
+    """Compare ways to find out which servers turn requests away."""
+    rows = [
+        row
+        for size in sizes.split(",")
+        for row in vms_shedding.tabulate_shedding(int(size), range(1, seeds + 1))
+    ]
+    typer.echo(report.format_table(rows, SHEDDING_SHOWN))
+
+
 @app.command(name="all")
 def run_everything() -> None:
     """Measure everything."""
--- a/bench/vms/clock.py
+++ b/bench/vms/clock.py
@@ -23,6 +23,7 @@
 from ramppin.gateway.process.routing.hints import SHORTEST_PERIOD_S, HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.servernews import ServerNews
+from ramppin.gateway.process.routing.wordnews import WordNews
 
 LATENCY_S = 0.001
 """One way between two VMs, or a VM and a server."""
@@ -91,6 +92,7 @@
             self.homes,
             ServerNews(self.directory, self.domain),
             LoadNews(self.directory),
+            words=WordNews(self.directory),
         )
 
 
--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -98,3 +98,13 @@
   Scenario: a request that ends servers was sent on after a wait for a connection
     When a request to "/again/" waits for a connection, and three servers end under copies of it
     Then a server gets nothing, and it is refused by the rule "quarantined"
+
+  Scenario Outline: retries were spent at servers that all want rest, known of <known>
+    Given two other VMs were asked for 3 s of rest by "<known>"
+    When a request to "/again/" is sent while "p1 p2 p3" turn all away
+    Then it reached <reached> servers and got 503 by the rule "resting", to come back in 2.5 to 4.6 s
+
+    Examples:
+      | known    | reached |
+      | none     | 3       |
+      | p1 p2 p3 | 1       |
--- a/features/server_words/fleet.feature
+++ b/features/server_words/fleet.feature
@@ -59,3 +59,29 @@
     Given VMs "a b" that know the servers "i-1 i-2"
     When "b" is told of "i-1" with an age of -5 ms
     Then "i-1" is closed to "none" and open to "a b"
+
+  Scenario Outline: each VM found out by a retry of its own that a server wants rest: <asked> asked
+    Given VMs "a b c d" that know the servers "i-1 i-2"
+    When "<asked>" were asked by "i-1" for 3.0 s of rest, and told it
+    Then after <seconds> s "a" prefers "<preferred>"
+
+    Examples:
+      | asked | seconds | preferred |
+      | none  | 0       | i-1 i-2   |
+      | b     | 0       | i-1 i-2   |
+      | b c   | 0       | i-2       |
+      | b c d | 2.9     | i-2       |
+      | b c   | 3.1     | i-1 i-2   |
+
+  Scenario: servers that are all likely to want rest close none
+    Given VMs "a b c d" that know the servers "i-1 i-2"
+    When "b c" were asked by "i-1" for 3.0 s of rest, and told it
+    And "b c" were asked by "i-2" for 3.0 s of rest, and told it
+    Then after 0 s "a" prefers "i-1 i-2"
+
+  Scenario: a rest is told once, and not of servers that are passed over anyway
+    Given VMs "a b c d" that know the servers "i-1 i-2"
+    When "b c" were asked by "i-1" for 3.0 s of rest, and told it
+    And "a" is asked by "i-2" for 3.0 s of rest
+    And "a" is asked by "i-1" for 3.0 s of rest
+    Then "a" tells the rests of "i-2", and then none
--- a/features/steps/server_word_exchange_steps.py
+++ b/features/steps/server_word_exchange_steps.py
@@ -11,8 +11,15 @@
 
 from behave import given, then, when
 
-from features.gateway_support import HOST, GatewayFixture, build_tree, encode_request
+from features.gateway_support import (
+    HOST,
+    GatewayFixture,
+    build_tree,
+    encode_request,
+    read_names,
+)
 from ramppin.gateway.connection.requestreader import CallerRequest
+from ramppin.gateway.process.limits.retrybudget import RetryRules
 from ramppin.gateway.process.membership.serverwords import WordSource
 from ramppin.gateway.request.fingerprint import hash_request
 from ramppin.gateway.version.routing import Customer
@@ -235,7 +242,7 @@
     assert answer.status == 503, answer.data
     assert took_s < AT_ONCE_S, took_s
     pause_s = float(RETRY_AFTER.search(answer.head)[1])
-    assert least <= pause_s <= most, pause_s
+    assert least <= pause_s <= most, (pause_s, context.answer.head)
     assert not context.fixture.list_received()
     explanations = context.fixture.gateway.context.explanations
     [found] = explanations.find("a1")[-1:]
@@ -348,3 +355,34 @@
     assert context.answer.status == 503, context.answer.data
     explanations = context.fixture.gateway.context.explanations
     assert explanations.find("a1")[-1]["rule"] == rule
+
+
+@given('two other VMs were asked for {rest:g} s of rest by "{names}"')
+def step_others_asked(context, rest, names):
+    directory, now = context.fixture.gateway.context.directory, context.loop.time()
+    for name in read_names(names):
+        for vm in ("vm-2", "vm-3"):
+            directory.find(name).shedding.note_told(vm, now + rest)
+
+
+@when('a request to "{path}" is sent while "{names}" turn all away')
+def step_all_away(context, path, names):
+    for name in names.split():
+        headers = b"Retry-After: 3.0\r\n" + NOT_RUN
+        context.fixture.backends[name].script = partial(ask_for_rest, 503, headers)
+    budget = context.fixture.gateway.context.retry_budget
+    budget.replace_rules(RetryRules(extra=10))
+    context.answer = run(context, context.fixture.ask(path))
+
+
+@then(
+    'it reached {count:d} servers and got 503 by the rule "{rule}", to come back in '
+    "{least:g} to {most:g} s"
+)
+def step_reached(context, count, rule, least, most):
+    found = context.fixture.gateway.context.explanations.find("a1")
+    assert len(context.fixture.list_received()) == count, found
+    assert context.answer.status == 503, context.answer.data
+    pause_s = float(RETRY_AFTER.search(context.answer.head)[1])
+    assert least <= pause_s <= most, (pause_s, context.answer.head)
+    assert found[-1]["rule"] == rule, found[-1]
--- a/features/steps/server_word_fleet_steps.py
+++ b/features/steps/server_word_fleet_steps.py
@@ -8,6 +8,7 @@
 from ramppin.gateway.connection.datagrams import LeavingHint
 from ramppin.gateway.process.membership.serverwords import WordSource
 from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.eligibility import list_eligible
 from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.process.routing.wordnews import WordNews
 
@@ -165,3 +166,39 @@
     directory = context.vms[other].directory
     left = [state.id for state in directory if state.leaving]
     assert len(left) == count, len(left)
+
+
+# rests
+
+
+@when('"{vms}" were asked by "{server}" for {rest:g} s of rest, and told it')
+def step_asked(context, vms, server, rest):
+    for name in read_names(vms):
+        vm = context.vms[name]
+        vm.directory.words.note_rest(server, rest, context.now)
+        hints = vm.news.collect_rests(context.now)
+        for other in context.vms.values():
+            if other is not vm:
+                other.news.take_rests(name, hints, context.now)
+
+
+@when('"{vm}" is asked by "{server}" for {rest:g} s of rest')
+def step_is_asked(context, vm, server, rest):
+    context.vms[vm].directory.words.note_rest(server, rest, context.now)
+
+
+@then('after {seconds:g} s "{vm}" prefers "{servers}"')
+def step_prefers(context, seconds, vm, servers):
+    states = context.vms[vm].directory.list_open("llm")
+    found = list_eligible(states, (), None, context.now + seconds)
+    assert [state.id for state in found] == servers.split(), found
+
+
+@then('"{vm}" tells the rests of "{servers}", and then none')
+def step_tells_rests(context, vm, servers):
+    news = context.vms[vm].news
+    assert news.is_urgent
+    found = [hint.server for hint in news.collect_rests(context.now)]
+    assert found == servers.split(), found
+    assert not news.is_urgent
+    assert not news.collect_rests(context.now)
--- a/src/ramppin/gateway/process/routing/eligibility.py
+++ b/src/ramppin/gateway/process/routing/eligibility.py
@@ -1,8 +1,9 @@
 """Which backend servers a request may be sent to.
 
 Preferred are servers that are neither ejected nor unresponsive
-(:mod:`ramppin.gateway.process.membership.health`) and have room in this VM's share
-of their connections. No request is refused for want of such a server: without
+(:mod:`ramppin.gateway.process.membership.health`), that turn no other VMs away
+(:mod:`ramppin.gateway.process.membership.shedding`), and that have room in this VM's
+share of their connections. No request is refused for want of such a server: without
 one, any untried server will do. Pure functions.
 """
 
@@ -43,6 +44,8 @@
     healthy = [state for state in untried if not state.health.is_suspect(now)]
     good = [state for state in healthy if state.id not in bad]
     preferred = good or healthy or untried
+    calm = [state for state in preferred if not state.shedding.is_likely(now)]
+    preferred = calm or preferred
     if max_in_flight is None:
         return preferred
     with_room = [state for state in preferred if state.in_flight < max_in_flight]
--- a/src/ramppin/gateway/process/routing/gate.py
+++ b/src/ramppin/gateway/process/routing/gate.py
@@ -39,10 +39,13 @@
     def list_reasons(self, tried: Collection[str]) -> set[ClosureReason]:
         """Return what closes the servers that a request has not tried.
 
+        All of them where none is open: what it tried would turn it away once more.
+
         Args:
             tried: ids of servers.
         """
-        return {c.reason for name, c in self.closed.items() if name not in tried}
+        passed_over = tried if self.list_open() else ()
+        return {c.reason for name, c in self.closed.items() if name not in passed_over}
 
     def find_first_opening(self) -> Closure | None:
         """Return the closure that ends first, of those whose end is known."""
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -137,6 +137,7 @@
         self._homes.hot.take(hints.hot, now)
         self._loads.take(hints, now)
         self._words.take(hints.leaving, now)
+        self._words.take_rests(hints.vm, hints.rests, now)
         self._answer_suspects(hints, host, now)
         if hints.failures:
             domain = self._members.find_failure_domain(hints.vm)
@@ -201,6 +202,7 @@
             or log_up != self._told_log_up
         )
         leaving = self._words.collect(now)
+        rests = self._words.collect_rests(now)
         self._told_log_up = log_up
         for near, told in ((True, loads.near), (False, loads.far)):
             due_s = self._members.choose_heartbeat_s(near=near)
@@ -218,6 +220,7 @@
                 suspects,
                 self._suspects.digest,
                 leaving,
+                rests,
             )
             self._send_to(hints, near, now)
 
--- a/src/ramppin/gateway/process/routing/serverstate.py
+++ b/src/ramppin/gateway/process/routing/serverstate.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.process.membership.evidence import FleetEvidence
 from ramppin.gateway.process.membership.health import ServerHealth
 from ramppin.gateway.process.membership.serverwords import ServerWords
+from ramppin.gateway.process.membership.shedding import FleetShedding
 from ramppin.gateway.process.turns import Turns
 
 
@@ -75,6 +76,7 @@
         times: of its service's requests.
         health: what this VM saw of it.
         evidence: what all VMs saw of it.
+        shedding: which other VMs it turns away.
         coldness: whether it is cold.
         words: what it said of itself in its answers.
         missing: whether its entry has vanished.
@@ -102,6 +104,7 @@
         self.times = times or ServiceTimes()
         self.health = ServerHealth(turns)
         self.evidence = FleetEvidence()
+        self.shedding = FleetShedding()
         self.coldness = ServerColdness()
         self.words = words or ServerWords()
         self.missing = False
--- a/src/ramppin/gateway/process/routing/wordbook.py
+++ b/src/ramppin/gateway/process/routing/wordbook.py
@@ -60,12 +60,13 @@
         self._kept: OrderedDict[str, ServerWords] = OrderedDict()
         self._changes: list[WordChange] = []
         self._untold: list[str] = []
+        self._untold_rests: list[str] = []
         self.note_news: Callable[[], None] = lambda: None
 
     @property
     def has_untold(self) -> bool:
         """Whether an answer told something that other VMs were not told yet."""
-        return bool(self._untold)
+        return bool(self._untold or self._untold_rests)
 
     # servers come and go
 
@@ -128,6 +129,8 @@
         words = self._hear(server_id)
         if words.note_rest(rest_s, now):
             self._changes.append(WordChange(server_id, words, ClosureReason.RESTING))
+            self._untold_rests.append(server_id)
+            self.note_news()
 
     def take_changes(self) -> list[WordChange]:
         """Return what servers said since the last call, where that is news."""
@@ -139,6 +142,11 @@
         untold, self._untold = self._untold, []
         return untold
 
+    def take_untold_rests(self) -> list[str]:
+        """Return the starts that asked for a rest since the last call."""
+        untold, self._untold_rests = self._untold_rests, []
+        return untold
+
     def find_leaving(self, server_id: str) -> LeavingWord | None:
         """Return the word of a start that it leaves, or None."""
         words = self._listed.get(server_id) or self._kept.get(server_id)
--- a/src/ramppin/gateway/process/routing/wordnews.py
+++ b/src/ramppin/gateway/process/routing/wordnews.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Callable, Sequence
 
-from ramppin.gateway.connection.datagrams import LeavingHint
+from ramppin.gateway.connection.datagrams import LeavingHint, RestHint
 from ramppin.gateway.process.membership.serverwords import WordSource
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.wordbook import MS_PER_S
@@ -75,6 +75,36 @@
         hints = (self._describe(server_id, now) for server_id in chosen)
         return [hint for hint in hints if hint is not None]
 
+    def collect_rests(self, now: float) -> list[RestHint]:
+        """Return the rests to tell in the next message to all VMs.
+
+        Not those of servers that are passed over anyway, by what others told.
+
+        Args:
+            now: the loop's time.
+        """
+        hints = []
+        for server_id in self._directory.words.take_untold_rests():
+            state = self._directory.find(server_id)
+            until = state.words.find_rest_end(now) if state is not None else None
+            if state is None or until is None or state.shedding.is_likely(now):
+                continue
+            hints.append(RestHint(server_id, round((until - now) * MS_PER_S)))
+        return hints[:SERVERS_PER_MESSAGE]
+
+    def take_rests(self, vm: str, hints: Sequence[RestHint], now: float) -> None:
+        """Take the rests that another VM was asked for.
+
+        Args:
+            vm: that VM.
+            hints: servers that asked it.
+            now: the loop's time.
+        """
+        for hint in hints:
+            state = self._directory.find(hint.server)
+            if state is not None:
+                state.shedding.note_told(vm, now + hint.left_ms / MS_PER_S)
+
     def take(self, hints: Sequence[LeavingHint], now: float) -> None:
         """Take what another VM tells.
 
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -179,6 +179,8 @@
             last = await self._try(admission, selection, builder, choice)
             now = self._loop.time()
             watch.note_attempt(selection.state, last, started, now)
+            if last.word.rest_s > 0:
+                choice.note_turned_away()
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
                 self._report.note_attempt(admission, selection, last, now)
                 status = 0 if self._disconnected else last.status
--- a/src/ramppin/gateway/request/retryafter.py
+++ b/src/ramppin/gateway/request/retryafter.py
@@ -51,7 +51,10 @@
     """
     if not states:
         return NO_SERVER_S
-    return min(state.health.measure_rest_s(now) for state in states)
+    return min(
+        max(state.health.measure_rest_s(now), state.shedding.measure_rest_s(now))
+        for state in states
+    )
 
 
 def choose_start_pause_s(time_left_s: float | None) -> float:
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -10,6 +10,7 @@
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
+from ramppin.gateway.process.routing.gate import ServiceSurvey
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import Admission
@@ -39,11 +40,18 @@
         self._admission = admission
         self._watch = watch
         self._tried: set[str] = set()
+        self._was_turned_away = False
+
+    def note_turned_away(self) -> None:
+        """Note that a server has turned the request away and asked for rest."""
+        self._was_turned_away = True
 
     def select(self, now: float) -> Selection | Verdict:
         """Return the server for the next attempt, or why there is none."""
         context, service = self._context, self._admission.service
         survey = context.gate.survey(service, now)
+        if self._was_turned_away and self._is_turned_away_everywhere(survey, now):
+            return Verdict.RESTING
         prefix_key = self._admission.prefix_key
         request = SelectionRequest(
             prefix_key,
@@ -60,6 +68,14 @@
         context.cold_turns.note_sent(selection.state.id)
         return selection
 
+    def _is_turned_away_everywhere(self, survey: ServiceSurvey, now: float) -> bool:
+        """Return whether each server that is left is likely to turn it away too.
+
+        Each try would spend a retry of the service in vain.
+        """
+        left = [state for state in survey.list_open() if state.id not in self._tried]
+        return bool(left) and all(state.shedding.is_likely(now) for state in left)
+
     def find_obstacle(self, state: ServerState, now: float) -> str:
         """Return why the request may not go to its server any more, or empty.
 
