A relayed failure tells the caller when this fleet has a server, not when that one has

What callers saw: a 503 that could not be sent again was passed on with the server's own `Retry-After`. That is the rest it asked this VM for; another server was free, at this VM and at others, and the caller stayed away for 30 s in the scenario. Cause: what a server says to the VM went to the caller as if said to it. Change: in place of the server's time stands the gateway's own, one of them, with 503 and 429; status, body and signature stay as they were. Other relayed failures carry none. Failing before: "a caller was told a server's time of rest" failed on the code before, passes now. Excluded: two such headers in one answer (the scenario takes exactly one).

--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -108,3 +108,7 @@
       | known    | reached |
       | none     | 3       |
       | p1 p2 p3 | 1       |
+
+  Scenario: a caller was told a server's time of rest, though another server is open
+    When "p1" answers 503 to "/once/", and that it wants 30 s of rest
+    Then its caller was told one time to come back, of 1 s at most
--- a/features/steps/server_word_exchange_steps.py
+++ b/features/steps/server_word_exchange_steps.py
@@ -14,6 +14,7 @@
 from features.gateway_support import (
     HOST,
     GatewayFixture,
+    RawCaller,
     build_tree,
     encode_request,
     read_names,
@@ -386,3 +387,52 @@
     pause_s = float(RETRY_AFTER.search(context.answer.head)[1])
     assert least <= pause_s <= most, (pause_s, context.answer.head)
     assert found[-1]["rule"] == rule, found[-1]
+
+
+@when('"{name}" answers 503 to "/once/", and that it wants {rest} s of rest')
+def step_relayed(context, name, rest):
+    async def ask() -> None:
+        fixture = context.fixture
+        headers = b"Retry-After: %b\r\n" % rest.encode()
+        fixture.backends[name].script = partial(ask_for_rest, 503, headers)
+        while not fixture.backends[name].received:
+            context.answer = await fixture.ask("/once/")
+
+    run(context, ask())
+
+
+@then("its caller was told one time to come back, of {most:g} s at most")
+def step_told_once(context, most):
+    assert context.answer.status == 503, context.answer.data
+    [pause_s] = RETRY_AFTER.findall(context.answer.head)
+    assert float(pause_s) <= most, pause_s
+
+
+@when('a request "{name}" is sent to "{path}"')
+def step_named(context, name, path):
+    answer = run(context, context.fixture.ask(path, request_id=name))
+    assert answer.status == 200, answer.data
+
+
+async def ask_operations(gateway, target: str) -> str:
+    """Return what the gateway answers to an operator."""
+    caller = await RawCaller(gateway.operations_port).open()
+    await caller.send(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    answer = await caller.read()
+    caller.close()
+    return answer.body.decode()
+
+
+@then('"{name}" names "{closed}" as closed, and so do "/dump" and "/metrics"')
+def step_shown(context, name, closed):
+    gateway = context.fixture.gateway
+    expected = closed.split()
+    [found] = gateway.context.explanations.find(name)
+    assert list(found["closed"]) == expected, found
+    dump = json.loads(run(context, ask_operations(gateway, "/dump")))
+    shown = {s["id"]: s["closed"] for s in dump["servers"] if s["closed"]}
+    assert [f"{reason}:{name}" for name, reason in shown.items()] == expected, shown
+    metrics = run(context, ask_operations(gateway, "/metrics"))
+    for reason in ("leaving", "resting"):
+        line = f'closed_servers{{reason="{reason}",service="plain"}} 1.0'
+        assert line in metrics, metrics
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -49,7 +49,8 @@
 from ramppin.gateway.request.serverword import ServerWord
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
 
-_LENGTH = frozenset({b"content-length"})
+_REPLACED = frozenset({b"content-length", b"retry-after"})
+"""Headers of a relayed answer in whose place the gateway's own stand."""
 
 
 class Exchange:
@@ -346,7 +347,7 @@
         body = b""
         if final.server_answer is not None:
             head, body = final.server_answer
-            headers = keep_end_to_end(head.headers, _LENGTH)
+            headers = keep_end_to_end(head.headers, _REPLACED)
         if final.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.2f" % final.retry_after_s))
         names = self._context.names
--- a/src/ramppin/gateway/request/finalanswer.py
+++ b/src/ramppin/gateway/request/finalanswer.py
@@ -16,6 +16,7 @@
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.retry import Progress, Verdict
 from ramppin.gateway.request.retryafter import STOP_PAUSE_S, choose_start_pause_s
+from ramppin.gateway.request.serverword import REST_STATUSES
 
 NOT_RUN_STATUS = 503
 """Status of a request that no server ran."""
@@ -44,7 +45,8 @@
         status: the HTTP status that is answered or, for a stream that is cut, that
             the server's last answer had.
         reason: the rule that ended the request.
-        retry_after_s: when to come back, in seconds; None if it says nothing.
+        retry_after_s: when to come back, in seconds; None if it says nothing. It stands
+            in place of what a relayed answer says.
         server_answer: head and body that are relayed; None for any other ending.
     """
 
@@ -109,5 +111,7 @@
     """
     has_answer = last.answer is not None and last.end is AttemptEnd.FAILED
     if has_answer and not progress.answer_started:
-        return FinalAnswer(Ending.RELAY, last.status, reason, server_answer=last.answer)
+        # The server's own time was said to this VM; another may have a server open.
+        pause_s = retry_after_s if last.status in REST_STATUSES else None
+        return FinalAnswer(Ending.RELAY, last.status, reason, pause_s, last.answer)
     return answer_stopped(progress, last, reason, retry_after_s)
