Operators see what closes a server, and why a request went elsewhere

Cause: a request that passed over a server left no trace of what closed it, so the way from a refused request to the 503s that closed its servers was a search by hand. `build_dump` gave the description of a server to a function of its own.

--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -112,3 +112,9 @@
   Scenario: a caller was told a server's time of rest, though another server is open
     When "p1" answers 503 to "/once/", and that it wants 30 s of rest
     Then its caller was told one time to come back, of 1 s at most
+
+  Scenario: operators see what closes a server, and a request why it went elsewhere
+    When the servers "p1" say in an answer 200 to "/once/" that they leave
+    And the servers "p2" ask for 30 s of rest by 503 not run
+    And a request "why" is sent to "/once/"
+    Then "why" names "leaving:p1 resting:p2" as closed, and so do "/dump" and "/metrics"
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Callable
 
 from ramppin.gateway.connection.callerwire import CallerConnection, Responder
@@ -18,6 +19,8 @@
 from ramppin.gateway.process.reporting.explanations import Explanations
 from ramppin.gateway.process.reporting.exposition import expose
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics
+from ramppin.gateway.process.routing.closure import ClosureReason
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.fingerprint import read_fingerprint, show_fingerprint
 
 METRICS_TARGET = b"/metrics"
@@ -72,21 +75,7 @@
                 for table in self._tables
             },
             "servers": [
-                {
-                    "id": state.server.name,
-                    "started_ms": state.server.started_ms,
-                    "service": state.server.service,
-                    "failure_domain": state.server.failure_domain,
-                    "open": context.directory.may_get_work(state),
-                    "in_flight": state.in_flight,
-                    "load": state.find_known_load(now),
-                    "report_age_s": _shorten(state.load.measure_age(now)),
-                    "failure_rate": round(state.health.failure_rate, 2),
-                    # The key's name is older than the code's word for it.
-                    "aside": state.health.is_suspect(now),
-                    "cold_s": _shorten(state.coldness.measure_left_s(now)),
-                }
-                for state in context.directory
+                self._describe_server(state, now) for state in context.directory
             ],
             "evacuations": [
                 {
@@ -102,6 +91,27 @@
             "connections_opened": context.pool.opened,
         }
 
+    def _describe_server(self, state: ServerState, now: float) -> dict[str, object]:
+        closure = self._context.gate.find_closure(state, now)
+        opens_at = closure.opens_at if closure else None
+        return {
+            "id": state.server.name,
+            "started_ms": state.server.started_ms,
+            "service": state.server.service,
+            "failure_domain": state.server.failure_domain,
+            "open": self._context.directory.may_get_work(state),
+            "closed": closure.reason.value if closure else "",
+            "opens_s": None if opens_at is None else _shorten(opens_at - now),
+            "in_flight": state.in_flight,
+            "load": state.find_known_load(now),
+            "report_age_s": _shorten(state.load.measure_age(now)),
+            "failure_rate": round(state.health.failure_rate, 2),
+            # The key's name is older than the code's word for it.
+            "aside": state.health.is_suspect(now),
+            "shedding_s": _shorten(state.shedding.measure_rest_s(now)),
+            "cold_s": _shorten(state.coldness.measure_left_s(now)),
+        }
+
     def clear(self, fingerprint: int, now: float) -> bool:
         """Let a request run again; return whether anything was known against it."""
         return self._context.quarantine.clear(fingerprint, now)
@@ -137,7 +147,11 @@
             metrics.record_age_seconds.set(age, name)
             metrics.log_up.set(table.follower.reachable, name)
         for service in context.directory.list_services():
-            states = context.directory.list_open(service)
+            survey = context.gate.survey(service, now)
+            reasons = Counter(closure.reason for closure in survey.closed.values())
+            for reason in ClosureReason:
+                metrics.closed_servers.set(reasons[reason], service, reason.value)
+            states = survey.states
             suspect = sum(state.health.is_suspect(now) for state in states)
             metrics.open_servers.set(len(states), service)
             metrics.suspect_servers.set(suspect, service)
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -187,6 +187,11 @@
             "Open backend servers that are cold, by service.",
             ("service",),
         )
+        self.closed_servers = GaugeTally(
+            "ramppin_gateway_closed_servers",
+            "Backend servers that get nothing from this VM now, by service and reason.",
+            ("service", "reason"),
+        )
         self.evacuated_domains = GaugeTally(
             "ramppin_gateway_evacuated_domains",
             "Failure domains that the operator has emptied.",
--- a/src/ramppin/gateway/process/routing/gate.py
+++ b/src/ramppin/gateway/process/routing/gate.py
@@ -19,6 +19,9 @@
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.serverstate import ServerState
 
+MOST_SHOWN = 8
+"""Closed servers that one line names."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSurvey:
@@ -47,6 +50,11 @@
         passed_over = tried if self.list_open() else ()
         return {c.reason for name, c in self.closed.items() if name not in passed_over}
 
+    def show_closed(self) -> tuple[str, ...]:
+        """Return the closed servers for lines, as ``REASON:ID``, some if many."""
+        found = sorted(f"{c.reason.value}:{name}" for name, c in self.closed.items())
+        return tuple(found[:MOST_SHOWN])
+
     def find_first_opening(self) -> Closure | None:
         """Return the closure that ends first, of those whose end is known."""
         ending = [c for c in self.closed.values() if c.opens_at is not None]
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -54,6 +54,7 @@
         report_age_s: age of its load report in seconds.
         copy_from: id of another server that has the prompt's prefix, or None.
         shared_by: servers that share the prefix, its home among them.
+        closed: servers that were closed, as ``REASON:ID``, some of them if many.
     """
 
     state: ServerState
@@ -65,6 +66,7 @@
     report_age_s: float
     copy_from: str | None = None
     shared_by: int = 1
+    closed: tuple[str, ...] = ()
 
 
 class SelectionStrategy(ABC):
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -174,7 +174,7 @@
             if isinstance(selection, Verdict):
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_stopped(self._progress, last, selection, pause_s)
-                self._end(admission, final)
+                self._end(admission, final, choice.closed)
                 return
             started = self._loop.time()
             last = await self._try(admission, selection, builder, choice)
@@ -194,7 +194,7 @@
             if not verdict.allows:
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_failed(self._progress, last, verdict, pause_s)
-                self._end(admission, final)
+                self._end(admission, final, choice.closed)
                 return
 
     # choosing and sending
@@ -322,7 +322,9 @@
 
     # ends
 
-    def _end(self, admission: Admission, final: FinalAnswer) -> None:
+    def _end(
+        self, admission: Admission, final: FinalAnswer, closed: tuple[str, ...]
+    ) -> None:
         """End a request that no attempt has delivered."""
         if self._disconnected:
             return
@@ -332,6 +334,7 @@
             self._progress,
             final,
             server=self._last_server,
+            closed=closed,
             time_left_s=self._ends_at - now,
             now=now,
         )
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -90,6 +90,7 @@
             "bound": _round_bound(selection.bound),
             "mean": round(selection.mean, 1),
             "in_flight": selection.in_flight,
+            "closed": selection.closed,
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
             "end": result.end.value,
             "status": result.status,
@@ -115,6 +116,7 @@
         final: FinalAnswer,
         *,
         server: str,
+        closed: tuple[str, ...],
         time_left_s: float,
         now: float,
     ) -> None:
@@ -125,6 +127,7 @@
             progress: how far it had come.
             final: how it is ended.
             server: the last server tried, or empty.
+            closed: servers that were closed at the last choice, as ``REASON:ID``.
             time_left_s: time until it would have been given up in any case.
             now: the loop's time.
         """
@@ -143,6 +146,7 @@
             "took_ms": round((now - self._arrived) * 1000),
             "tries": progress.tries,
             "runs": progress.runs,
+            "closed": closed,
             "open_servers": len(context.directory.list_open(admission.service)),
             "servers_age_s": context.measure_servers_age(now),
         }
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
@@ -30,6 +32,9 @@
         admission: of the request.
         watch: what the request does to servers.
 
+    Attributes:
+        closed: servers that were closed at the last choice, as ``REASON:ID``.
+
     .. versionadded:: 0.3
     """
 
@@ -41,6 +46,7 @@
         self._watch = watch
         self._tried: set[str] = set()
         self._was_turned_away = False
+        self.closed: tuple[str, ...] = ()
 
     def note_turned_away(self) -> None:
         """Note that a server has turned the request away and asked for rest."""
@@ -50,6 +56,7 @@
         """Return the server for the next attempt, or why there is none."""
         context, service = self._context, self._admission.service
         survey = context.gate.survey(service, now)
+        self.closed = survey.show_closed()
         if self._was_turned_away and self._is_turned_away_everywhere(survey, now):
             return Verdict.RESTING
         prefix_key = self._admission.prefix_key
@@ -66,7 +73,7 @@
             return judge_none_left(survey.list_reasons(self._tried))
         self._tried.add(selection.state.id)
         context.cold_turns.note_sent(selection.state.id)
-        return selection
+        return replace(selection, closed=self.closed)
 
     def _is_turned_away_everywhere(self, survey: ServiceSurvey, now: float) -> bool:
         """Return whether each server that is left is likely to turn it away too.
