Readers: shorter functions of metrics and admission; two comments without figures

Change: metrics by what they tell of (requests, events, process, tables, servers); the time limit of an admission is one minimum. Behaviour is the same. Excluded: names of metrics (interfaces unchanged).

--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -57,8 +57,7 @@
         weights_version: the version of the weights that alone may serve it.
         never_from_caller: those that only ramppin sets for a server. A caller that
             set them would give itself a server's memory and a place in the queue; an
-            order that no server knows is refused by each in turn: 7 to 11 in 100
-            requests of a day on which some callers sent such orders.
+            order that no server knows is refused by each in turn.
         always_from_caller: those that reach the server even if ``Connection`` lists
             them.
 
--- a/src/ramppin/gateway/process/quarantine/record.py
+++ b/src/ramppin/gateway/process/quarantine/record.py
@@ -19,9 +19,8 @@
 
 MIN_ENDS_SERVED = 8
 """The same for a request that ran well before: harmless and often sent, most likely,
-and so in flight at many ends that another caused. Beside three harmful requests that
-came 3 times a second each, with 12 servers, a prompt sent 5 times a second met three
-ends before its next whole answer in 1 of 20 runs, and was refused from then on."""
+and so in flight at many ends that another caused: it may well meet three of them before
+its next whole answer."""
 
 FIRST_REST_S = 60.0
 """Seconds for which a request is refused after the third end: long beside the seconds
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -99,7 +99,10 @@
 
     def __init__(self) -> None:
         self._count_requests()
-        self._measure_state()
+        self._count_events()
+        self._measure_process()
+        self._measure_tables()
+        self._measure_servers()
 
     def list_tallies(self) -> list[Tally]:
         """Return all metrics."""
@@ -127,12 +130,13 @@
             "Retries that the fleet's budget did not allow.",
             ("service",),
         )
+
+    def _count_events(self) -> None:
         self.log_calls = CounterTally(
             "ramppin_gateway_log_calls_total",
             "Calls to the shared log by table, kind and outcome.",
             ("table", "call", "outcome"),
         )
-
         self.refused_entries = CounterTally(
             "ramppin_gateway_refused_entries_total",
             "Entries of the shared log that could not be read, by table.",
@@ -142,7 +146,6 @@
             "ramppin_gateway_stalls_total",
             "Turns of the process that came late by 0.1 s or more.",
         )
-
         self.quarantine_changes = CounterTally(
             "ramppin_gateway_quarantine_changes_total",
             "Requests that were quarantined, tried and cleared, by change.",
@@ -154,7 +157,7 @@
             ("word", "source"),
         )
 
-    def _measure_state(self) -> None:
+    def _measure_process(self) -> None:
         self.in_flight = GaugeTally(
             "ramppin_gateway_requests_in_flight", "Requests in flight."
         )
@@ -162,6 +165,8 @@
             "ramppin_gateway_settings_version",
             "Version of the settings in force; -1 before the first.",
         )
+
+    def _measure_tables(self) -> None:
         self.record_age_seconds = GaugeTally(
             "ramppin_gateway_record_age_seconds",
             "Time since a table was last known to be current.",
@@ -172,6 +177,8 @@
             "Whether the last read of a table succeeded.",
             ("table",),
         )
+
+    def _measure_servers(self) -> None:
         self.open_servers = GaugeTally(
             "ramppin_gateway_open_servers",
             "Backend servers that may get new work, by service.",
--- a/src/ramppin/gateway/request/admission.py
+++ b/src/ramppin/gateway/request/admission.py
@@ -116,9 +116,8 @@
         return Denial.UNKNOWN_KEY
     deadline = request.find(names.deadline_ms)
     deadline_s = parse_deadline(deadline)
-    time_limit_s = route.time_limit_s
-    if deadline_s is not None:
-        time_limit_s = min(time_limit_s, deadline_s)
+    limits_s = [route.time_limit_s, deadline_s]
+    time_limit_s = min(limit_s for limit_s in limits_s if limit_s is not None)
     if drain is not None and not drain.may_take(time_limit_s, now):
         return Denial.STOPPING
     parts = request.find(names.prompt_parts)
