Soaks: the domain soak and the word soak share their course

Cause: both had the same run, the same loop of harms and the same way to show a seed. Change: SeriesSoak in features/soak_vms.py; each soak names its callers, its start, its checks. Seeds draw what they drew before: the order of random numbers is the same. Excluded: a changed check (none moved but as a whole).

--- a/features/domain_soak.py
+++ b/features/domain_soak.py
@@ -29,7 +29,7 @@
 
 from features.platform_support import build_config
 from features.soak_runs import build_parser, run_seeds
-from features.soak_vms import DOMAINS, VmSoak
+from features.soak_vms import DOMAINS, SeriesSoak
 from ramppin_platform.vocabulary import HEADER_NAMES
 from standins.backend import BackendStandIn, Reply
 from standins.common import wait_for
@@ -88,7 +88,7 @@
 
 
 @dataclass
-class DomainSoak(VmSoak):
+class DomainSoak(SeriesSoak):
     """One run with one seed."""
 
     statuses: Counter = field(default_factory=Counter)
@@ -107,25 +107,12 @@
         self._ids = 0
         self._starts = 0
 
-    async def run(self) -> list[str]:
-        """Run, and return what broke a promise."""
-        await self._start()
-        try:
-            self.started_at = time.monotonic()
-            until = self.started_at + self.seconds
-            callers = (
-                (PLAIN_PER_S, partial(self._ask, "/a/x")),
-                (PROMPTS_PER_S, partial(self._ask, "/s/x")),
-                (HOT_PER_S, partial(self._ask, "/s/x", subject=SUBJECTS)),
-            )
-            await asyncio.gather(
-                *(self.callers.come_until(until, *kind) for kind in callers),
-                self._harm_until(until),
-            )
-            await self.callers.wait()
-        finally:
-            await self._stop()
-        return self._check()
+    def _list_callers(self):
+        return [
+            (PLAIN_PER_S, partial(self._ask, "/a/x")),
+            (PROMPTS_PER_S, partial(self._ask, "/s/x")),
+            (HOT_PER_S, partial(self._ask, "/s/x", subject=SUBJECTS)),
+        ]
 
     async def _start(self) -> None:
         await self.fixture.store.start()
@@ -229,17 +216,6 @@
 
     # harm
 
-    async def _harm_until(self, until: float) -> None:
-        """Harm at random moments, in any order and again."""
-        running = []
-        while time.monotonic() < until - 1.0:
-            await asyncio.sleep(self.fault_random.uniform(0.3, 1.5))
-            name = self.fault_random.choice(self.harms)
-            at = time.monotonic() - self.started_at
-            self.faults.append(f"{name}@{at:.1f}")
-            running.append(asyncio.ensure_future(getattr(self, f"_{name}")()))
-        await asyncio.gather(*running)
-
     async def _refuse_store(self) -> None:
         outage = Span(time.monotonic())
         self.outages.append(outage)
@@ -358,11 +334,7 @@
 
 def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
     """Run one seed and print what it did."""
-    soak = draw_soak(seed, options.seconds, options.vms)
-    broken = asyncio.run(soak.run())
-    state = "BROKEN" if broken else "kept"
-    print(f"seed {seed}: {state}; {soak.show()}")
-    return broken
+    return draw_soak(seed, options.seconds, options.vms).run_and_show()
 
 
 def main() -> int:
--- a/features/soak_vms.py
+++ b/features/soak_vms.py
@@ -13,6 +13,8 @@
 import random
 import signal
 import time
+from abc import abstractmethod
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from features.gateway_support import RawAnswer, RawCaller
@@ -149,3 +151,68 @@
         vms = list(self.running)
         await asyncio.gather(*map(self._kill, vms))
         await asyncio.gather(*map(self._begin, vms))
+
+
+class SeriesSoak(VmSoak):
+    """A soak whose harms come at random moments, in any order and again."""
+
+    async def run(self) -> list[str]:
+        """Run, and return what broke a promise."""
+        await self._start()
+        try:
+            self.started_at = time.monotonic()
+            until = self.started_at + self.seconds
+            await asyncio.gather(
+                *(
+                    self.callers.come_until(until, *kind)
+                    for kind in self._list_callers()
+                ),
+                self._harm_until(until),
+            )
+            await self.callers.wait()
+        finally:
+            await self._stop()
+        return self._check()
+
+    def run_and_show(self) -> list[str]:
+        """Run, print what was done, and return what broke a promise."""
+        broken = asyncio.run(self.run())
+        state = "BROKEN" if broken else "kept"
+        print(f"seed {self.seed}: {state}; {self.show()}")
+        return broken
+
+    async def _harm_until(self, until: float) -> None:
+        running = []
+        while time.monotonic() < until - 1.0:
+            await asyncio.sleep(self.fault_random.uniform(0.3, 1.5))
+            name = self.fault_random.choice(self.harms)
+            if not self._may_harm(name):
+                continue
+            at = time.monotonic() - self.started_at
+            self.faults.append(f"{name}@{at:.1f}")
+            running.append(asyncio.ensure_future(getattr(self, f"_{name}")()))
+        await asyncio.gather(*running)
+
+    def _may_harm(self, name: str) -> bool:
+        """Return whether a kind of harm may come now."""
+        return True
+
+    @abstractmethod
+    async def _start(self) -> None:
+        """Start the store, the backend servers and the VMs."""
+
+    @abstractmethod
+    async def _stop(self) -> None:
+        """End all of them."""
+
+    @abstractmethod
+    def _list_callers(self) -> list[tuple[float, Callable[[], Coroutine]]]:
+        """Return kinds of callers: how many a second, and what each does."""
+
+    @abstractmethod
+    def _check(self) -> list[str]:
+        """Return what broke a promise."""
+
+    @abstractmethod
+    def show(self) -> str:
+        """Return what was done and what callers got."""
--- a/features/word_soak.py
+++ b/features/word_soak.py
@@ -31,7 +31,7 @@
 from features.gateway_support import RawAnswer
 from features.platform_support import StoreStandIn, build_config
 from features.soak_runs import build_parser, run_seeds
-from features.soak_vms import DOMAINS, VmSoak
+from features.soak_vms import DOMAINS, SeriesSoak
 from features.word_servers import (
     ALL_VMS,
     PLAIN,
@@ -92,7 +92,7 @@
 
 
 @dataclass
-class WordSoak(VmSoak):
+class WordSoak(SeriesSoak):
     """One run with one seed.
 
     Attributes:
@@ -123,37 +123,14 @@
         self._late_vms: list[str] = []
         self._store_harmed_at = float("-inf")
 
-    async def run(self) -> list[str]:
-        """Run, and return what broke a promise."""
-        await self._start()
-        try:
-            self.started_at = time.monotonic()
-            until = self.started_at + self.seconds
-            callers = (
-                (PLAIN_PER_S, partial(self._ask, "/a/x")),
-                (PROMPTS_PER_S, partial(self._ask, "/s/x")),
-            )
-            await asyncio.gather(
-                *(self.callers.come_until(until, *kind) for kind in callers),
-                self._harm_until(until),
-            )
-            await self.callers.wait()
-        finally:
-            await self._stop()
-        return self._check()
-
-    async def _harm_until(self, until: float) -> None:
-        """Harm at random moments, in any order and again."""
-        running = []
-        while time.monotonic() < until - 1.0:
-            await asyncio.sleep(self.fault_random.uniform(0.3, 1.5))
-            name = self.fault_random.choice(self.harms)
-            if name == "kill_all" and self.power_losses:
-                continue
-            at = time.monotonic() - self.started_at
-            self.faults.append(f"{name}@{at:.1f}")
-            running.append(asyncio.ensure_future(getattr(self, f"_{name}")()))
-        await asyncio.gather(*running)
+    def _list_callers(self):
+        return [
+            (PLAIN_PER_S, partial(self._ask, "/a/x")),
+            (PROMPTS_PER_S, partial(self._ask, "/s/x")),
+        ]
+
+    def _may_harm(self, name: str) -> bool:
+        return name != "kill_all" or not self.power_losses
 
     async def _start(self) -> None:
         await self.fixture.store.start()
@@ -491,15 +468,10 @@
 
 def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
     """Run one seed and print what it did."""
-    if options.harms:
-        harms = tuple(options.harms.split(","))
-        soak = WordSoak(seed, options.seconds, options.vms, harms)
-    else:
-        soak = draw_soak(seed, options.seconds, options.vms)
-    broken = asyncio.run(soak.run())
-    state = "BROKEN" if broken else "kept"
-    print(f"seed {seed}: {state}; {soak.show()}")
-    return broken
+    if not options.harms:
+        return draw_soak(seed, options.seconds, options.vms).run_and_show()
+    harms = tuple(options.harms.split(","))
+    return WordSoak(seed, options.seconds, options.vms, harms).run_and_show()
 
 
 def main() -> int:
