--- a/features/word_soak.py
+++ b/features/word_soak.py
@@ -32,6 +32,7 @@
 from features.platform_support import StoreStandIn, build_config
 from features.soak_runs import build_parser, run_seeds
 from features.soak_vms import DOMAINS, SeriesSoak
+from features.word_promises import DRAIN_S, WordPromises
 from features.word_servers import (
     ALL_VMS,
     PLAIN,
@@ -50,15 +51,6 @@
 SUBJECTS = 30
 DEADLINE_MS = 6000
 
-DRAIN_S = 2.0
-"""Seconds after which nothing may come from a VM that has passed on the word."""
-
-REST_SLACK_S = 0.5
-"""Seconds after a server asked for rest in which what is on its way may still come."""
-
-MOST_IN_REST = 2
-"""Requests of one VM that may reach a server in the rest of its time of rest."""
-
 KNOWN_S = 4.0
 """Seconds after which a calm VM knows an entry, while the store answers."""
 
@@ -97,7 +89,6 @@
 
     Attributes:
         statuses: what callers got.
-        told_leaving: when each VM first passed on that a start of a server leaves.
         refused_open: callers refused while a server was open, and when.
         open_asked: requests to calm VMs to which a server was open all along.
         open_served: those of them that were served.
@@ -106,7 +97,6 @@
     """
 
     statuses: Counter = field(default_factory=Counter)
-    told_leaving: dict[tuple[str, str], float] = field(default_factory=dict)
     refused_open: list[str] = field(default_factory=list)
     open_asked: int = 0
     open_served: int = 0
@@ -116,6 +106,7 @@
     def __post_init__(self) -> None:
         super().__post_init__()
         self.servers = WordServers(self.random)
+        self.promises = WordPromises(self.servers, self.disturbed_at, KNOWN_S)
         store = self.fixture.store
         self._side_door = StoreStandIn(topics=store.topics, newest=store.newest)
         self._ids = 0
@@ -244,7 +235,7 @@
         headers = read_headers(answer)
         if answer.whole and headers.get(HEADER_NAMES.leaving) == b"1":
             start = headers[START_HEADER].decode()
-            self.told_leaving.setdefault((vm, start), time.monotonic())
+            self.promises.note_told(vm, start, time.monotonic())
 
     def _note_outcome(
         self, vm: str, path: str, answer: RawAnswer, sent_at: float
@@ -364,17 +355,7 @@
     # the promises
 
     def _check(self) -> list[str]:
-        broken = []
-        for server in self.servers:
-            late = sum(self.count_late(server, vm) for vm in self.hosts)
-            if late:
-                broken.append(f"{server.start_name}: {late} arrivals, leaving")
-            untold = self.count_untold(server, DRAIN_S)
-            if untold:
-                broken.append(f"{server.start_name}: {untold} arrivals, untold")
-            most = max(self.count_in_rests(server), default=0)
-            if most > MOST_IN_REST:
-                broken.append(f"{server.start_name}: {most} arrivals in a rest")
+        broken = self.promises.list_broken()
         if self.refused_open:
             count = len(self.refused_open)
             broken.append(f"{count} refused, one open: {self.refused_open[:3]}")
@@ -383,57 +364,12 @@
             broken.append(f"only {shares} were served, a server being open")
         return broken
 
-    def count_late(self, server: WordServer, vm: str) -> int:
-        """Return how many requests of a VM reached a leaving server too late."""
-        told_at = self.told_leaving.get((vm, server.start_name))
-        if told_at is None:
-            return 0
-        return sum(
-            arrival.vm == vm
-            and arrival.sent_at > told_at + DRAIN_S
-            and not self._was_excused(vm, told_at, arrival.at)
-            for arrival in server.arrivals
-        )
-
-    def count_untold(self, server: WordServer, after_s: float) -> int:
-        """Return how many requests came though any VM had heard that it leaves.
-
-        Args:
-            server: the server.
-            after_s: seconds after the first such answer from which on they count.
-        """
-        if server.first_said_at is None:
-            return 0
-        since = server.first_said_at + after_s
-        return sum(
-            arrival.sent_at > since and self.was_calm(arrival.vm, arrival.at, KNOWN_S)
-            for arrival in server.arrivals
-        )
-
-    def count_in_rests(
-        self, server: WordServer, slack_s: float = REST_SLACK_S
-    ) -> list[int]:
-        """Return how many requests came in each rest, past its first moments."""
-        return [
-            sum(
-                arrival.vm == rest.vm
-                and rest.asked_at + slack_s < arrival.at
-                and arrival.at < rest.until
-                for arrival in server.arrivals
-            )
-            for rest in server.rests
-            if not self._was_excused(rest.vm, rest.asked_at, rest.until)
-        ]
-
-    def _was_excused(self, vm: str, begin: float, end: float) -> bool:
-        """Return whether a VM was started, stopped or killed in a span."""
-        return any(begin <= moment <= end for moment in self.disturbed_at[vm])
-
     def show(self) -> str:
         """Return what was done and what callers got."""
-        late = sum(self.count_late(s, vm) for s in self.servers for vm in self.hosts)
-        untold = sum(self.count_untold(s, SOON_S) for s in self.servers)
-        rests = [n for s in self.servers for n in self.count_in_rests(s)]
+        promises = self.promises
+        late = sum(promises.count_late(s) for s in self.servers)
+        untold = sum(promises.count_untold(s, SOON_S) for s in self.servers)
+        rests = [n for s in self.servers for n in promises.count_in_rests(s)]
         rejections = sum(len(s.rests) for s in self.servers)
         after = sum(
             arrival.at > server.leaving_since
--- a/src/ramppin/gateway/process/routing/gate.py
+++ b/src/ramppin/gateway/process/routing/gate.py
@@ -29,7 +29,7 @@
 
     Attributes:
         states: those that nothing lasting closes; loads are measured over them.
-        closed: what closes servers, by their ids; of the others none is missing.
+        closed: what closes servers, by their ids; a server that is not in it is open.
     """
 
     states: list[ServerState]
