A request that four servers turned away is tried on while one may be open

Callers were refused with tries_spent though a server of their service was open: four others had turned the request away for a time of rest at the moment at which they all began to, and a request may try four servers. A server that sheds answers in milliseconds, runs nothing and is closed from then on; so turning away counts for itself, up to eight times, and the four tries stay for servers that may have taken the request.

Ruled out: that the fifth server was thought closed (the line named it as open); that the time was spent. Not bounded higher: each such try costs a connection while a whole service sheds.

The soak explains each refusal by what the VM tells operators.

--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -118,3 +118,8 @@
     And the servers "p2" ask for 30 s of rest by 503 not run
     And a request "why" is sent to "/once/"
     Then "why" names "leaving:p1 resting:p2" as closed, and so do "/dump" and "/metrics"
+
+  Scenario: a caller was refused though a server was open, since four others turned it away
+    Given 4 more servers of "plain", and "p7" is the last to be chosen
+    When a request to "/again/" is sent while "p1 p2 p3 p4 p5 p6" turn all away
+    Then it is served
--- a/features/server_words/processes.feature
+++ b/features/server_words/processes.feature
@@ -11,3 +11,7 @@
   Scenario: servers leave and want rest while the store is harmed and VMs are
     Then a word soak of 6 processes, 12 seconds and seed 101 breaks no promise
     And a word soak of 6 processes, 12 seconds and seed 107 breaks no promise
+
+  Scenario: callers were refused though a server was open, when others began to turn them away
+    Then a word soak of 6 processes, 12 seconds and seed 275 breaks no promise
+    And a word soak of 6 processes, 12 seconds and seed 280 breaks no promise
--- a/features/server_words/words.feature
+++ b/features/server_words/words.feature
@@ -114,5 +114,18 @@
       | 3      | 2    | 0    | 0.5   | 3     |
       | 0.02   | 9    | 0    | 0.5   | 0.045 |
 
+  Scenario Outline: tries of a request: <tries>, <away> of them turned away
+    Then after <tries> tries, <away> of them turned away, one more is allowed: <allowed>
+
+    Examples:
+      | tries | away | allowed |
+      | 3     | 0    | yes     |
+      | 4     | 0    | no      |
+      | 4     | 1    | yes     |
+      | 7     | 7    | yes     |
+      | 8     | 8    | no      |
+      | 10    | 7    | yes     |
+      | 11    | 7    | no      |
+
   Scenario: words of servers that are gone do not pile up
     Then 5000 starts that said a word and are gone take a bounded memory
--- a/features/steps/server_word_exchange_steps.py
+++ b/features/steps/server_word_exchange_steps.py
@@ -436,3 +436,23 @@
     for reason in ("leaving", "resting"):
         line = f'closed_servers{{reason="{reason}",service="plain"}} 1.0'
         assert line in metrics, metrics
+
+
+@given('{count:d} more servers of "{service}", and "{last}" is the last to be chosen')
+def step_more(context, count, service, last):
+    async def add() -> None:
+        fixture = context.fixture
+        begin = len([name for name in fixture.backends if name.startswith("p")])
+        for number in range(begin, begin + count):
+            await fixture.add_backend(f"p{number + 1}", service)
+        await fixture.wait_until_ready(len(fixture.backends))
+        state = fixture.gateway.context.directory.find(last)
+        state.health.ejected_until = context.loop.time() + 60.0
+
+    run(context, add())
+
+
+@then("it is served")
+def step_served(context):
+    explanations = context.fixture.gateway.context.explanations
+    assert context.answer.status == 200, explanations.find("a1")[-1]
--- a/features/steps/server_word_steps.py
+++ b/features/steps/server_word_steps.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.process.routing.incarnation import StartVerdict, judge_start
 from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.process.routing.wordbook import KEPT_STARTS
+from ramppin.gateway.request.retry import Progress, judge_try
 from ramppin.gateway.request.retryafter import choose_retry_after_s
 from ramppin.gateway.request.serverword import read_word
 
@@ -143,3 +144,12 @@
         opening_s=closed, closed_s=closed, time_left_s=left, rank=rank, point=point
     )
     assert math.isclose(found, pause), found
+
+
+@then(
+    "after {tries:d} tries, {away:d} of them turned away, one more is allowed: "
+    "{allowed}"
+)
+def step_tries(context, tries, away, allowed):
+    progress = Progress(tries=tries, turned_away=away)
+    assert judge_try(progress, 5.0).allows == is_yes(allowed)
--- a/features/word_soak.py
+++ b/features/word_soak.py
@@ -9,7 +9,8 @@
 that says so reaches a leaving server from that VM; later than 2 s after any VM was told
 so none sends it anything; later than 0.5 s after a server asked a VM for rest, no more
 than two requests of that VM reach it until its end; while a server of the service is
-open, no caller of a calm VM is refused, and nine in ten are served.
+open, no caller of a calm VM is refused, unless the fleet's retries are spent, and nine
+in ten are served.
 
     python -m features.word_soak --seconds 12 --seeds 1-50
 
@@ -92,6 +93,7 @@
         refused_open: callers refused while a server was open, and when.
         open_asked: requests to calm VMs to which a server was open all along.
         open_served: those of them that were served.
+        budget_refused: those refused since the fleet's retries were spent.
         returned: refused callers that came back when they were told to.
         returns_served: those of them that were served then.
     """
@@ -100,6 +102,7 @@
     refused_open: list[str] = field(default_factory=list)
     open_asked: int = 0
     open_served: int = 0
+    budget_refused: int = 0
     returned: int = 0
     returns_served: int = 0
 
@@ -225,7 +228,7 @@
         self.statuses[200 if served else answer.status or "closed"] += 1
         self.returns_served += served and is_return
         self._note_told(vm, answer)
-        self._note_outcome(vm, path, answer, sent_at)
+        await self._note_outcome(vm, path, answer, sent_at)
         if answer.status != 503 or START_HEADER in answer.head:
             return None
         return float(read_headers(answer)[b"retry-after"])
@@ -237,7 +240,7 @@
             start = headers[START_HEADER].decode()
             self.promises.note_told(vm, start, time.monotonic())
 
-    def _note_outcome(
+    async def _note_outcome(
         self, vm: str, path: str, answer: RawAnswer, sent_at: float
     ) -> None:
         """Note what became of a request while a server was open to its calm VM."""
@@ -257,7 +260,20 @@
         self.open_served += answer.status == 200 and answer.whole
         if answer.status == 503 and START_HEADER not in answer.head:
             at = f"{sent_at - self.started_at:.2f}"
-            self.refused_open.append(f"{vm} {path} @{at}, open {' '.join(is_open)}")
+            why = await self._explain(vm, answer)
+            if why.endswith("budget_spent"):
+                # The fleet must keep within its retries, whoever is open.
+                self.budget_refused += 1
+                return
+            self.refused_open.append(f"{vm} {path} @{at}, open {is_open}: {why}")
+
+    async def _explain(self, vm: str, answer: RawAnswer) -> str:
+        """Return what a VM tells operators of a request that it refused."""
+        request_id = read_headers(answer)[HEADER_NAMES.request_id].decode()
+        target = f"/explain/{request_id}"
+        found = await self.fixture.ask_operator(vm, self.hosts[vm], target)
+        decisions = json.loads(found)["decisions"]
+        return " ".join(f"{d['server']}:{d['rule']}" for d in decisions)
 
     # harm: what servers say
 
@@ -381,7 +397,8 @@
         return (
             f"leaving: {after} arrivals, {untold} untold, {late} late; "
             f"rests: {rejections} rejections, most in one {max(rests, default=0)}; "
-            f"open {self.open_asked}, {self.open_served} served; "
+            f"open {self.open_asked}, {self.open_served} served, "
+            f"{self.budget_refused} out of retries; "
             f"came back {self.returned}, {self.returns_served} served; "
             f"answers {statuses}; {' '.join(self.faults)}"
         )
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -181,6 +181,7 @@
             now = self._loop.time()
             watch.note_attempt(selection.state, last, started, now)
             if last.word.rest_s > 0:
+                self._progress.turned_away += 1
                 choice.note_turned_away()
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
                 self._report.note_attempt(admission, selection, last, now)
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -22,7 +22,12 @@
 from ramppin.gateway.version.routing import Route
 
 MAX_TRIES = 4
-"""Servers that one request may try, failed connections included."""
+"""Servers that one request may try, failed connections included, and those left out
+that turned it away for a time of rest."""
+
+MAX_TURNED_AWAY = 8
+"""Servers that may turn one request away for a time of rest. Each costs milliseconds
+and is closed from then on, so trying on serves the requests that come after as well."""
 
 MIN_TIME_LEFT_S = 0.02
 """Seconds below which another attempt could not be answered in time."""
@@ -34,11 +39,13 @@
 
     Attributes:
         tries: servers tried, failed connections included.
+        turned_away: those of them that turned it away for a time of rest.
         runs: attempts that a server may have run.
         answer_started: whether the caller has got a part of an answer.
     """
 
     tries: int = 0
+    turned_away: int = 0
     runs: int = 0
     answer_started: bool = False
 
@@ -88,7 +95,9 @@
     """
     if is_quarantined:
         return Verdict.QUARANTINED
-    if progress.tries >= MAX_TRIES:
+    if progress.tries - progress.turned_away >= MAX_TRIES:
+        return Verdict.TRIES_SPENT
+    if progress.turned_away >= MAX_TURNED_AWAY:
         return Verdict.TRIES_SPENT
     if time_left_s < MIN_TIME_LEFT_S:
         return Verdict.TIME_SPENT
