--- a/features/suite.py
+++ b/features/suite.py
@@ -1,7 +1,8 @@
 """Runs the features, several folders at a time, and sums them up.
 
-A scenario in KNOWN-RED.txt may fail; any other failure fails the suite. The
-last line is ``N passed, N failed``.
+A scenario in KNOWN-RED.txt may fail; any other failure fails the suite. Why each
+failed stands at the end once more, for whoever sees no more than the end. The last
+line is ``N passed, N failed``.
 """
 
 from __future__ import annotations
@@ -12,9 +13,11 @@
 import subprocess
 import sys
 import tempfile
+import textwrap
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).parent
 KNOWN_RED = ROOT.parent / "KNOWN-RED.txt"
@@ -36,6 +39,9 @@
 """Folders whose many processes need the machine to themselves."""
 
 TIMEOUT_S = 900
+REASON_LINES = 12
+"""Lines of a failed step's error that are shown once more at the end."""
+
 FIGURE = re.compile(r"^(.+): (\d+) checked, (\d+) (?:violations|over)$", re.MULTILINE)
 
 
@@ -46,6 +52,7 @@
     folder: str
     passed: list[str] = field(default_factory=list)
     failed: list[str] = field(default_factory=list)
+    reasons: dict[str, str] = field(default_factory=dict)
     output: str = ""
 
 
@@ -117,6 +124,19 @@
             name = f"{outcome.folder}: {element['name']}"
             passed = element.get("status") == "passed"
             (outcome.passed if passed else outcome.failed).append(name)
+            if not passed:
+                outcome.reasons[name] = find_reason(element)
+
+
+def find_reason(element: dict[str, Any]) -> str:
+    """Return the failed step of a scenario and the end of its error."""
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status", "passed") != "passed":
+            error = result.get("error_message", result["status"])
+            lines = error if isinstance(error, list) else error.splitlines()
+            return "\n".join([step["name"], *lines[-REASON_LINES:]])
+    return "no step failed"
 
 
 def read_known_red() -> list[str]:
@@ -138,8 +158,10 @@
     passed = sum(len(outcome.passed) for outcome in outcomes)
     failed = [name for outcome in outcomes for name in outcome.failed]
     unexpected = [name for name in failed if name not in known_red]
+    reasons = {n: why for outcome in outcomes for n, why in outcome.reasons.items()}
     for name in failed:
         print(f"{'known red' if name in known_red else 'failed'}: {name}")
+        print(textwrap.indent(reasons.get(name, ""), "    "))
     if len(known_red) > MAX_KNOWN_RED:
         print(f"KNOWN-RED.txt holds more than {MAX_KNOWN_RED} lines")
         unexpected.append("KNOWN-RED.txt")
