--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -167,7 +167,7 @@
         # What a request did to servers must outlast its exchange: one that ended each
         # server that ran it was sent to the next, by this VM and by all others.
         watch = CrashWatch(self._context, admission.fingerprint)
-        choice = ServerChoice(self._context, admission, watch)
+        choice = ServerChoice(self._context, admission, watch, self._progress)
         last: AttemptResult | None = None
         while not self._disconnected:
             selection = self._select(choice, watch)
@@ -182,7 +182,6 @@
             watch.note_attempt(selection.state, last, started, now)
             if last.word.rest_s > 0:
                 self._progress.turned_away += 1
-                choice.note_turned_away()
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
                 self._report.note_attempt(admission, selection, last, now)
                 status = 0 if self._disconnected else last.status
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -17,7 +17,7 @@
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import Admission
 from ramppin.gateway.request.crashwatch import CrashWatch
-from ramppin.gateway.request.retry import Verdict, judge_none_left
+from ramppin.gateway.request.retry import Progress, Verdict, judge_none_left
 from ramppin.gateway.request.retryafter import (
     choose_retry_after_s,
     find_opening_s,
@@ -31,6 +31,7 @@
         context: what exchanges share.
         admission: of the request.
         watch: what the request does to servers.
+        progress: what has been tried for the request.
 
     Attributes:
         closed: servers that were closed at the last choice, as ``REASON:ID``.
@@ -39,25 +40,25 @@
     """
 
     def __init__(
-        self, context: GatewayContext, admission: Admission, watch: CrashWatch
+        self,
+        context: GatewayContext,
+        admission: Admission,
+        watch: CrashWatch,
+        progress: Progress,
     ) -> None:
         self._context = context
         self._admission = admission
         self._watch = watch
+        self._progress = progress
         self._tried: set[str] = set()
-        self._was_turned_away = False
         self.closed: tuple[str, ...] = ()
 
-    def note_turned_away(self) -> None:
-        """Note that a server has turned the request away and asked for rest."""
-        self._was_turned_away = True
-
     def select(self, now: float) -> Selection | Verdict:
         """Return the server for the next attempt, or why there is none."""
         context, service = self._context, self._admission.service
         survey = context.gate.survey(service, now)
         self.closed = survey.show_closed()
-        if self._was_turned_away and self._is_turned_away_everywhere(survey, now):
+        if self._progress.turned_away and self._is_turned_away_everywhere(survey, now):
             return Verdict.RESTING
         prefix_key = self._admission.prefix_key
         request = SelectionRequest(
