Tests: the lines of a gateway are made in a module of their own

It is now one class with a method for each part of a gateway's life. What is recorded is unchanged: the goldens of features/interfaces pass without being written again.

--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -6,14 +6,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import os
-import socket
-import tempfile
 import tomllib
 import zlib
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -23,15 +19,11 @@
 from pydantic import BaseModel, TypeAdapter
 
 import ramppin
-from features.gateway_support import (
-    GatewayFixture,
-    build_tree,
-    encode_request,
-)
+from features.gateway_lines import GatewayLines, describe_keys
+from features.gateway_support import GatewayFixture
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import HomeHint, PeerHints
 from ramppin.gateway.process.membership.members import MemberRecord
-from ramppin.gateway.process.membership.serverwords import WordSource
 from ramppin.gateway.process.recovery.peermessages import (
     PeerAnswer,
     PeerQuestion,
@@ -40,14 +32,10 @@
     encode_answer,
     encode_question,
 )
-from ramppin.gateway.process.reporting.decisions import DecisionLog
 from ramppin.gateway.process.reporting.exposition import build_family
 from ramppin.gateway.process.reporting.metrics import GatewayMetrics, HistogramTally
 from ramppin.gateway.process.routing.homesnapshot import SNAPSHOT_KEY, HomeSnapshot
 from ramppin.gateway.process.settingsfile import GatewayFile
-from ramppin.gateway.process.turns import STALL_S
-from ramppin.gateway.request.admission import Denial
-from ramppin.gateway.request.result import AttemptEnd
 from ramppin.gateway.version.routingfile import RoutingTree, ServerNode
 from ramppin.router.connection import messages
 from ramppin.router.connection.links import Meter
@@ -60,7 +48,6 @@
 from ramppin_platform import vocabulary
 from ramppin_platform.records import ConfigRecord, ServerRecord
 from ramppin_platform.settings import PlatformSettings
-from standins.common import wait_for
 from standins.fleet import OPERATOR_KEY
 
 RECORDED = Path("features/interfaces")
@@ -103,15 +90,6 @@
     return strip_schema(schema, schema.get("$defs", {}))
 
 
-def describe_keys(value: Any) -> Any:
-    """Return the keys of a JSON value; of a list, those of its first item."""
-    if isinstance(value, dict):
-        return {key: describe_keys(part) for key, part in value.items()}
-    if isinstance(value, list):
-        return [describe_keys(part) for part in value[:1]]
-    return "value"
-
-
 def describe_metrics(metrics: object) -> list[dict[str, object]]:
     """Return name, type, labels and buckets of each metric."""
     found = []
@@ -310,21 +288,6 @@
 # a gateway's lines and answers
 
 
-@dataclass
-class Operator:
-    """Asks a gateway's operations listener."""
-
-    port: int
-
-    async def ask(self, target: str) -> Any:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        request = f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-        writer.write(request.encode())
-        data = await asyncio.wait_for(reader.read(), 20)
-        writer.close()
-        return json.loads(data.partition(b"\r\n\r\n")[2])
-
-
 @given("a gateway on a log of its own")
 def step_gateway(context):
     context.fixture = GatewayFixture()
@@ -334,125 +297,10 @@
 
 @when("each kind of decision line is written")
 def step_write_lines(context):
-    work = write_lines(context.fixture)
+    work = GatewayLines(context.fixture).write_all()
     context.found = context.loop.run_until_complete(work)
 
 
-async def write_lines(fixture: GatewayFixture) -> dict[str, Any]:
-    """Let a gateway write each kind of line; return the fields by event."""
-    gateway = fixture.gateway
-    path = fixture.log_path
-
-    async def wait_for_event(event: str) -> None:
-        def is_written() -> bool:
-            gateway.context.decisions.flush()
-            return event in read_events(path)
-
-        await wait_for(is_written, f"a line {event}")
-
-    await fixture.ask("/again/", request_id="early")
-    await wait_for_event("denied")
-    await fixture.add_backend("p1", "plain", slots=2)
-    fixture.publish(build_tree(3))
-    await fixture.wait_until_ready(1)
-    fixture.publish(build_tree(2))
-    await wait_for_event("settings_older")
-    for value, event in ((b"{}", "domain_evacuated"), (None, "domain_restored")):
-        fixture.settings.put("evacuated/faro", value)
-        await wait_for_event(event)
-    fixture.publish({"version": "none"})
-    await wait_for_event("settings_refused")
-    fixture.announce("p1", "plain", slots=2, cold_s=1.0)
-    await wait_for_event("server_cold")
-    fixture.announce("p1", "plain", slots=2)
-    fixture.servers.put("bad", b"{}")
-    await wait_for_event("server_refused")
-
-    await fixture.ask("/again/", request_id="served")
-    await wait_for_event("answered")
-    caller = await fixture.connect()
-    await caller.send(encode_request("/again/", headers={"Long": "x" * 5000}))
-    await caller.read()
-    await wait_for_event("refused")
-    await fixture.backends["p1"].stop()
-    await fixture.ask("/again/", request_id="failed")
-    await wait_for_event("given_up")
-    await wait_for_event("attempt_failed")
-
-    now = asyncio.get_running_loop().time()
-    gateway.context.directory.words.note_leaving("p2", WordSource.ANSWER, now)
-    await wait_for_event("server_closed")
-    gateway.context.directory.words.note_rest("p2", 0.1, now)
-    await wait_for_event("server_opened")
-    quarantine = gateway.context.quarantine
-    begin = asyncio.get_running_loop().time() - 100.0
-    for n in range(3):
-        quarantine.note_lost(0xAB, f"s-{n}", begin + n, begin + n + 1)
-        quarantine.note_server_ended(f"s-{n}")
-    await wait_for_event("quarantined")
-    assert quarantine.admit(0xAB, asyncio.get_running_loop().time())
-    await wait_for_event("quarantine_trial")
-    operator = Operator(gateway.operations_port)
-    answers = {
-        "/dump": describe_keys(await operator.ask("/dump")),
-        "/explain served": describe_keys(await operator.ask("/explain/served")),
-        "/explain failed": describe_keys(await operator.ask("/explain/failed")),
-        "/explain unknown": describe_keys(await operator.ask("/explain/unknown")),
-        "given up": describe_keys((await operator.ask("/explain/failed"))["decisions"]),
-    }
-    decisions = (await operator.ask("/explain/failed"))["decisions"]
-    answers["given up"] = describe_keys(decisions[-1:])
-    quarantine.clear(0xAB, asyncio.get_running_loop().time())
-    await wait_for_event("quarantine_cleared")
-    fixture.servers.put("p1", None)
-    await wait_for_event("server_gone")
-    gateway.reload(gateway.config)
-    await wait_for_event("reloaded")
-    gateway._note_turn(STALL_S, asyncio.get_running_loop().time())
-    await wait_for_event("stalled")
-    gateway.start_drain()
-    await wait_for_event("draining")
-    await gateway.stop()
-    await wait_for_event("stopped")
-    events = read_events(path) | await write_start_line_without_operators()
-    events |= write_dropped_line()
-    return {
-        "events": dict(sorted(events.items())),
-        "answers": answers,
-        "ends of attempts": sorted(end.value for end in AttemptEnd),
-        "denials": sorted([denial.status, denial.reason] for denial in Denial),
-    }
-
-
-async def write_start_line_without_operators() -> dict[str, list[str]]:
-    """Return the line of a gateway whose operations port is taken."""
-    with socket.create_server(("127.0.0.1", 0)) as taken:
-        fixture = GatewayFixture(operations_port=taken.getsockname()[1])
-        await fixture.start()
-        fixture.gateway.context.decisions.flush()
-        events = read_events(fixture.log_path)
-        await fixture.stop()
-    return {"operations_unavailable": events["operations_unavailable"]}
-
-
-def write_dropped_line() -> dict[str, list[str]]:
-    """Return the line that tells how many were dropped."""
-    with tempfile.NamedTemporaryFile() as file:
-        decisions = DecisionLog("vm-1", descriptor=file.fileno())
-        for _ in range(1000):
-            decisions.note("started")
-        decisions.refill()
-        decisions.flush()
-        events = read_events(Path(file.name))
-    return {"lines_dropped": events["lines_dropped"]}
-
-
-def read_events(path: Path) -> dict[str, list[str]]:
-    """Return the fields of each event, in their order."""
-    lines = path.read_text().splitlines()
-    return {line["event"]: list(line) for line in map(json.loads, lines)}
-
-
 # a router's answers
 
 
