Tests: a VM never started, since the kernel chose the port that all VMs share

Cause: VMs of a soak reach each other at the ports of the first one. Each later VM let the kernel choose its ports for callers and readiness before it bound the shared one; if one of these was the shared port, the process ended with "address already in use", and the harness waited on. Evidence: forced, by the shared port given to callers, the same message after the wait, exit code 1; 14 of 60,000 tries of the same binds meet the shared port (0.023 %), and the suite starts some hundreds of VMs in a run.

The harness now takes the free ports while it holds the shared one, on VMs' own addresses, and a process that ends at its start fails the test at once, with its exit code and the end of its log.

--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -12,6 +12,7 @@
 import os
 import re
 import signal
+import socket
 import struct
 import sys
 import tempfile
@@ -193,6 +194,10 @@
     }
 
 
+SHARED_HOST = "127.0.0.1"
+"""The address of backend servers, callers and lone gateways."""
+
+
 @dataclass
 class PlatformFixture:
     """A store, backend servers, and gateway processes through the adapter."""
@@ -269,16 +274,17 @@
         """
         # Peers reach each other at the ports of the first; the rest are free ones.
         records, peers = self.shared_ports or (0, 0)
+        frontend, readiness, operations = choose_free_ports(host, records)
         fields = {
             "node_name": vm,
             "ip": host,
             "zone": zone,
             "unknown.field": "ignored",
-            "listen.frontend": f"{host}:0",
-            "listen.readiness": f"{host}:0",
+            "listen.frontend": f"{host}:{frontend}",
+            "listen.readiness": f"{host}:{readiness}",
             "listen.control_plane": f"{host}:{records}",
             "internal_port_range": f"{peers},{peers + 3}",
-            "operations_port": "0",
+            "operations_port": str(operations),
             "seed_nodes": f"127.0.0.1:{records}",
             "bounds.grace_s": "6",
             "platform.address": f"127.0.0.1:{(store or self.store).port}",
@@ -296,12 +302,18 @@
             stderr=log,
         )
         os.close(log)
-        started = await wait_for(lambda: self.find_started(vm), f"{vm} has started")
+        started = await wait_for(lambda: self._check_start(vm), f"{vm} has started")
         self.ports[vm] = started["callers"]
         self.shared_ports = started["records"], started["peers"]
         readiness = started["readiness"]
         await wait_for(lambda: self.is_ready(host, readiness), f"{vm} is ready")
 
+    def _check_start(self, vm: str) -> dict | None:
+        """Return what :meth:`find_started` does; fail if the process has ended."""
+        code = self.processes[vm].returncode
+        assert code is None, (vm, code, self.find_log(vm).read_text()[-1000:])
+        return self.find_started(vm)
+
     def find_started(self, vm: str) -> dict | None:
         """Return the line that tells a gateway's ports, or None."""
         for line in self.find_log(vm).read_text().splitlines():
@@ -392,6 +404,27 @@
         return await asyncio.wait_for(process.wait(), 20)
 
 
+def choose_free_ports(host: str, taken: int) -> tuple[int, ...]:
+    """Return three free ports of a VM, none of them that which all VMs share.
+
+    Where the kernel chose them one by one, it chose the shared port once in 4,000
+    starts, and the VM ended.
+
+    Args:
+        host: the VM's address; ports of the one that others use too are left to the
+            kernel (0).
+        taken: the shared port; 0 if the kernel chooses it as well.
+    """
+    if host == SHARED_HOST:
+        return (0, 0, 0)
+    with contextlib.ExitStack() as held:
+        sockets = [held.enter_context(socket.socket()) for _ in range(4)]
+        for number, port in enumerate((taken, 0, 0, 0)):
+            sockets[number].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sockets[number].bind((host, port))
+        return tuple(s.getsockname()[1] for s in sockets[1:])
+
+
 def encode_request(path: str, key: str, headers: dict[str, str]) -> bytes:
     """Return a request's bytes in the platform's names."""
     lines = [f"POST {path} HTTP/1.1", "Host: h.example", "Attempt-Id: a1"]
