What other VMs told of a server's rest refuses no caller

A caller that one server had turned away was refused with `resting`, though a server was open to its VM: all that was left had asked two other VMs for rest, and the request was not tried there. A rest binds the VM that was asked, and a server may turn some VMs away and serve the others; what is told is a preference, and a preference must not refuse.

The scenario "a caller was refused though a server was open, since it had turned others away" failed before, as did the second row of "servers that all want rest", whose old form held the stop to be right (1 server reached in place of 3; it is replaced by one that asks for all three).

--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -99,15 +99,21 @@
     When a request to "/again/" waits for a connection, and three servers end under copies of it
     Then a server gets nothing, and it is refused by the rule "quarantined"
 
-  Scenario Outline: retries were spent at servers that all want rest, known of <known>
+  Scenario Outline: servers that all want rest, known of <known>
     Given two other VMs were asked for 3 s of rest by "<known>"
     When a request to "/again/" is sent while "p1 p2 p3" turn all away
-    Then it reached <reached> servers and got 503 by the rule "resting", to come back in 2.5 to 4.6 s
+    Then it reached 3 servers and got 503 by the rule "resting", to come back in 2.5 to 4.6 s
 
     Examples:
-      | known    | reached |
-      | none     | 3       |
-      | p1 p2 p3 | 1       |
+      | known    |
+      | none     |
+      | p1 p2 p3 |
+
+  Scenario: a caller was refused though a server was open, since it had turned others away
+    Given 1 more servers of "plain", and "p4" is the last to be chosen
+    And two other VMs were asked for 3 s of rest by "p1 p2 p3 p4"
+    When a request to "/again/" is sent while "p1 p2 p3" turn all away
+    Then it is served
 
   Scenario: a caller was told a server's time of rest, though another server is open
     When "p1" answers 503 to "/once/", and that it wants 30 s of rest
--- a/features/server_words/processes.feature
+++ b/features/server_words/processes.feature
@@ -15,3 +15,8 @@
   Scenario: callers were refused though a server was open, when others began to turn them away
     Then a word soak of 6 processes, 12 seconds and seed 275 breaks no promise
     And a word soak of 6 processes, 12 seconds and seed 280 breaks no promise
+
+  Scenario: callers were refused though a server was open, since it had turned others away
+    Then a word soak of 6 processes, 12 seconds and seed 325 breaks no promise
+    And a word soak of 6 processes, 12 seconds and seed 330 breaks no promise
+    And a word soak of 6 processes, 12 seconds and seed 344 breaks no promise
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -167,7 +167,7 @@
         # What a request did to servers must outlast its exchange: one that ended each
         # server that ran it was sent to the next, by this VM and by all others.
         watch = CrashWatch(self._context, admission.fingerprint)
-        choice = ServerChoice(self._context, admission, watch, self._progress)
+        choice = ServerChoice(self._context, admission, watch)
         last: AttemptResult | None = None
         while not self._disconnected:
             selection = self._select(choice, watch)
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -12,12 +12,11 @@
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.process.routing.eligibility import has_healthy_server
-from ramppin.gateway.process.routing.gate import ServiceSurvey
 from ramppin.gateway.process.routing.selection import Selection, SelectionRequest
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import Admission
 from ramppin.gateway.request.crashwatch import CrashWatch
-from ramppin.gateway.request.retry import Progress, Verdict, judge_none_left
+from ramppin.gateway.request.retry import Verdict, judge_none_left
 from ramppin.gateway.request.retryafter import (
     choose_retry_after_s,
     find_opening_s,
@@ -31,7 +30,6 @@
         context: what exchanges share.
         admission: of the request.
         watch: what the request does to servers.
-        progress: what has been tried for the request.
 
     Attributes:
         closed: servers that were closed at the last choice, as ``REASON:ID``.
@@ -40,16 +38,11 @@
     """
 
     def __init__(
-        self,
-        context: GatewayContext,
-        admission: Admission,
-        watch: CrashWatch,
-        progress: Progress,
+        self, context: GatewayContext, admission: Admission, watch: CrashWatch
     ) -> None:
         self._context = context
         self._admission = admission
         self._watch = watch
-        self._progress = progress
         self._tried: set[str] = set()
         self.closed: tuple[str, ...] = ()
 
@@ -58,8 +51,6 @@
         context, service = self._context, self._admission.service
         survey = context.gate.survey(service, now)
         self.closed = survey.show_closed()
-        if self._progress.turned_away and self._is_turned_away_everywhere(survey, now):
-            return Verdict.RESTING
         prefix_key = self._admission.prefix_key
         request = SelectionRequest(
             prefix_key,
@@ -76,14 +67,6 @@
         context.cold_turns.note_sent(selection.state.id)
         return replace(selection, closed=self.closed)
 
-    def _is_turned_away_everywhere(self, survey: ServiceSurvey, now: float) -> bool:
-        """Return whether each server that is left is likely to turn it away too.
-
-        Each try would spend a retry of the service in vain.
-        """
-        left = [state for state in survey.list_open() if state.id not in self._tried]
-        return bool(left) and all(state.shedding.is_likely(now) for state in left)
-
     def find_obstacle(self, state: ServerState, now: float) -> str:
         """Return why the request may not go to its server any more, or empty.
 
