--- a/src/ramppin/gateway/process/routing/wordnews.py
+++ b/src/ramppin/gateway/process/routing/wordnews.py
@@ -5,8 +5,8 @@
 once, and in some messages more, since datagrams get lost. Beside that what each VM
 sends anyway, a heartbeat at the latest, tells all such servers that it knows of, from
 whomever, for VMs that have started, were cut off, or were stopped: what is told once
-more changes nothing. Nothing is told
-of servers whose entries say the same, or are gone. No I/O.
+more changes nothing. Nothing is told of servers whose entries say the same, or are
+gone. No I/O.
 """
 
 from __future__ import annotations
