--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,9 @@
-"""Measures: ``python -m bench placement|latency|capacity|vms|crashes|cold|all``."""
+"""Measures: ``python -m bench NAME``, where ``--help`` lists the names."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from pathlib import Path
@@ -165,6 +166,16 @@
     typer.echo(report.format_table(rows, VMS_SHOWN))
 
 
+def _tabulate_sizes(
+    tabulate: Callable[[int, Iterable[int]], list[dict[str, object]]],
+    sizes: str,
+    seeds: int,
+) -> list[dict[str, object]]:
+    """Return the rows of fleets of several sizes, for the seeds from 1 on."""
+    chosen = range(1, seeds + 1)
+    return [row for size in sizes.split(",") for row in tabulate(int(size), chosen)]
+
+
 CRASHES_SHOWN = (
     "vms",
     "lost_share",
@@ -187,11 +198,7 @@
     sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "8,87,195,360",
 ) -> None:
     """Play a request that ends servers through many VMs' quarantine."""
-    rows = [
-        row
-        for size in sizes.split(",")
-        for row in vms_crashes.tabulate(int(size), range(1, seeds + 1))
-    ]
+    rows = _tabulate_sizes(vms_crashes.tabulate, sizes, seeds)
     typer.echo(report.format_table(rows, CRASHES_SHOWN))
 
 
@@ -204,11 +211,7 @@
     sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "8,65",
 ) -> None:
     """Compare ways to share what a cold server takes among many VMs."""
-    rows = [
-        row
-        for size in sizes.split(",")
-        for row in vms_cold.tabulate_cold(int(size), range(1, seeds + 1))
-    ]
+    rows = _tabulate_sizes(vms_cold.tabulate_cold, sizes, seeds)
     typer.echo(report.format_table(rows, COLD_SHOWN))
 
 
@@ -231,11 +234,7 @@
     sizes: Annotated[str, typer.Option(help="Numbers of VMs.")] = "8,65,195",
 ) -> None:
     """Compare ways to find out which servers turn requests away."""
-    rows = [
-        row
-        for size in sizes.split(",")
-        for row in vms_shedding.tabulate_shedding(int(size), range(1, seeds + 1))
-    ]
+    rows = _tabulate_sizes(vms_shedding.tabulate_shedding, sizes, seeds)
     typer.echo(report.format_table(rows, SHEDDING_SHOWN))
 
 
