--- /dev/null
+++ b/src/ramppin/gateway/process/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control: capacity, admission queue, fairness, early rejection."""
--- a/src/ramppin/gateway/request/upstreamhead.py
+++ b/src/ramppin/gateway/request/upstreamhead.py
@@ -14,15 +14,9 @@
 )
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.process.routing.serverstate import BackendServer
+from ramppin.gateway.request.rank import compute_rank
 from ramppin.gateway.version.routing import Customer, Route
 
-MAX_PRIORITY = 9
-"""The least urgent priority that backend servers accept; 0 is the most urgent."""
-
-PRIORITIES_PER_CUSTOMER_RANK = 3
-"""Number of priorities for each customer rank: requests are ordered by the rank of the
-customer first, then by the priority of the route."""
-
 _FRAMING = frozenset({b"content-length", b"expect"})
 """Headers that belong to the caller's connection and are not forwarded."""
 
@@ -57,12 +51,8 @@
         if customer is not None:
             self._headers.append((names.customer, customer.name.encode()))
         if route.keeps_prefix:
-            rank = customer.priority if customer else 0
-            priority = rank * PRIORITIES_PER_CUSTOMER_RANK + min(
-                route.priority, PRIORITIES_PER_CUSTOMER_RANK - 1
-            )
-            value = b"%d" % max(0, min(MAX_PRIORITY, priority))
-            self._headers.append((names.priority, value))
+            rank = b"%d" % compute_rank(route, customer)
+            self._headers.append((names.priority, rank))
 
     def resume_after(self, last_event_id: bytes) -> None:
         """Set the event after which the next attempt resumes the stream."""
