--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -38,13 +38,8 @@
 )
 from ramppin.gateway.request.report import RequestReport
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
-from ramppin.gateway.request.retry import (
-    Progress,
-    Verdict,
-    judge_retry,
-    judge_takeover,
-    judge_try,
-)
+from ramppin.gateway.request.retry import Progress, Verdict
+from ramppin.gateway.request.retrying import RetryControl
 from ramppin.gateway.request.serverchoice import ServerChoice
 from ramppin.gateway.request.servernotice import ServerNotice
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
@@ -170,16 +165,21 @@
         # every server that runs it is sent to one server after another, by all VMs.
         watch = CrashWatch(self._context, admission.fingerprint)
         choice = ServerChoice(self._context, admission, watch)
+        retries = RetryControl(
+            self._context, admission, self._progress, choice, watch, self._report
+        )
         last: AttemptResult | None = None
         while not self._disconnected:
-            selection = self._select(choice, watch)
+            now = self._loop.time()
+            verdict = retries.judge_try(self._ends_at - now, now)
+            selection = choice.select(now) if verdict.allows else verdict
             if isinstance(selection, Verdict):
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_stopped(self._progress, last, selection, pause_s)
                 self._end(admission, final, choice.closed)
                 return
             started = self._loop.time()
-            last = await self._try(admission, selection, builder, choice)
+            last = await self._try(admission, selection, builder, choice, retries)
             now = self._loop.time()
             watch.note_attempt(selection.state, last, started, now)
             if last.notice.backoff_s > 0:
@@ -191,7 +191,7 @@
                 return
             if last.last_event_id is not None:
                 builder.resume_after(last.last_event_id)
-            verdict = self._judge_retry(admission, last, watch)
+            verdict = retries.judge_retry(last, now)
             self._report.note_attempt(admission, selection, last, now, verdict)
             if not verdict.allows:
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
@@ -199,17 +199,7 @@
                 self._end(admission, final, choice.closed)
                 return
 
-    # selection and sending
-
-    def _select(self, choice: ServerChoice, watch: CrashWatch) -> Selection | Verdict:
-        """Return the server for the next attempt, or the verdict if there is none."""
-        now = self._loop.time()
-        verdict = judge_try(
-            self._progress,
-            self._ends_at - now,
-            is_quarantined=not watch.may_try(now),
-        )
-        return choice.select(now) if verdict.allows else verdict
+    # sending
 
     async def _try(
         self,
@@ -217,6 +207,7 @@
         selection: Selection,
         builder: RequestHeadBuilder,
         choice: ServerChoice,
+        retries: RetryControl,
     ) -> AttemptResult:
         """Make one attempt at the selected server."""
         state = selection.state
@@ -239,7 +230,9 @@
             if obstacle:
                 self._context.pool.release_unused(connection)
                 return AttemptResult(AttemptEnd.NOT_SENT, message=obstacle)
-            result = await self._send(admission, selection, builder, choice, connection)
+            result = await self._send(
+                admission, selection, builder, retries, connection
+            )
             if result.end is AttemptEnd.DELIVERED:
                 state.times.stay.note(self._loop.time() - started)
             result.lost = connection.was_lost or state.restarted
@@ -257,7 +250,7 @@
         admission: Admission,
         selection: Selection,
         builder: RequestHeadBuilder,
-        choice: ServerChoice,
+        retries: RetryControl,
         connection: UpstreamConnection,
     ) -> AttemptResult:
         """Send the request over a connection and forward its answer."""
@@ -270,7 +263,7 @@
             previous=self._attempt,
             streams=route.kind.is_stream,
             resumable=route.resumable,
-            may_take_over=lambda: self._judge_takeover(admission, choice).allows,
+            may_take_over=lambda: self._may_take_over(retries),
             note_notice=lambda notice: self._note_notice(state, notice),
         )
         self._attempt = attempt
@@ -284,6 +277,12 @@
         self._progress.answer_started = attempt.answer_started
         return result
 
+    def _may_take_over(self, retries: RetryControl) -> bool:
+        """Return whether another server may take over from the current one."""
+        if self._attempt is not None:
+            self._progress.answer_started = self._attempt.answer_started
+        return retries.judge_takeover(self._loop.time()).allows
+
     def _note_notice(self, state: ServerState, notice: ServerNotice) -> None:
         """Record a notice that a server sent in an answer."""
         notices, now = self._context.directory.notices, self._loop.time()
@@ -292,40 +291,6 @@
         if notice.backoff_s > 0:
             notices.note_backoff(state.id, notice.backoff_s, now)
 
-    # retries
-
-    def _judge_retry(
-        self, admission: Admission, result: AttemptResult, watch: CrashWatch
-    ) -> Verdict:
-        """Return whether the request may be retried; count a retry in the budget."""
-        budget, now = self._context.retry_budget, self._loop.time()
-        service = admission.service
-        has_budget = budget.allows_retry(service, now)
-        verdict = judge_retry(
-            admission.route,
-            self._progress,
-            result.end,
-            has_budget=has_budget,
-            crashes_servers=result.lost and watch.may_crash_another(),
-        )
-        if verdict is Verdict.BUDGET_SPENT:
-            self._report.count_refused_retry(service)
-        elif verdict.allows and result.end is not AttemptEnd.NOT_SENT:
-            budget.consume(service, now)
-        return verdict
-
-    def _judge_takeover(self, admission: Admission, choice: ServerChoice) -> Verdict:
-        """Return whether another server may take over from the current one."""
-        now = self._loop.time()
-        if self._attempt is not None:
-            self._progress.answer_started = self._attempt.answer_started
-        return judge_takeover(
-            admission.route,
-            self._progress,
-            has_other_server=choice.has_other_server(now),
-            has_budget=self._context.retry_budget.allows_retry(admission.service, now),
-        )
-
     # final answer
 
     def _end(
