--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -11,6 +11,7 @@
 from ramppin.gateway.process.limits.coldquota import ColdRules
 from ramppin.gateway.process.limits.drain import DrainTimes
 from ramppin.gateway.process.limits.retrybudget import RetryRules
+from ramppin.gateway.process.overload.rules import OverloadRules
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,8 @@
         retry_rules: the fleet's retry budget, and this VM's share.
         cold_rules: limits for cold servers, in addition to the service's rate.
         drain_times: time limits of a planned stop.
+        overload: rules of overload control, unless the routing settings contain some;
+            None if it is disabled.
         seed: seed of the random number generator.
     """
 
@@ -69,4 +72,5 @@
     retry_rules: RetryRules = field(default_factory=RetryRules)
     cold_rules: ColdRules = field(default_factory=ColdRules)
     drain_times: DrainTimes = field(default_factory=DrainTimes)
+    overload: OverloadRules | None = None
     seed: int | None = None
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ramppin.gateway.process.overload.rules import OverloadRules
+
 
 class RouteKind(Enum):
     """Which requests of a route may be sent again."""
@@ -51,6 +53,8 @@
         keeps_prefix: whether backend servers cache prompt prefixes.
         target_s: target time to the first byte; None if none is set. Requests that
             exceed it count as late in ``ramppin losses``.
+        target_pause_s: longest pause between events of a stream in seconds; None if
+            none is set.
     """
 
     name: str
@@ -65,6 +69,7 @@
     public: bool = False
     keeps_prefix: bool = False
     target_s: float | None = None
+    target_pause_s: float | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -82,20 +87,36 @@
             0 for no limit.
         cold_s: seconds for which a server is cold after its start.
         cold_per_s: maximum requests per second to a cold server; 0 for no limit.
+        slots: requests that one backend server runs at once; 0 if not stated.
+        cache_tokens: tokens that the memory of one backend server holds; 0 if not
+            stated.
+        limit: requests that all backend servers together may hold under overload
+            control; None to compute it.
     """
 
     name: str
     max_connections: int = 0
     cold_s: float = 0.0
     cold_per_s: float = 0.0
+    slots: int = 0
+    cache_tokens: int = 0
+    limit: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Customer:
-    """A customer and its priority; 0 is the highest."""
+    """A customer.
+
+    Attributes:
+        name: the customer's name.
+        priority: priority among customers; 0 is the highest.
+        weight: share of the capacity under overload control, relative to the other
+            customers that wait.
+    """
 
     name: str
     priority: int = 0
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +142,7 @@
         services: services by name.
         customers: customers by API key; empty if no keys are used.
         limits: limits for callers.
+        overload: rules of overload control; None if the settings contain none.
 
     .. versionadded:: 0.2
     """
@@ -130,6 +152,7 @@
     services: Mapping[str, ServiceSpec]
     customers: Mapping[str, Customer] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    overload: OverloadRules | None = None
     _by_host: dict[str, dict[str, Route]] = field(
         init=False, repr=False, compare=False, default_factory=dict
     )
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -11,6 +11,11 @@
 import msgspec
 
 from ramppin.errors import SettingsError
+from ramppin.gateway.process.overload.rules import (
+    MAX_WAITING,
+    MAX_WAITING_BYTES,
+    OverloadRules,
+)
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.recovery.sources import RecordDecoder
 from ramppin.gateway.process.routing.evacuation import EVACUATION_PREFIX, parse_domain
@@ -26,6 +31,9 @@
     WeightedService,
 )
 
+MAX_WEIGHT = 1_000.0
+"""Maximum weight of a customer."""
+
 UNUSED_RULES = frozenset({"target_latency_s"})
 """Rules that settings may contain but that have no effect."""
 
@@ -64,7 +72,8 @@
 class ServiceNode(msgspec.Struct, forbid_unknown_fields=True):
     """A service and the rules that its routes inherit.
 
-    ``slots`` and ``cache_tokens`` are accepted and have no effect.
+    ``slots``, ``cache_tokens`` and ``limit`` have an effect under overload control
+    only.
     """
 
     max_connections: int = 0
@@ -72,14 +81,30 @@
     cold_per_s: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
+    limit: int | None = None
     rules: RouteRules = msgspec.field(default_factory=RouteRules)
 
 
 class CustomerNode(msgspec.Struct, forbid_unknown_fields=True):
-    """A customer and its API keys; priority 0 is the highest."""
+    """A customer and its API keys; priority 0 is the highest.
+
+    ``weight`` has an effect under overload control only.
+    """
 
     keys: list[str]
     priority: int = 0
+    weight: float = 1.0
+
+
+class OverloadNode(msgspec.Struct, forbid_unknown_fields=True):
+    """Rules of overload control, which is enabled by this node."""
+
+    enabled: bool = True
+    waiting_room: bool = True
+    early_rejection: bool = True
+    fair_shares: bool = True
+    max_waiting: int = MAX_WAITING
+    max_waiting_bytes: int = MAX_WAITING_BYTES
 
 
 class LimitsNode(msgspec.Struct, forbid_unknown_fields=True):
@@ -99,6 +124,7 @@
     services: dict[str, ServiceNode]
     customers: dict[str, CustomerNode] = {}
     limits: LimitsNode = msgspec.field(default_factory=LimitsNode)
+    overload: OverloadNode | None = None
     rules: RouteRules = msgspec.field(default_factory=RouteRules)
 
 
@@ -167,8 +193,8 @@
     """Build the routing table of a tree, with inherited rules resolved.
 
     Raises:
-        SettingsError: a route refers to an undefined service, or a path prefix
-            does not begin and end with a slash.
+        SettingsError: a route refers to an undefined service, a path prefix does not
+            begin and end with a slash, or a number is out of range.
     """
     routes = [
         _build_route(tree, host, prefix, node)
@@ -179,18 +205,55 @@
         version=tree.version,
         routes=tuple(routes),
         services={
-            name: ServiceSpec(name, node.max_connections, node.cold_s, node.cold_per_s)
-            for name, node in tree.services.items()
+            name: _build_service(name, node) for name, node in tree.services.items()
         },
         customers={
-            key: Customer(name, node.priority)
+            key: _build_customer(name, node)
             for name, node in tree.customers.items()
             for key in node.keys
         },
         limits=CallerLimits(**msgspec.structs.asdict(tree.limits)),
+        overload=_build_overload(tree.overload),
+    )
+
+
+def _build_service(name: str, node: ServiceNode) -> ServiceSpec:
+    if node.limit is not None:
+        _require_one(node.limit, f"services.{name}.limit")
+    return ServiceSpec(
+        name,
+        node.max_connections,
+        node.cold_s,
+        node.cold_per_s,
+        node.slots,
+        node.cache_tokens,
+        node.limit,
     )
 
 
+def _build_customer(name: str, node: CustomerNode) -> Customer:
+    if not 0 < node.weight <= MAX_WEIGHT:
+        raise SettingsError(
+            f"{node.weight:g} is not a weight",
+            path=f"customers.{name}.weight",
+            hint=f"over 0, at most {MAX_WEIGHT:g}",
+        )
+    return Customer(name, node.priority, node.weight)
+
+
+def _build_overload(node: OverloadNode | None) -> OverloadRules | None:
+    if node is None:
+        return None
+    _require_one(node.max_waiting, "overload.max_waiting")
+    _require_one(node.max_waiting_bytes, "overload.max_waiting_bytes")
+    return OverloadRules(**msgspec.structs.asdict(node))
+
+
+def _require_one(value: int, path: str) -> None:
+    if value < 1:
+        raise SettingsError(f"{value} is too small", path=path, hint="1 or more")
+
+
 def _build_route(tree: RoutingTree, host: str, prefix: str, node: RouteNode) -> Route:
     path = f"hosts.{host}.routes.{prefix}"
     if not prefix.startswith("/") or not prefix.endswith("/"):
