--- /dev/null
+++ b/src/ramppin/gateway/process/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control: capacity of services, admission queue and early rejection."""
