--- a/src/ramppin/gateway/process/overload/__init__.py
+++ b/src/ramppin/gateway/process/overload/__init__.py
@@ -1,1 +1,1 @@
-"""Overload control: capacity, admission queue, fairness, early rejection."""
+"""Overload control: capacity of services, admission queue and early rejection."""
