--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -50,6 +50,7 @@
         copy_from: the backend server from which to copy a cached prefix.
         model: the requested model.
         request_size: tokens of the prompt, and the maximum of output tokens.
+        output_hint: the caller's estimate of the output tokens.
         reservation: a slot and memory reserved for the request.
         pin_ms: how long the server retains the request's memory, in milliseconds.
         backup_to: the backend server to which that memory is copied as it grows.
@@ -78,6 +79,7 @@
     copy_from: bytes = b"ramppin-copy-prefix-from"
     model: bytes = b"ramppin-model"
     request_size: bytes = b"ramppin-request-size"
+    output_hint: bytes = b"ramppin-output-hint"
     reservation: bytes = b"ramppin-reservation"
     pin_ms: bytes = b"ramppin-pin-ms"
     backup_to: bytes = b"ramppin-backup-to"
--- a/src/ramppin/gateway/process/limits/drain.py
+++ b/src/ramppin/gateway/process/limits/drain.py
@@ -69,6 +69,11 @@
         self._times = times
         self._started = started
 
+    @property
+    def accepts_all_until(self) -> float:
+        """Event-loop time until which every request is accepted."""
+        return self._started + self._times.accept_all_s
+
     def may_accept(self, time_limit_s: float, now: float) -> bool:
         """Return whether a request that arrives now is accepted.
 
--- /dev/null
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -0,0 +1,163 @@
+"""Runs the scheduler of one process: by events, and by one timer.
+
+The scheduler (:mod:`~.scheduler`) decides; this module calls it when a request ended,
+when a load report or a message of a peer was applied, and when its next check is due.
+While no request waits, no timer runs. Owns the set of waiting requests and the timer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from ramppin.gateway.process.limits.drain import Drain
+from ramppin.gateway.process.overload.returns import ReturnDetector
+from ramppin.gateway.process.overload.scheduler import Scheduler, ServiceQueue
+from ramppin.gateway.process.overload.startlimiter import CapacityState, StartLimiter
+from ramppin.gateway.process.overload.ticket import (
+    Ticket,
+    TicketState,
+    Turn,
+    TurnDecision,
+)
+
+MIN_CHECK_S = 0.005
+"""Minimum seconds until the next check, so that one that stays due can't occupy the
+event loop."""
+
+
+class OverloadControl:
+    """Gives the requests of this process their turns.
+
+    Args:
+        scheduler: decides which requests start, wait and are refused.
+        limiter: the capacity of services and this VM's share of it.
+        returns: recognises requests that repeat a refused one.
+
+    Attributes:
+        limiter: as above.
+        returns: as above.
+
+    .. versionadded:: 0.4
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, limiter: StartLimiter, returns: ReturnDetector
+    ) -> None:
+        self._scheduler = scheduler
+        self.limiter = limiter
+        self.returns = returns
+        self._waiting: set[Ticket] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._due_at: float | None = None
+        self._drain: Drain | None = None
+        self._pump_is_scheduled = False
+
+    # called by the request path
+
+    def submit(self, ticket: Ticket, now: float) -> TurnDecision:
+        """Return START, WAIT or REFUSED for a new request.
+
+        After WAIT, :meth:`note_decided` must be called by the ticket's ``decide``.
+        """
+        decision = self._scheduler.submit(ticket, now)
+        if decision.turn is Turn.WAIT:
+            self._waiting.add(ticket)
+            self._set_timer(now)
+        return decision
+
+    def note_decided(self, ticket: Ticket) -> None:
+        """Record that a waiting request was decided."""
+        self._waiting.discard(ticket)
+
+    def withdraw(self, ticket: Ticket, now: float) -> None:
+        """Remove a waiting request without a decision."""
+        self._waiting.discard(ticket)
+        self._scheduler.withdraw(ticket, now)
+        self._set_timer(now)
+
+    def note_ended(self, service: str, now: float) -> None:
+        """Record that a started request ended, which may start others."""
+        self._scheduler.note_ended(service, now)
+        if self._waiting or self._timer is not None:
+            self._set_timer(now)
+
+    # called for other events
+
+    def note_change(self) -> None:
+        """Check the waiting requests soon, since a load or a peer's demand changed.
+
+        All changes in one iteration of the event loop cause one check.
+        """
+        if self._waiting and not self._pump_is_scheduled:
+            self._pump_is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def note_drain(self, drain: Drain) -> None:
+        """Refuse waiting requests that can't end before this VM stops.
+
+        While a stopping VM still accepts every request, waiting ones go on waiting.
+        """
+        self._drain = drain
+        asyncio.get_running_loop().call_at(drain.accepts_all_until, self._stop_waiting)
+
+    def close(self) -> None:
+        """Start every waiting request, since overload control was disabled."""
+        now = asyncio.get_running_loop().time()
+        for ticket in sorted(self._waiting, key=lambda ticket: ticket.rank):
+            self.withdraw(ticket, now)
+            ticket.decide(TurnDecision(Turn.START, waited_s=now - ticket.arrived))
+
+    def replace_scheduler(self, scheduler: Scheduler) -> None:
+        """Submit every waiting request to a scheduler with other rules."""
+        previous, self._scheduler = self._scheduler, scheduler
+        now = asyncio.get_running_loop().time()
+        for ticket in sorted(self._waiting, key=lambda ticket: ticket.arrived):
+            previous.withdraw(ticket, now)
+            ticket.state = TicketState.NEW
+            decision = scheduler.submit(ticket, now)
+            if decision.turn is not Turn.WAIT:
+                ticket.decide(decision)
+        self._set_timer(now)
+
+    # called by operators' interface
+
+    def list_queues(self, now: float) -> list[ServiceQueue]:
+        """Return what waits, for each service with waiting requests."""
+        return self._scheduler.describe(now)
+
+    def describe_capacity(self, service: str, now: float) -> CapacityState:
+        """Return what a service can hold, and this VM's share."""
+        return self.limiter.describe(service, now)
+
+    # timer
+
+    def _pump(self) -> None:
+        self._pump_is_scheduled = False
+        now = asyncio.get_running_loop().time()
+        self._scheduler.pump(now)
+        self._set_timer(now)
+
+    def _run_timer(self) -> None:
+        self._timer = self._due_at = None
+        self._pump()
+
+    def _set_timer(self, now: float) -> None:
+        """Set the timer to the next check; stop it if nothing waits."""
+        due_at = self._scheduler.find_next_check(now) if self._waiting else None
+        if due_at == self._due_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._due_at = due_at
+        if due_at is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(max(due_at, now + MIN_CHECK_S), self._run_timer)
+
+    def _stop_waiting(self) -> None:
+        """Refuse waiting requests whose time limit is after the end of this VM."""
+        drain, now = self._drain, asyncio.get_running_loop().time()
+        for ticket in list(self._waiting):
+            if drain is not None and not drain.may_accept(ticket.ends_at - now, now):
+                self.withdraw(ticket, now)
+                ticket.decide(TurnDecision(Turn.REFUSED, waited_s=now - ticket.arrived))
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -70,7 +70,7 @@
             self._remove(known)
         state = self._states.get(server.id)
         if state is None:
-            times = self._times.setdefault(server.service, ServiceTimes())
+            times = self.find_times(server.service)
             notices = self.notices.open(server.id, server.name, server.started_ms)
             state = ServerState(server, times, self.stall_detector, notices)
             self._states[server.id] = state
@@ -136,6 +136,10 @@
         """Return the services that have or had backend servers."""
         return list(self._by_service)
 
+    def find_times(self, service: str) -> ServiceTimes:
+        """Return the response times of a service."""
+        return self._times.setdefault(service, ServiceTimes())
+
     def find_copy_source(
         self, server_id: str | None, now: float
     ) -> BackendServer | None:
--- /dev/null
+++ b/src/ramppin/gateway/request/queueing.py
@@ -0,0 +1,163 @@
+"""The step of a request between its admission and the selection of a server.
+
+Asks the process's overload control for the request's turn, waits for the decision, and
+reports the end of the request so that others start. Exists only while overload control
+is enabled. Owns the request's ticket.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from ramppin.gateway.connection.requestreader import CallerRequest
+from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.overload.control import OverloadControl
+from ramppin.gateway.process.overload.ticket import Ticket, Turn, TurnDecision
+from ramppin.gateway.request.admission import Admission
+from ramppin.gateway.request.rank import compute_rank
+from ramppin.gateway.request.work import UNKNOWN, RequestWork, estimate_work
+from ramppin.gateway.version.routing import Route
+
+MIN_PATIENCE_S = 2.0
+"""Minimum gap in seconds after which callers of a stream disconnect."""
+
+PATIENCE_TARGETS = 4.0
+"""Multiple of the route's target for the first byte after which they do."""
+
+PATIENCE_PAUSES = 8.0
+"""Multiple of the longest pause that the route allows after which they do."""
+
+REQUEST_OVERHEAD_BYTES = 4_096
+"""Memory of a waiting request besides its body, in bytes: headers, task, ticket and
+the caller's connection."""
+
+
+class Queueing:
+    """Gets one request its turn.
+
+    Args:
+        context: state shared by all exchanges.
+        control: overload control of the process.
+        admission: result of the request's admission.
+        request: the complete request.
+        deadline_s: the caller's deadline in seconds; None if it sent none.
+
+    Attributes:
+        ticket: the request as the scheduler knows it.
+
+    .. versionadded:: 0.4
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        control: OverloadControl,
+        admission: Admission,
+        request: CallerRequest,
+        deadline_s: float | None,
+    ) -> None:
+        self._context = context
+        self._control = control
+        self._admission = admission
+        self._loop = asyncio.get_running_loop()
+        self._decided: asyncio.Future[TurnDecision | None] | None = None
+        self._started_at: float | None = None
+        now = self._loop.time()
+        route, customer = admission.route, admission.customer
+        self._work = self._estimate_work(request)
+        ends_at = request.arrived + admission.time_limit_s
+        self.ticket = Ticket(
+            service=admission.service,
+            rank=compute_rank(route, customer),
+            customer=customer.name if customer else "",
+            weight=customer.weight if customer else 1.0,
+            work=self._work.work,
+            size_bytes=len(request.body) + REQUEST_OVERHEAD_BYTES,
+            arrived=request.arrived,
+            target_at=None
+            if route.target_s is None
+            else request.arrived + route.target_s,
+            patient_until=min(ends_at, request.arrived + compute_patience_s(route)),
+            ends_at=ends_at,
+            returned=control.returns.is_returned(
+                route.name, deadline_s, admission.fingerprint, now
+            ),
+            decide=self._decide,
+        )
+
+    async def run(self) -> TurnDecision | None:
+        """Return START or REFUSED, or None if the caller disconnected meanwhile."""
+        ticket, now = self.ticket, self._loop.time()
+        decision = self._control.submit(ticket, now)
+        if decision.turn is Turn.START:
+            return self._note_start(decision, now)
+        if not self._context.gate.survey(ticket.service, now).list_open():
+            # Waiting has no purpose; selection refuses the request with the reason.
+            if decision.turn is Turn.WAIT:
+                self._control.withdraw(ticket, now)
+            return TurnDecision(Turn.START)
+        if decision.turn is Turn.REFUSED:
+            return self._note_refused(decision, now)
+        self._decided = self._loop.create_future()
+        decided = await self._decided
+        now = self._loop.time()
+        if decided is None or decided.turn is Turn.START:
+            return decided
+        return self._note_refused(decided, now)
+
+    def cancel(self) -> None:
+        """Leave the admission queue because the caller disconnected."""
+        if self._decided is not None and not self._decided.done():
+            self._control.withdraw(self.ticket, self._loop.time())
+            self._decided.set_result(None)
+
+    def end(self) -> None:
+        """Report that the request has ended, if it was started."""
+        if self._started_at is None:
+            return
+        now = self._loop.time()
+        self._context.metrics.customer_work.add(
+            self.ticket.customer, now - self._started_at
+        )
+        self._started_at = None
+        self._control.note_ended(self.ticket.service, now)
+
+    def _decide(self, decision: TurnDecision) -> None:
+        """Receive the decision about a waiting request."""
+        self._control.note_decided(self.ticket)
+        if decision.turn is Turn.START:
+            self._note_start(decision, self._loop.time())
+        if self._decided is not None and not self._decided.done():
+            self._decided.set_result(decision)
+
+    def _note_start(self, decision: TurnDecision, now: float) -> TurnDecision:
+        self._started_at = now
+        metrics = self._context.metrics
+        metrics.wait_seconds.observe(decision.waited_s, self.ticket.service)
+        return decision
+
+    def _note_refused(self, decision: TurnDecision, now: float) -> TurnDecision:
+        self._control.returns.note_refused(self._admission.fingerprint, now)
+        return decision
+
+    def _estimate_work(self, request: CallerRequest) -> RequestWork:
+        admission, context = self._admission, self._context
+        if not admission.route.keeps_prefix:
+            return UNKNOWN
+        key = admission.prefix_key
+        is_cached = key is not None and context.find_home(key) is not None
+        return estimate_work(request, context.names, is_prefix_cached=is_cached)
+
+
+def compute_patience_s(route: Route) -> float:
+    """Return the seconds after which a caller without a first byte disconnects.
+
+    Callers of routes without a stream or without a target wait until their deadline.
+    """
+    if not route.kind.is_stream or route.target_s is None:
+        return float("inf")
+    return max(
+        MIN_PATIENCE_S,
+        PATIENCE_TARGETS * route.target_s,
+        PATIENCE_PAUSES * (route.target_pause_s or 0.0),
+    )
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -72,8 +72,16 @@
 class ServiceNode(msgspec.Struct, forbid_unknown_fields=True):
     """A service and the rules that its routes inherit.
 
-    ``slots``, ``cache_tokens`` and ``limit`` have an effect under overload control
-    only.
+    Attributes:
+        max_connections: maximum connections to one server, from all VMs.
+        cold_s: seconds for which a server is cold after its start.
+        cold_per_s: maximum requests per second to a cold server; 0 for no limit.
+        slots: requests that a server runs at once, for servers whose entry does not
+            say; values outside 1 to 100,000 are ignored.
+        cache_tokens: tokens that a server's cache memory holds; 0 if unknown.
+        limit: requests that all servers together may hold, 1 or more; None to derive
+            it from the servers.
+        rules: rules that the service's routes inherit.
     """
 
     max_connections: int = 0
@@ -81,7 +89,7 @@
     cold_per_s: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
-    limit: int | None = None
+    limit: Annotated[int, msgspec.Meta(ge=1)] | None = None
     rules: RouteRules = msgspec.field(default_factory=RouteRules)
 
 
@@ -205,7 +213,16 @@
         version=tree.version,
         routes=tuple(routes),
         services={
-            name: _build_service(name, node) for name, node in tree.services.items()
+            name: ServiceSpec(
+                name,
+                node.max_connections,
+                node.cold_s,
+                node.cold_per_s,
+                node.slots,
+                node.cache_tokens,
+                node.limit or 0,
+            )
+            for name, node in tree.services.items()
         },
         customers={
             key: _build_customer(name, node)
@@ -217,20 +234,6 @@
     )
 
 
-def _build_service(name: str, node: ServiceNode) -> ServiceSpec:
-    if node.limit is not None:
-        _require_one(node.limit, f"services.{name}.limit")
-    return ServiceSpec(
-        name,
-        node.max_connections,
-        node.cold_s,
-        node.cold_per_s,
-        node.slots,
-        node.cache_tokens,
-        node.limit,
-    )
-
-
 def _build_customer(name: str, node: CustomerNode) -> Customer:
     if not 0 < node.weight <= MAX_WEIGHT:
         raise SettingsError(
