--- /dev/null
+++ b/src/ramppin/gateway/process/overload/fairness.py
@@ -0,0 +1,77 @@
+"""Fair shares of a service's capacity among customers.
+
+Load pattern: one customer sends 8 times its usual load, and the requests of the others
+would wait behind its queue. Each customer has a virtual counter per service and rank,
+which grows by work / weight with each request that starts; the customer with the lowest
+counter is next. Counters are kept per service, because the work of different services
+can't be compared. No I/O.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+DECAY_S = 10.0
+"""Time constant in seconds with which a counter decays: earlier use counts less."""
+
+MAX_COUNTERS = 1000
+"""Maximum number of counters; those that grew least recently are dropped first."""
+
+MIN_WORK = 1.0
+"""Minimum work of a request: a request that states none still takes a slot."""
+
+
+class FairShares:
+    """Virtual counters of the customers of one service.
+
+    .. versionadded:: 0.4
+    """
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[int, str], tuple[float, float]] = {}
+
+    def measure_use(self, rank: int, customer: str, now: float) -> float:
+        """Return a customer's counter at a rank, decayed until now."""
+        counter = self._counters.get((rank, customer))
+        if counter is None:
+            return 0.0
+        value, at = counter
+        return value * math.exp((at - now) / DECAY_S)
+
+    def charge(
+        self, rank: int, customer: str, work: float, weight: float, now: float
+    ) -> None:
+        """Increase a customer's counter by a request that starts."""
+        value = self.measure_use(rank, customer, now)
+        self._set(rank, customer, value + measure_share(work, weight), now)
+
+    def activate(
+        self, rank: int, customer: str, waiting: Iterable[str], now: float
+    ) -> None:
+        """Raise the counter of a customer that was idle and now has a request.
+
+        It starts at the lowest counter of the customers that wait: time in which it
+        sent nothing gives it no precedence over those that kept sending.
+
+        Args:
+            rank: the rank of the request.
+            customer: the customer, none of whose requests wait at this rank.
+            waiting: the customers of the requests that wait at this rank.
+            now: current event-loop time.
+        """
+        uses = (self.measure_use(rank, other, now) for other in waiting)
+        lowest = min(uses, default=0.0)
+        if lowest > self.measure_use(rank, customer, now):
+            self._set(rank, customer, lowest, now)
+
+    def _set(self, rank: int, customer: str, value: float, now: float) -> None:
+        self._counters.pop((rank, customer), None)
+        self._counters[rank, customer] = value, now
+        if len(self._counters) > MAX_COUNTERS:
+            del self._counters[next(iter(self._counters))]
+
+
+def measure_share(work: float, weight: float) -> float:
+    """Return by how much a request increases the counter of its customer."""
+    return max(MIN_WORK, work) / weight
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -6,13 +6,46 @@
 
 from __future__ import annotations
 
+import logging
 import random
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
+from ramppin.gateway.process.overload.forecast import (
+    MIN_START_RATE_PER_S,
+    Forecast,
+    estimate_wait_s,
+    is_hopeless,
+    is_too_late,
+)
+from ramppin.gateway.process.overload.returns import ReturnSequence
 from ramppin.gateway.process.overload.rules import OverloadRules
-from ramppin.gateway.process.overload.ticket import Ticket, TurnDecision
+from ramppin.gateway.process.overload.ticket import (
+    RefusalRule,
+    Ticket,
+    TicketState,
+    Turn,
+    TurnDecision,
+)
+from ramppin.gateway.process.overload.waitingroom import WaitingRoom
+
+LOG = logging.getLogger(__name__)
+
+MIN_CHECK_S = 0.02
+"""Minimum time in seconds between two checks of the queue, which bounds their cost."""
+
+MAX_CHECK_S = 0.1
+"""Maximum time in seconds between two checks: capacity becomes known by reports of
+servers and peers, for which nothing calls the scheduler."""
+
+CHECKS_PER_START = 2
+"""Checks in the expected time between two starts: with one, a check that is late by a
+little would lose a start of a limiter that saves up no more than one."""
+
+_STARTED = TurnDecision(Turn.START)
+"""Decision about every request that skips the queue."""
 
 
 class StartLimiter(Protocol):
@@ -58,6 +91,10 @@
 class Scheduler:
     """Gives the requests of this VM their turns.
 
+    Decisions about waiting requests are delivered after the queue and the limiter are
+    up to date, so a ``decide`` callback may call any method. A callback that raises is
+    logged; the other decisions are delivered.
+
     Args:
         rules: settings of overload control.
         limiter: what this VM may start.
@@ -76,8 +113,13 @@
     ) -> None:
         self._rules = rules
         self._limiter = limiter
-        self._generator = generator
         self._usual_wait_s = usual_wait_s
+        self._is_queueing = rules.enabled and rules.waiting_room
+        self._room = WaitingRoom(rules, usual_wait_s)
+        self._forecast = Forecast()
+        self._returns = ReturnSequence(generator)
+        self._undelivered: deque[tuple[Ticket, TurnDecision]] = deque()
+        self._is_delivering = False
 
     def submit(self, ticket: Ticket, now: float) -> TurnDecision:
         """Return START, WAIT or REFUSED for a new request.
@@ -85,24 +127,251 @@
         A WAIT is followed by exactly one call of the ticket's ``decide`` with START or
         REFUSED, unless it is withdrawn before.
         """
-        raise NotImplementedError
+        service = ticket.service
+        if not self._is_queueing or not (
+            self._room.has_waiting(service) or self._limiter.is_busy(service, now)
+        ):
+            ticket.state = TicketState.DECIDED
+            self._limiter.note_started(service, ticket.rank, now)
+            return _STARTED
+        ticket.state = TicketState.SUBMITTED
+        ticket.submitted_at = now
+        self._drop_expired(service, now)
+        self._room.activate(ticket, now)
+        ahead = self._room.count_ahead(ticket, now)
+        self._estimate(ticket, ahead, now)
+        rule = self._admit(ticket, now)
+        if rule is not None:
+            self._refuse(ticket, rule, now, ticket.estimate_s, ahead)
+        else:
+            self._start_due(service, now)
+        self._deliver()
+        if ticket.decision is not None:
+            return ticket.decision
+        if ticket.state is TicketState.SUBMITTED:
+            ticket.state = TicketState.WAITING
+        return TurnDecision(Turn.WAIT, estimate_s=ticket.estimate_s, ahead=ahead)
 
     def withdraw(self, ticket: Ticket, now: float) -> None:
         """Remove a request whose caller disconnected; no decision follows."""
-        raise NotImplementedError
+        ticket.state = TicketState.WITHDRAWN
+        if self._room.remove(ticket):
+            self._note_left(ticket, now)
+            self._note_waiting(ticket.service, now)
 
     def note_ended(self, service: str, now: float) -> None:
         """Start what may start after a request of the service has ended."""
-        raise NotImplementedError
+        if self._room.has_waiting(service):
+            self._start_due(service, now)
+            self._deliver()
 
     def pump(self, now: float) -> None:
         """Start and refuse every waiting request that is due."""
-        raise NotImplementedError
+        for service in self._room.list_services():
+            self._drop_expired(service, now)
+            self._start_due(service, now)
+            if self._rules.early_rejection:
+                self._refuse_hopeless(service, now)
+        self._deliver()
 
     def find_next_check(self, now: float) -> float | None:
         """Return the event-loop time at which :meth:`pump` is due; None if empty."""
-        raise NotImplementedError
+        if self._undelivered:
+            return now
+        due_at: float | None = None
+        for service in self._room.list_services():
+            waiting = self._room.list_waiting(service)
+            rate = self._estimate_start_rate(service, waiting[0].rank, now)
+            gap_s = 1 / (CHECKS_PER_START * rate)
+            check_at = now + min(max(gap_s, MIN_CHECK_S), MAX_CHECK_S)
+            limit_at = max(now, min(ticket.limit_at for ticket in waiting))
+            service_at = min(check_at, limit_at)
+            due_at = service_at if due_at is None else min(due_at, service_at)
+        return due_at
 
     def describe(self, now: float) -> list[ServiceQueue]:
         """Return what waits, for each service with waiting requests."""
-        raise NotImplementedError
+        queues = []
+        for service in self._room.list_services():
+            waiting = self._room.list_waiting(service)
+            queues.append(
+                ServiceQueue(
+                    service=service,
+                    by_rank=self._room.count_by_rank(service),
+                    by_customer=dict(Counter(ticket.customer for ticket in waiting)),
+                    size_bytes=sum(ticket.size_bytes for ticket in waiting),
+                    oldest_wait_s=max(now - ticket.submitted_at for ticket in waiting),
+                )
+            )
+        return queues
+
+    def _estimate(self, ticket: Ticket, ahead: int, now: float) -> None:
+        """Set the estimated wait of a request that arrives."""
+        rate = self._estimate_start_rate(ticket.service, ticket.rank, now)
+        ticket.raw_estimate_s = estimate_wait_s(ahead, rate)
+        ticket.estimate_s = self._forecast.correct(
+            ticket.service, ticket.rank, ticket.raw_estimate_s, now
+        )
+
+    def _admit(self, ticket: Ticket, now: float) -> RefusalRule | None:
+        """Add a request to the queue, or return the rule by which it is refused."""
+        if self._rules.early_rejection:
+            usual_wait_s = self._usual_wait_s(ticket.service)
+            first_byte_at = now + ticket.estimate_s + usual_wait_s
+            if is_too_late(first_byte_at, ticket.limit_at):
+                return RefusalRule.TOO_LATE
+        displaced = self._room.choose_displaced(ticket, now)
+        if displaced is None:
+            return RefusalRule.ROOM_FULL
+        for other in displaced:
+            self._room.remove(other)
+            self._refuse_waiting(other, RefusalRule.DISPLACED, now)
+        self._room.add(ticket)
+        for service in {ticket.service, *(other.service for other in displaced)}:
+            self._note_waiting(service, now)
+        return None
+
+    def _start_due(self, service: str, now: float) -> None:
+        """Start the first requests in the order, as long as the limiter allows."""
+        while (ticket := self._room.find_first(service, now)) is not None:
+            is_expired = ticket.limit_at <= now
+            if not is_expired and not self._limiter.may_start(
+                service, ticket.rank, now
+            ):
+                break
+            self._room.remove(ticket)
+            if is_expired:
+                self._refuse_waiting(ticket, RefusalRule.EXPIRED, now)
+            else:
+                self._start(ticket, now)
+            self._note_waiting(service, now)
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        self._limiter.note_started(ticket.service, ticket.rank, now)
+        self._room.charge(ticket, now)
+        waited_s = now - ticket.submitted_at
+        self._forecast.note_started(
+            ticket.service, ticket.rank, ticket.raw_estimate_s, waited_s, now
+        )
+        decision = TurnDecision(
+            Turn.START, waited_s=waited_s, estimate_s=ticket.estimate_s
+        )
+        self._decide(ticket, decision)
+
+    def _drop_expired(self, service: str, now: float) -> None:
+        """Refuse waiting requests whose callers have given up, as after a stall."""
+        expired = [
+            ticket
+            for ticket in self._room.list_waiting(service)
+            if ticket.limit_at <= now
+        ]
+        for ticket in expired:
+            self._room.remove(ticket)
+            self._refuse_waiting(ticket, RefusalRule.EXPIRED, now)
+        if expired:
+            self._note_waiting(service, now)
+
+    def _refuse_hopeless(self, service: str, now: float) -> None:
+        """Refuse waiting requests that are forecast to start much too late."""
+        usual_wait_s = self._usual_wait_s(service)
+        ahead = 0
+        is_changed = False
+        for rank, count in enumerate(self._room.count_by_rank(service)):
+            if count == 0:
+                continue
+            rate = self._estimate_start_rate(service, rank, now)
+            for ticket in self._room.list_order(service, rank, now):
+                raw_s = estimate_wait_s(ahead, rate)
+                estimate_s = self._forecast.correct(service, rank, raw_s, now)
+                first_byte_at = now + estimate_s + usual_wait_s
+                if is_hopeless(first_byte_at, ticket.limit_at, now):
+                    self._room.remove(ticket)
+                    self._note_left(ticket, now)
+                    rule = RefusalRule.TOO_LATE
+                    self._refuse(ticket, rule, now, estimate_s, ahead)
+                    is_changed = True
+                else:
+                    ahead += 1
+        if is_changed:
+            self._note_waiting(service, now)
+
+    def _refuse_waiting(self, ticket: Ticket, rule: RefusalRule, now: float) -> None:
+        """Refuse a request that was removed from the queue for no forecast."""
+        if rule is RefusalRule.EXPIRED:
+            self._note_left(ticket, now)
+        ahead = sum(self._room.count_by_rank(ticket.service)[: ticket.rank + 1])
+        rate = self._estimate_start_rate(ticket.service, ticket.rank, now)
+        raw_s = estimate_wait_s(ahead, rate)
+        estimate_s = self._forecast.correct(ticket.service, ticket.rank, raw_s, now)
+        self._refuse(ticket, rule, now, estimate_s, ahead)
+
+    def _refuse(
+        self,
+        ticket: Ticket,
+        rule: RefusalRule,
+        now: float,
+        estimate_s: float,
+        ahead: int,
+    ) -> None:
+        retry_after_s = self._returns.choose_retry_after_s(
+            ticket.service,
+            ticket.rank,
+            capacity_s=estimate_s,
+            start_rate_per_s=self._estimate_start_rate(
+                ticket.service, ticket.rank, now
+            ),
+            time_left_s=ticket.ends_at - now,
+            now=now,
+        )
+        decision = TurnDecision(
+            Turn.REFUSED,
+            rule=rule,
+            waited_s=now - ticket.submitted_at,
+            estimate_s=estimate_s,
+            ahead=ahead,
+            retry_after_s=retry_after_s,
+        )
+        self._decide(ticket, decision)
+
+    def _decide(self, ticket: Ticket, decision: TurnDecision) -> None:
+        if ticket.state is TicketState.SUBMITTED:
+            ticket.decision = decision
+        else:
+            self._undelivered.append((ticket, decision))
+        ticket.state = TicketState.DECIDED
+
+    def _deliver(self) -> None:
+        """Call the callbacks of the decisions made; nested calls leave it to the first.
+
+        A request that was withdrawn meanwhile gets no decision.
+        """
+        if self._is_delivering:
+            return
+        self._is_delivering = True
+        try:
+            while self._undelivered:
+                ticket, decision = self._undelivered.popleft()
+                if ticket.state is TicketState.WITHDRAWN:
+                    continue
+                try:
+                    ticket.decide(decision)
+                except Exception:
+                    LOG.exception(
+                        "the callback of a decision failed", extra={"step": "overload"}
+                    )
+        finally:
+            self._is_delivering = False
+
+    def _estimate_start_rate(self, service: str, rank: int, now: float) -> float:
+        rate = self._limiter.estimate_start_rate(service, rank, now)
+        return max(rate, MIN_START_RATE_PER_S)
+
+    def _note_left(self, ticket: Ticket, now: float) -> None:
+        """Correct the forecast by a request that left without a start."""
+        waited_s = now - ticket.submitted_at
+        self._forecast.note_left(
+            ticket.service, ticket.rank, ticket.raw_estimate_s, waited_s, now
+        )
+
+    def _note_waiting(self, service: str, now: float) -> None:
+        self._limiter.note_waiting(service, self._room.count_by_rank(service), now)
--- a/src/ramppin/gateway/process/overload/ticket.py
+++ b/src/ramppin/gateway/process/overload/ticket.py
@@ -93,6 +93,7 @@
         returned: whether the request repeats a request that was refused.
         decide: called once with START or REFUSED after a submit that returned WAIT.
         state: state at the scheduler.
+        submitted_at: event-loop time at which it asked for its turn.
         estimate_s: estimated wait in seconds on arrival.
         raw_estimate_s: the same before the correction by observed waits.
         decision: decision made before the submit call has returned.
@@ -113,6 +114,7 @@
     returned: bool
     decide: Callable[[TurnDecision], None]
     state: TicketState = field(default=TicketState.NEW, init=False)
+    submitted_at: float = field(default=0.0, init=False)
     estimate_s: float = field(default=0.0, init=False)
     raw_estimate_s: float = field(default=0.0, init=False)
     decision: TurnDecision | None = field(default=None, init=False)
