--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -9,9 +9,8 @@
 import logging
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 
 from ramppin.gateway.process.overload.forecast import (
     MIN_START_RATE_PER_S,
@@ -22,6 +21,7 @@
 )
 from ramppin.gateway.process.overload.returns import ReturnSequence
 from ramppin.gateway.process.overload.rules import OverloadRules
+from ramppin.gateway.process.overload.startlimiter import StartLimiter
 from ramppin.gateway.process.overload.ticket import (
     RefusalRule,
     Ticket,
@@ -48,25 +48,6 @@
 """Decision about every request that skips the queue."""
 
 
-class StartLimiter(Protocol):
-    """What this VM may start now. Replaced by the class of ``startlimiter.py``."""
-
-    def is_busy(self, service: str, now: float) -> bool:
-        """Return whether requests of the service must ask for their turn."""
-
-    def may_start(self, service: str, rank: int, now: float) -> bool:
-        """Return whether this VM may start a request of this rank now."""
-
-    def note_started(self, service: str, rank: int, now: float) -> None:
-        """Count a start."""
-
-    def note_waiting(self, service: str, waiting: Sequence[int], now: float) -> None:
-        """Set this VM's waiting requests by rank."""
-
-    def estimate_start_rate(self, service: str, rank: int, now: float) -> float:
-        """Return the expected starts per second for this rank and more urgent ones."""
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceQueue:
     """What waits for one service at this VM.
