--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -18,6 +18,7 @@
 from ramppin.gateway.process.limits.coldquota import ColdQuota
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
+from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
 from ramppin.gateway.process.quarantine.servercheck import ServerChecks
 from ramppin.gateway.process.reporting.decisions import DecisionLog
@@ -70,6 +71,9 @@
             servers was last known to be current.
         first_read: set once settings and servers have been read, or could not be.
         tasks: tasks of the running exchanges.
+        overload: gives requests their turns; None while overload control is disabled.
+        note_table: called after routing settings have taken effect.
+        find_home: returns the server that has cached a prefix, by its key, or None.
     """
 
     names: HeaderNames
@@ -95,6 +99,9 @@
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    overload: OverloadControl | None = None
+    note_table: Callable[[RoutingTable], None] = lambda table: None
+    find_home: Callable[[int], str | None] = lambda key: None
 
     def __post_init__(self) -> None:
         self.gate = ServerGate(self.directory, self.cold_quota, self.find_cold_rate)
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -32,6 +32,8 @@
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
 from ramppin.gateway.process.load.gossip import LoadGossip
 from ramppin.gateway.process.operations import GatewayState, OperationsResponder
+from ramppin.gateway.process.overload.activation import OverloadActivation
+from ramppin.gateway.process.overload.startlimiter import StartLimiter
 from ramppin.gateway.process.quarantine.gossip import QuarantineGossip
 from ramppin.gateway.process.recovery.peeranswers import RecordsResponder
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
@@ -113,6 +115,11 @@
         self.tables = GatewayTables(
             config, sources, self.context, self.homes, generator, self._suspects
         )
+        self.overload = OverloadActivation(
+            self.context, config.overload, self._build_start_limiter, generator
+        )
+        self.context.note_table = self.overload.apply
+        self.context.find_home = self.homes.find
         self._hints: HintExchange | None = None
         self._inner_listener = ListenerState()
         self._servers: dict[str, asyncio.Server] = {}
@@ -176,7 +183,9 @@
         self.context.decisions.note("started", peers=link.port, **ports)
 
     def reload(self, config: GatewayConfig) -> None:
-        """Apply settings that can change at run time: retry rules and drain times.
+        """Apply settings that can change at run time.
+
+        These are the retry rules, the drain times and the rules of overload control.
 
         Changes of addresses and names require a restart.
         """
@@ -184,8 +193,11 @@
             self.config,
             retry_rules=config.retry_rules,
             drain_times=config.drain_times,
+            overload=config.overload,
         )
         self.context.retry_budget.replace_rules(config.retry_rules)
+        self.overload.configured = config.overload
+        self.overload.apply(self.context.table)
         self.context.decisions.note(
             "reloaded",
             retry_ratio=config.retry_rules.ratio,
@@ -200,6 +212,8 @@
         self.context.listener.draining = True
         started = asyncio.get_running_loop().time()
         drain = self.context.drain = Drain(self.config.drain_times, started)
+        if self.context.overload is not None:
+            self.context.overload.note_drain(drain)
         self._stopping = asyncio.create_task(self._finish_and_stop(drain))
 
     async def stop(self) -> None:
@@ -293,6 +307,8 @@
     def _apply_hints(self, hints: PeerHints, host: str) -> None:
         if self._hints is not None:
             self._hints.apply(hints, host, asyncio.get_running_loop().time())
+        if self.context.overload is not None:
+            self.context.overload.note_change()
 
     async def _sweep(self) -> None:
         """Run periodic checks, evict expired state and write decision lines."""
@@ -318,6 +334,9 @@
                 context.decisions.refill()
             context.decisions.flush()
 
+    def _build_start_limiter(self) -> StartLimiter:
+        raise NotImplementedError
+
     def _list_sharing_vms(self, now: float) -> list[str]:
         return self.tables.list_sharing_vms(now)
 
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -9,16 +9,18 @@
 
 import asyncio
 import json
+import math
 from collections import Counter
 from collections.abc import Callable
 
 from ramppin.gateway.connection.callerwire import CallerConnection, Responder
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.process.context import NEVER_S, GatewayContext
+from ramppin.gateway.process.overload.ticket import RANKS
 from ramppin.gateway.process.recovery.follower import FollowedTable
 from ramppin.gateway.process.reporting.explanations import Explanations
 from ramppin.gateway.process.reporting.exposition import expose
-from ramppin.gateway.process.reporting.metrics import GatewayMetrics
+from ramppin.gateway.process.reporting.metrics import MAX_CUSTOMERS, GatewayMetrics
 from ramppin.gateway.process.routing.closure import ClosureReason
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.fingerprint import format_fingerprint, parse_fingerprint
@@ -34,6 +36,10 @@
 then the newest of the others."""
 
 
+NONE_WAITING = (0,) * RANKS
+"""Waiting requests by rank of a service for which none waits."""
+
+
 class GatewayState:
     """Gathers the state of a process.
 
@@ -86,6 +92,7 @@
                 for evacuation in context.directory.evacuations
             ],
             "quarantine": self._list_suspects(now),
+            "overload": self._describe_overload(now),
             "peers": self._list_peers(),
             "prefix_homes": self._count_homes(),
             "connections_opened": context.pool.opened,
@@ -112,6 +119,38 @@
             "cold_s": _round_s(state.coldness.measure_remaining_s(now)),
         }
 
+    def _describe_overload(self, now: float) -> list[dict[str, object]]:
+        """Return capacity and waiting requests by service; empty while disabled."""
+        control = self._context.overload
+        if control is None:
+            return []
+        queues = {queue.service: queue for queue in control.list_queues(now)}
+        found: list[dict[str, object]] = []
+        for service in self._context.directory.list_services():
+            capacity = control.describe_capacity(service, now)
+            queue = queues.get(service)
+            by_customer = queue.by_customer if queue else {}
+            largest = sorted(by_customer.items(), key=lambda item: -item[1])
+            found.append(
+                {
+                    "service": service,
+                    "limit": _round_finite(capacity.limit),
+                    "held": _round_finite(capacity.held),
+                    "free": _round_finite(capacity.free),
+                    "share": _round_finite(capacity.share),
+                    "source": capacity.source,
+                    "age_s": _round_s(capacity.age_s),
+                    "waiting_by_rank": queue.by_rank if queue else NONE_WAITING,
+                    "waiting_by_customer": [
+                        {"customer": customer, "requests": count}
+                        for customer, count in largest[:MAX_CUSTOMERS]
+                    ],
+                    "waiting_bytes": queue.size_bytes if queue else 0,
+                    "oldest_wait_s": _round_s(queue.oldest_wait_s) if queue else 0.0,
+                }
+            )
+        return found
+
     def clear(self, fingerprint: int, now: float) -> bool:
         """Clear a request; return whether any termination was recorded for it."""
         return self._context.quarantine.clear(fingerprint, now)
@@ -157,6 +196,28 @@
             metrics.suspect_servers.set(suspect, service)
             cold = sum(state.coldness.is_cold(now) for state in states)
             metrics.cold_servers.set(cold, service)
+        self._update_overload(metrics, now)
+
+    def _update_overload(self, metrics: GatewayMetrics, now: float) -> None:
+        """Update the gauges of overload control; remove those of the past."""
+        control = self._context.overload
+        if control is None:
+            for gauge in (
+                metrics.waiting_requests,
+                metrics.service_limit,
+                metrics.service_held,
+                metrics.service_share,
+            ):
+                gauge.values.clear()
+            return
+        waiting = {queue.service: queue.by_rank for queue in control.list_queues(now)}
+        for service in self._context.directory.list_services():
+            for rank, count in enumerate(waiting.get(service, NONE_WAITING)):
+                metrics.waiting_requests.set(count, service, str(rank))
+            capacity = control.describe_capacity(service, now)
+            metrics.service_limit.set(capacity.limit, service)
+            metrics.service_held.set(capacity.held, service)
+            metrics.service_share.set(capacity.share, service)
 
 
 class OperationsResponder(Responder):
@@ -235,3 +296,8 @@
 
 def _round_s(seconds: float) -> float:
     return round(min(NEVER_S, seconds), 2)
+
+
+def _round_finite(value: float) -> float | None:
+    """Return a rounded number; None if it is not finite, which JSON can't express."""
+    return round(value, 2) if math.isfinite(value) else None
--- /dev/null
+++ b/src/ramppin/gateway/process/overload/activation.py
@@ -0,0 +1,83 @@
+"""Enables, changes and disables overload control as the settings require.
+
+The rules of the routing settings take precedence over those of the process's
+configuration. Without either, or with ``enabled`` set to false, requests are served as
+if this package did not exist.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.overload.control import OverloadControl
+from ramppin.gateway.process.overload.returns import ReturnDetector
+from ramppin.gateway.process.overload.rules import OverloadRules
+from ramppin.gateway.process.overload.scheduler import Scheduler
+from ramppin.gateway.process.overload.startlimiter import StartLimiter
+from ramppin.gateway.version.routing import RoutingTable
+
+
+class OverloadActivation:
+    """Puts the rules of overload control in force.
+
+    Args:
+        context: shared state of the process; its ``overload`` is set here.
+        configured: rules of the process's configuration; None for none.
+        build_limiter: returns the limiter of starts, once it is needed.
+        generator: random number generator.
+
+    Attributes:
+        configured: as above; takes effect with :meth:`apply`.
+
+    .. versionadded:: 0.4
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        configured: OverloadRules | None,
+        build_limiter: Callable[[], StartLimiter],
+        generator: random.Random,
+    ) -> None:
+        self._context = context
+        self.configured = configured
+        self._build_limiter = build_limiter
+        self._generator = generator
+        self._rules: OverloadRules | None = None
+
+    def apply(self, table: RoutingTable | None) -> None:
+        """Put the rules in force that apply with these routing settings."""
+        rules = table.overload if table is not None else None
+        rules = rules or self.configured
+        if rules is not None and not rules.enabled:
+            rules = None
+        if rules == self._rules:
+            return
+        self._rules = rules
+        context = self._context
+        control = context.overload
+        if rules is None:
+            context.overload = None
+            if control is not None:
+                control.close()
+        elif control is not None:
+            control.replace_scheduler(self._build_scheduler(rules, control.limiter))
+        else:
+            limiter = self._build_limiter()
+            scheduler = self._build_scheduler(rules, limiter)
+            context.overload = OverloadControl(scheduler, limiter, ReturnDetector())
+            if context.drain is not None:
+                context.overload.note_drain(context.drain)
+
+    def _build_scheduler(
+        self, rules: OverloadRules, limiter: StartLimiter
+    ) -> Scheduler:
+        directory = self._context.directory
+        return Scheduler(
+            rules,
+            limiter,
+            self._generator,
+            lambda service: directory.find_times(service).wait.mean_s,
+        )
--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -78,7 +78,7 @@
     def note_ended(self, service: str, now: float) -> None:
         """Record that a started request ended, which may start others."""
         self._scheduler.note_ended(service, now)
-        if self._waiting or self._timer is not None:
+        if self._timer is not None and not self._waiting:
             self._set_timer(now)
 
     # called for other events
@@ -144,15 +144,17 @@
     def _set_timer(self, now: float) -> None:
         """Set the timer to the next check; stop it if nothing waits."""
         due_at = self._scheduler.find_next_check(now) if self._waiting else None
-        if due_at == self._due_at:
-            return
+        if due_at is not None:
+            # A timer that is due earlier stays: events must not postpone it for ever.
+            due_at = max(due_at, now + MIN_CHECK_S)
+            if self._due_at is not None and self._due_at <= due_at:
+                return
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._due_at = due_at
         if due_at is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(max(due_at, now + MIN_CHECK_S), self._run_timer)
+            self._timer = asyncio.get_running_loop().call_at(due_at, self._run_timer)
 
     def _stop_waiting(self) -> None:
         """Refuse waiting requests whose time limit is after the end of this VM."""
--- a/src/ramppin/gateway/process/recovery/recordapplier.py
+++ b/src/ramppin/gateway/process/recovery/recordapplier.py
@@ -68,6 +68,7 @@
             return
         context.table = table
         context.listener.limits = table.limits
+        context.note_table(table)
         context.decisions.note(
             "settings_in_force",
             version=table.version,
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -43,7 +43,11 @@
 
     def inc(self, *labels: str) -> None:
         """Count one event."""
-        self.values[labels] = self.values.get(labels, 0.0) + 1.0
+        self.add(1.0, *labels)
+
+    def add(self, amount: float, *labels: str) -> None:
+        """Add an amount."""
+        self.values[labels] = self.values.get(labels, 0.0) + amount
 
 
 class GaugeTally(Tally):
@@ -91,6 +95,60 @@
         self.sums[labels] = self.sums.get(labels, 0.0) + value
 
 
+MAX_CUSTOMERS = 20
+"""Customers that have a label of their own; the others are counted together."""
+
+MAX_TOTALS = 1_000
+"""Customers whose total is kept. Beyond it, that of the customer with the least is
+dropped."""
+
+OTHER = "other"
+"""Label of the customers without one of their own, and of public routes."""
+
+
+class CustomerTally(CounterTally):
+    """A counter by customer that has a label for those with the most only.
+
+    Values never decrease: a customer that gets a label starts at zero, and one that
+    loses it is no longer listed.
+
+    Args:
+        name: the metric's name.
+        documentation: what it counts, for operators.
+    """
+
+    def __init__(self, name: str, documentation: str) -> None:
+        super().__init__(name, documentation, ("customer",))
+        self._totals: dict[str, float] = {}
+        self._labelled: set[str] = set()
+
+    def add(self, amount: float, *labels: str) -> None:
+        """Add an amount for a customer; an empty name counts as other."""
+        customer = labels[0]
+        if not customer:
+            super().add(amount, OTHER)
+            return
+        total = self._totals[customer] = self._totals.get(customer, 0.0) + amount
+        if customer not in self._labelled:
+            self._label(customer, total)
+        super().add(amount, customer if customer in self._labelled else OTHER)
+
+    def _label(self, customer: str, total: float) -> None:
+        """Give a customer a label if its total is among the largest."""
+        if len(self._labelled) >= MAX_CUSTOMERS:
+            least = min(self._labelled, key=self._totals.__getitem__)
+            if self._totals[least] >= total:
+                self._limit_totals()
+                return
+            self._labelled.remove(least)
+            self.values.pop((least,), None)
+        self._labelled.add(customer)
+
+    def _limit_totals(self) -> None:
+        if len(self._totals) > MAX_TOTALS:
+            del self._totals[min(self._totals, key=self._totals.__getitem__)]
+
+
 class GatewayMetrics:
     """The metrics of a gateway process.
 
@@ -103,6 +161,7 @@
         self._measure_process()
         self._measure_tables()
         self._measure_servers()
+        self._measure_overload()
 
     def list_tallies(self) -> list[Tally]:
         """Return all metrics."""
@@ -215,3 +274,45 @@
             "ramppin_gateway_connections_opened",
             "Connections opened to backend servers since the start.",
         )
+
+    def _measure_overload(self) -> None:
+        self.waiting_requests = GaugeTally(
+            "ramppin_gateway_waiting_requests",
+            "Requests that wait for their turn at this VM, by service and rank.",
+            ("service", "rank"),
+        )
+        self.wait_seconds = HistogramTally(
+            "ramppin_gateway_wait_seconds",
+            "Time for which started requests waited for their turn, by service.",
+            ("service",),
+            SECONDS_BUCKETS,
+        )
+        self.overload_refusals = CounterTally(
+            "ramppin_gateway_overload_refusals_total",
+            "Requests refused by overload control, by service, rule and rank.",
+            ("service", "rule", "rank"),
+        )
+        self.displaced = CounterTally(
+            "ramppin_gateway_displaced_total",
+            "Waiting requests refused in favour of others, by service.",
+            ("service",),
+        )
+        self.service_limit = GaugeTally(
+            "ramppin_gateway_service_limit",
+            "Requests that the servers of a service may hold.",
+            ("service",),
+        )
+        self.service_held = GaugeTally(
+            "ramppin_gateway_service_held",
+            "Requests that the servers of a service hold, as this VM estimates.",
+            ("service",),
+        )
+        self.service_share = GaugeTally(
+            "ramppin_gateway_service_share",
+            "Requests of a service that this VM may start now.",
+            ("service",),
+        )
+        self.customer_work = CustomerTally(
+            "ramppin_gateway_customer_work_seconds_total",
+            "Time for which servers held the requests of a customer.",
+        )
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -58,6 +58,7 @@
         resumable: whether only complete events are forwarded.
         may_take_over: returns whether another server could take over the request.
         note_notice: called with the server's notice when an answer's head arrives.
+        note_load: called after a load report was recorded; None if nothing follows.
 
     Attributes:
         answer_started: whether part of an answer was sent to the caller, by this
@@ -78,6 +79,7 @@
         resumable: bool,
         may_take_over: Callable[[], bool],
         note_notice: Callable[[ServerNotice], None],
+        note_load: Callable[[], None] | None = None,
     ) -> None:
         self._names = names
         self._caller = caller
@@ -86,6 +88,7 @@
         self._streams = streams
         self._may_take_over = may_take_over
         self._apply_notice = note_notice
+        self._note_load_change = note_load
         self._loop = asyncio.get_running_loop()
         self._result: asyncio.Future[AttemptResult] = self._loop.create_future()
         self._connection: UpstreamConnection | None = None
@@ -351,6 +354,8 @@
         numbers = report.split(b",")
         if len(numbers) >= 2 and numbers[0].isdigit() and numbers[1].isdigit():
             self._state.note_load(int(numbers[0]), int(numbers[1]), self._loop.time())
+            if self._note_load_change is not None:
+                self._note_load_change()
             return
         LOG.warning(
             "a load report is not RUNNING,WAITING and is ignored: %.40r",
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -1,6 +1,7 @@
 """Processing of one caller request from its arrival to its final answer.
 
-Applies decisions made elsewhere: admission (:mod:`~.admission`), server selection
+Applies decisions made elsewhere: admission (:mod:`~.admission`), the request's turn
+under overload control (:mod:`~.queueing`), server selection
 (:mod:`ramppin.gateway.process.routing.selection`), retries (:mod:`~.retry`) and the
 final answer (:mod:`~.finalanswer`). Owns the request's progress, but neither the
 caller's connection nor the shared state of the process.
@@ -17,6 +18,8 @@
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.overload.control import OverloadControl
+from ramppin.gateway.process.overload.ticket import Turn
 from ramppin.gateway.process.routing.selection import Selection
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import (
@@ -34,8 +37,11 @@
     FinalAnswer,
     answer_denied,
     answer_failed,
+    answer_left,
+    answer_refused,
     answer_stopped,
 )
+from ramppin.gateway.request.queueing import Queueing
 from ramppin.gateway.request.report import RequestReport
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.retry import Progress, Verdict
@@ -70,6 +76,7 @@
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
+        self._queueing: Queueing | None = None
         self._disconnected = False
         self._last_server = ""
         self._progress = Progress()
@@ -82,6 +89,8 @@
     def disconnect(self) -> None:
         """Cancel the exchange because the caller disconnected."""
         self._disconnected = True
+        if self._queueing is not None:
+            self._queueing.cancel()
         if self._attempt is not None:
             self._attempt.cancel(AttemptEnd.CALLER_DISCONNECTED)
 
@@ -109,7 +118,10 @@
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
             context.retry_budget.note_request(admitted.service, self._loop.time())
-            await self._serve(admitted)
+            if context.overload is None:
+                await self._serve(admitted)
+            else:
+                await self._serve_in_turn(admitted, context.overload)
         except Exception:
             # After an unexpected error the caller must not wait for an answer.
             self._connection.abort()
@@ -157,6 +169,29 @@
             self._report.note_ignored_deadline(admitted.ignored_deadline)
         return admitted
 
+    async def _serve_in_turn(
+        self, admission: Admission, control: OverloadControl
+    ) -> None:
+        """Serve the request once overload control lets it start."""
+        queueing = self._queueing = Queueing(
+            self._context, control, admission, self._request, self._find_deadline_s()
+        )
+        try:
+            decision = await queueing.run()
+            self._report.note_decision(decision)
+            if self._disconnected:
+                self._note_given_up(admission, answer_left())
+                self._report.count_request(admission.service, 0)
+            elif decision.turn is Turn.START:
+                await self._serve(admission)
+            else:
+                if decision.rule is not None:
+                    rank = queueing.ticket.rank
+                    self._report.count_refusal(admission.service, rank, decision.rule)
+                self._end(admission, answer_refused(decision))
+        finally:
+            queueing.end()
+
     async def _serve(self, admission: Admission) -> None:
         builder = RequestHeadBuilder(
             self._context.names, self._request, admission.route, admission.customer
@@ -255,6 +290,7 @@
     ) -> AttemptResult:
         """Send the request over a connection and forward its answer."""
         now, state, route = self._loop.time(), selection.state, admission.route
+        overload = self._context.overload
         attempt = Attempt(
             self._context.names,
             self._connection,
@@ -265,6 +301,7 @@
             resumable=route.resumable,
             may_take_over=lambda: self._may_take_over(retries),
             note_notice=lambda notice: self._note_notice(state, notice),
+            note_load=None if overload is None else overload.note_change,
         )
         self._attempt = attempt
         source = self._context.directory.find_copy_source(selection.copy_from, now)
@@ -294,11 +331,24 @@
     # final answer
 
     def _end(
-        self, admission: Admission, final: FinalAnswer, closed: tuple[str, ...]
+        self,
+        admission: Admission,
+        final: FinalAnswer,
+        closed: tuple[str, ...] = (),
     ) -> None:
         """End a request for which no attempt delivered an answer."""
         if self._disconnected:
             return
+        self._note_given_up(admission, final, closed)
+        self._report.count_request(admission.service, final.status)
+        self._answer(final)
+
+    def _note_given_up(
+        self,
+        admission: Admission,
+        final: FinalAnswer,
+        closed: tuple[str, ...] = (),
+    ) -> None:
         now = self._loop.time()
         self._report.note_given_up(
             admission,
@@ -309,8 +359,6 @@
             time_left_s=self._ends_at - now,
             now=now,
         )
-        self._report.count_request(admission.service, final.status)
-        self._answer(final)
 
     def _answer(self, final: FinalAnswer) -> None:
         """Send the final answer to the caller, or abort its connection."""
--- a/src/ramppin/gateway/request/finalanswer.py
+++ b/src/ramppin/gateway/request/finalanswer.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from ramppin.gateway.connection.upstream import AnswerHead
+from ramppin.gateway.process.overload.ticket import RefusalRule, TurnDecision
 from ramppin.gateway.request.admission import Denial
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.retry import Progress, Verdict
@@ -52,7 +53,7 @@
 
     ending: Ending
     status: int
-    reason: Verdict | Denial
+    reason: Verdict | Denial | RefusalRule
     retry_after_s: float | None = None
     server_answer: tuple[AnswerHead, bytes] | None = None
 
@@ -75,6 +76,26 @@
     return FinalAnswer(Ending.REFUSE, denial.status, denial, pause_s)
 
 
+def answer_refused(decision: TurnDecision) -> FinalAnswer:
+    """Return the answer to a request that overload control refused; it never ran.
+
+    Args:
+        decision: the refusal; it has no rule if the request waited at a VM that is
+            stopping.
+    """
+    if decision.rule is None:
+        reason = Denial.STOPPING
+        return FinalAnswer(Ending.REFUSE, NOT_RUN_STATUS, reason, STOP_PAUSE_S)
+    return FinalAnswer(
+        Ending.REFUSE, NOT_RUN_STATUS, decision.rule, decision.retry_after_s
+    )
+
+
+def answer_left() -> FinalAnswer:
+    """Return the end of a request whose caller disconnected while it waited."""
+    return FinalAnswer(Ending.CUT, 0, Verdict.CALLER_LEFT)
+
+
 def answer_stopped(
     progress: Progress,
     last: AttemptResult | None,
--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -60,7 +60,7 @@
         self._control = control
         self._admission = admission
         self._loop = asyncio.get_running_loop()
-        self._decided: asyncio.Future[TurnDecision | None] | None = None
+        self._decided: asyncio.Future[TurnDecision] | None = None
         self._started_at: float | None = None
         now = self._loop.time()
         route, customer = admission.route, admission.customer
@@ -85,8 +85,8 @@
             decide=self._decide,
         )
 
-    async def run(self) -> TurnDecision | None:
-        """Return START or REFUSED, or None if the caller disconnected meanwhile."""
+    async def run(self) -> TurnDecision:
+        """Return START or REFUSED, or WAIT if the caller disconnected meanwhile."""
         ticket, now = self.ticket, self._loop.time()
         decision = self._control.submit(ticket, now)
         if decision.turn is Turn.START:
@@ -101,15 +101,20 @@
         self._decided = self._loop.create_future()
         decided = await self._decided
         now = self._loop.time()
-        if decided is None or decided.turn is Turn.START:
-            return decided
-        return self._note_refused(decided, now)
+        return self._note_refused(decided, now) if decided.rule else decided
 
     def cancel(self) -> None:
         """Leave the admission queue because the caller disconnected."""
         if self._decided is not None and not self._decided.done():
-            self._control.withdraw(self.ticket, self._loop.time())
-            self._decided.set_result(None)
+            ticket, now = self.ticket, self._loop.time()
+            self._control.withdraw(ticket, now)
+            self._decided.set_result(
+                TurnDecision(
+                    Turn.WAIT,
+                    waited_s=now - ticket.submitted_at,
+                    estimate_s=ticket.estimate_s,
+                )
+            )
 
     def end(self) -> None:
         """Report that the request has ended, if it was started."""
@@ -117,7 +122,7 @@
             return
         now = self._loop.time()
         self._context.metrics.customer_work.add(
-            self.ticket.customer, now - self._started_at
+            now - self._started_at, self.ticket.customer
         )
         self._started_at = None
         self._control.note_ended(self.ticket.service, now)
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -9,6 +9,7 @@
 import logging
 
 from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.overload.ticket import RefusalRule, Turn, TurnDecision
 from ramppin.gateway.process.routing.selection import Selection
 from ramppin.gateway.request.admission import Admission, Denial
 from ramppin.gateway.request.finalanswer import FinalAnswer
@@ -19,6 +20,9 @@
 MAX_REPORT_AGE_S = 999.0
 """Age in seconds that log lines show for a load report that was never received."""
 
+NOT_QUEUED = TurnDecision(Turn.START)
+"""Decision about a request that did not ask for its turn."""
+
 LOG = logging.getLogger(__name__)
 
 
@@ -39,6 +43,11 @@
         self._context = context
         self._request_id = request_id.decode("latin-1")
         self._arrived = arrived
+        self._decision = NOT_QUEUED
+
+    def note_decision(self, decision: TurnDecision) -> None:
+        """Keep the decision of overload control about the request, for its lines."""
+        self._decision = decision
 
     def note_denied(self, denial: Denial) -> None:
         """Log that the request was refused before a server was selected."""
@@ -98,6 +107,7 @@
             "rest_s": round(result.notice.backoff_s, 3),
             "message": result.message,
             "took_ms": round((now - self._arrived) * 1000),
+            "waited_ms": _to_ms(self._decision.waited_s),
             "first_ms": self._measure_first_ms(result),
             "target_ms": _to_ms(admission.route.target_s),
             "rule": verdict.name.lower() if verdict else "",
@@ -144,6 +154,9 @@
             "retry_after_s": final.retry_after_s,
             "time_left_ms": round(time_left_s * 1000),
             "took_ms": round((now - self._arrived) * 1000),
+            "waited_ms": _to_ms(self._decision.waited_s),
+            "estimate_ms": _to_ms(self._decision.estimate_s),
+            "ahead": self._decision.ahead,
             "tries": progress.tries,
             "runs": progress.runs,
             "closed": closed,
@@ -157,6 +170,13 @@
         """Count a finished request; status 0 if its caller disconnected."""
         self._context.metrics.requests.inc(service, str(status))
 
+    def count_refusal(self, service: str, rank: int, rule: RefusalRule) -> None:
+        """Count a request that overload control refused."""
+        metrics = self._context.metrics
+        metrics.overload_refusals.inc(service, rule.value, str(rank))
+        if rule is RefusalRule.DISPLACED:
+            metrics.displaced.inc(service)
+
     def count_refused_retry(self, service: str) -> None:
         """Count a retry that the budget did not allow."""
         self._context.metrics.retries_refused.inc(service)
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -67,6 +67,7 @@
     ATTEMPTS_SPENT = "the request may have run as often as its route allows"
     ANSWER_STARTED = "part of an answer was sent and can't be resumed"
     BUDGET_SPENT = "the retry budget is exhausted"
+    CALLER_LEFT = "the caller disconnected while the request waited for its turn"
 
     @property
     def allows(self) -> bool:
--- a/src/ramppin/losses.py
+++ b/src/ramppin/losses.py
@@ -202,6 +202,8 @@
     event = line["event"]
     if event in ("denied", "refused"):
         return Loss.REFUSED, f"{event}: {line.get('reason', '')}"
+    if event == "given_up" and line.get("rule") == "caller_left":
+        return Loss.LEFT, "caller left"
     if event == "given_up":
         is_refusal = _read_number(line, "runs") == 0 and line.get("status") == 503
         return (Loss.REFUSED if is_refusal else Loss.LOST), str(line.get("rule", ""))
