--- a/src/ramppin/gateway/process/overload/returns.py
+++ b/src/ramppin/gateway/process/overload/returns.py
@@ -20,6 +20,11 @@
 MAX_TIME_SHARE = 1 / 3
 """Maximum of ``Retry-After`` as a share of the time left. Callers honour no more."""
 
+EVEN_STEP = 0.618034
+"""Step between two points of a sequence that covers [0, 1) evenly at any length (the
+golden ratio's fraction). Random points form clusters: of 100 requests refused at one
+moment, 42 returned within the same half second."""
+
 SPREAD_SHARE = 0.5
 """Share of the maximum over which returns are spread that fit no place in the sequence:
 callers refused at the same moment must not return at the same moment."""
@@ -57,6 +62,7 @@
 
     def __init__(self, generator: random.Random) -> None:
         self._generator = generator
+        self._point = generator.random()
         self._next_at: dict[str, list[float]] = {}
 
     def choose_retry_after_s(
@@ -89,7 +95,8 @@
         pause_s = place_at - now + gap_s * self._generator.random()
         if pause_s > most_s:
             least_s = max(MIN_RETRY_AFTER_S, SPREAD_SHARE * most_s)
-            return self._generator.uniform(least_s, most_s)
+            self._point = (self._point + EVEN_STEP) % 1
+            return least_s + self._point * (most_s - least_s)
         next_at[rank] = place_at + gap_s
         return max(MIN_RETRY_AFTER_S, pause_s)
 
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -15,7 +15,6 @@
 from ramppin.gateway.process.overload.forecast import (
     MIN_START_RATE_PER_S,
     Forecast,
-    estimate_wait_s,
     is_hopeless,
     is_too_late,
 )
@@ -23,6 +22,7 @@
 from ramppin.gateway.process.overload.rules import OverloadRules
 from ramppin.gateway.process.overload.startlimiter import StartLimiter
 from ramppin.gateway.process.overload.ticket import (
+    RANKS,
     RefusalRule,
     Ticket,
     TicketState,
@@ -101,6 +101,9 @@
         self._returns = ReturnSequence(generator)
         self._undelivered: deque[tuple[Ticket, TurnDecision]] = deque()
         self._is_delivering = False
+        # Time of the last check, from which the next one is due: it must not move with
+        # each call of a method.
+        self._checked_at = float("-inf")
 
     def submit(self, ticket: Ticket, now: float) -> TurnDecision:
         """Return START, WAIT or REFUSED for a new request.
@@ -114,13 +117,13 @@
         ):
             ticket.state = TicketState.DECIDED
             self._limiter.note_started(service, ticket.rank, now)
+            self._forecast.note_started(service, ticket.rank, False, now)
             return _STARTED
         ticket.state = TicketState.SUBMITTED
         ticket.submitted_at = now
         self._drop_expired(service, now)
         self._room.activate(ticket, now)
-        ahead = self._room.count_ahead(ticket, now)
-        self._estimate(ticket, ahead, now)
+        ahead = self._estimate_newcomer(ticket, now)
         rule = self._admit(ticket, now)
         if rule is not None:
             self._refuse(ticket, rule, now, ticket.estimate_s, ahead)
@@ -148,6 +151,7 @@
 
     def pump(self, now: float) -> None:
         """Start and refuse every waiting request that is due."""
+        self._checked_at = now
         for service in self._room.list_services():
             self._drop_expired(service, now)
             self._start_due(service, now)
@@ -164,11 +168,11 @@
             waiting = self._room.list_waiting(service)
             rate = self._estimate_start_rate(service, waiting[0].rank, now)
             gap_s = 1 / (CHECKS_PER_START * rate)
-            check_at = now + min(max(gap_s, MIN_CHECK_S), MAX_CHECK_S)
-            limit_at = max(now, min(ticket.limit_at for ticket in waiting))
+            check_at = self._checked_at + min(max(gap_s, MIN_CHECK_S), MAX_CHECK_S)
+            limit_at = min(ticket.limit_at for ticket in waiting)
             service_at = min(check_at, limit_at)
             due_at = service_at if due_at is None else min(due_at, service_at)
-        return due_at
+        return None if due_at is None else max(now, due_at)
 
     def describe(self, now: float) -> list[ServiceQueue]:
         """Return what waits, for each service with waiting requests."""
@@ -186,13 +190,38 @@
             )
         return queues
 
-    def _estimate(self, ticket: Ticket, ahead: int, now: float) -> None:
-        """Set the estimated wait of a request that arrives."""
-        rate = self._estimate_start_rate(ticket.service, ticket.rank, now)
-        ticket.raw_estimate_s = estimate_wait_s(ahead, rate)
-        ticket.estimate_s = self._forecast.correct(
-            ticket.service, ticket.rank, ticket.raw_estimate_s, now
+    def _estimate_newcomer(self, ticket: Ticket, now: float) -> int:
+        """Set the estimated wait of a request that arrives; return how many are ahead.
+
+        A request that will miss its target while it waits is placed and estimated as a
+        late one: others that arrive later and are on time will go before it.
+        """
+        is_late = self._room.is_late(ticket, now)
+        ahead = self._room.count_ahead(ticket, now)
+        ticket.raw_estimate_s, estimate_s = self._estimate(ticket, ahead, is_late, now)
+        if is_late:
+            ticket.raw_late_estimate_s = ticket.raw_estimate_s
+        elif self._room.is_late(ticket, now + estimate_s):
+            ahead = self._room.count_ahead(ticket, now, is_late=True)
+            raw_s, estimate_s = self._estimate(ticket, ahead, True, now)
+            ticket.raw_late_estimate_s = raw_s
+        ticket.estimate_s = estimate_s
+        return ahead
+
+    def _estimate(
+        self, ticket: Ticket, ahead: int, is_late: bool, now: float
+    ) -> tuple[float, float]:
+        """Return the estimate of a wait before and after the correction."""
+        service, rank = ticket.service, ticket.rank
+        raw_s = self._forecast.estimate_wait_s(
+            service,
+            rank,
+            ahead=ahead,
+            start_rate_per_s=self._estimate_start_rate(service, rank, now),
+            is_late=is_late,
+            now=now,
         )
+        return raw_s, self._forecast.correct(service, rank, is_late, raw_s, now)
 
     def _admit(self, ticket: Ticket, now: float) -> RefusalRule | None:
         """Add a request to the queue, or return the rule by which it is refused."""
@@ -204,6 +233,8 @@
         displaced = self._room.choose_displaced(ticket, now)
         if displaced is None:
             return RefusalRule.ROOM_FULL
+        if self._room.count == 0:
+            self._checked_at = now
         for other in displaced:
             self._room.remove(other)
             self._refuse_waiting(other, RefusalRule.DISPLACED, now)
@@ -231,8 +262,11 @@
         self._limiter.note_started(ticket.service, ticket.rank, now)
         self._room.charge(ticket, now)
         waited_s = now - ticket.submitted_at
-        self._forecast.note_started(
-            ticket.service, ticket.rank, ticket.raw_estimate_s, waited_s, now
+        is_late = self._room.is_late(ticket, now)
+        self._forecast.note_started(ticket.service, ticket.rank, is_late, now)
+        is_late, raw_s = self._find_estimate(ticket, now)
+        self._forecast.note_wait(
+            ticket.service, ticket.rank, is_late, raw_s, waited_s, now
         )
         decision = TurnDecision(
             Turn.START, waited_s=waited_s, estimate_s=ticket.estimate_s
@@ -257,13 +291,10 @@
         usual_wait_s = self._usual_wait_s(service)
         ahead = 0
         is_changed = False
-        for rank, count in enumerate(self._room.count_by_rank(service)):
-            if count == 0:
-                continue
-            rate = self._estimate_start_rate(service, rank, now)
+        for rank in range(RANKS):
             for ticket in self._room.list_order(service, rank, now):
-                raw_s = estimate_wait_s(ahead, rate)
-                estimate_s = self._forecast.correct(service, rank, raw_s, now)
+                is_late = self._room.is_late(ticket, now)
+                estimate_s = self._estimate(ticket, ahead, is_late, now)[1]
                 first_byte_at = now + estimate_s + usual_wait_s
                 if is_hopeless(first_byte_at, ticket.limit_at, now):
                     self._room.remove(ticket)
@@ -278,12 +309,9 @@
 
     def _refuse_waiting(self, ticket: Ticket, rule: RefusalRule, now: float) -> None:
         """Refuse a request that was removed from the queue for no forecast."""
-        if rule is RefusalRule.EXPIRED:
-            self._note_left(ticket, now)
+        self._note_left(ticket, now)
         ahead = sum(self._room.count_by_rank(ticket.service)[: ticket.rank + 1])
-        rate = self._estimate_start_rate(ticket.service, ticket.rank, now)
-        raw_s = estimate_wait_s(ahead, rate)
-        estimate_s = self._forecast.correct(ticket.service, ticket.rank, raw_s, now)
+        estimate_s = self._estimate(ticket, ahead, True, now)[1]
         self._refuse(ticket, rule, now, estimate_s, ahead)
 
     def _refuse(
@@ -349,10 +377,21 @@
 
     def _note_left(self, ticket: Ticket, now: float) -> None:
         """Correct the forecast by a request that left without a start."""
+        is_late, raw_s = self._find_estimate(ticket, now)
         waited_s = now - ticket.submitted_at
         self._forecast.note_left(
-            ticket.service, ticket.rank, ticket.raw_estimate_s, waited_s, now
+            ticket.service, ticket.rank, is_late, raw_s, waited_s, now
         )
 
+    def _find_estimate(self, ticket: Ticket, now: float) -> tuple[bool, float]:
+        """Return which estimate a wait until now tests, and its value in seconds.
+
+        It is that for a late request only if it was made on arrival and the request is
+        late by now: one that starts sooner was not overtaken as a late one.
+        """
+        if ticket.raw_late_estimate_s is not None and self._room.is_late(ticket, now):
+            return True, ticket.raw_late_estimate_s
+        return False, ticket.raw_estimate_s
+
     def _note_waiting(self, service: str, now: float) -> None:
         self._limiter.note_waiting(service, self._room.count_by_rank(service), now)
--- a/src/ramppin/gateway/process/overload/ticket.py
+++ b/src/ramppin/gateway/process/overload/ticket.py
@@ -96,6 +96,8 @@
         submitted_at: event-loop time at which it asked for its turn.
         estimate_s: estimated wait in seconds on arrival.
         raw_estimate_s: the same before the correction by observed waits.
+        raw_late_estimate_s: the same as for a late request, if it was expected to be
+            late.
         decision: decision made before the submit call has returned.
 
     .. versionadded:: 0.4
@@ -117,6 +119,7 @@
     submitted_at: float = field(default=0.0, init=False)
     estimate_s: float = field(default=0.0, init=False)
     raw_estimate_s: float = field(default=0.0, init=False)
+    raw_late_estimate_s: float | None = field(default=None, init=False)
     decision: TurnDecision | None = field(default=None, init=False)
 
     @property
--- a/src/ramppin/gateway/process/overload/waitingroom.py
+++ b/src/ramppin/gateway/process/overload/waitingroom.py
@@ -126,8 +126,18 @@
             ),
         )
 
+    def is_late(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a request is put behind those that can meet their target."""
+        return _is_late(ticket, now + self._usual_wait_s(ticket.service))
+
     def list_order(
-        self, service: str, rank: int, now: float, newcomer: Ticket | None = None
+        self,
+        service: str,
+        rank: int,
+        now: float,
+        newcomer: Ticket | None = None,
+        *,
+        is_newcomer_late: bool = False,
     ) -> list[Ticket]:
         """Return the requests of a service and rank in the order of their starts.
 
@@ -136,6 +146,7 @@
             rank: the rank.
             now: current event-loop time.
             newcomer: a request that is not in the queue and is listed with it.
+            is_newcomer_late: whether it is placed as if it were already late.
         """
         room = self._rooms.get(service)
         tickets = list(room.by_rank[rank]) if room is not None else []
@@ -145,27 +156,40 @@
             return tickets
         on_time_until = now + self._usual_wait_s(service)
         uses = self._measure_uses(service, tickets, now)
-        tickets.sort(
-            key=lambda ticket: (_is_late(ticket, on_time_until), ticket.ends_at)
-        )
+        late = {
+            ticket: _is_late(ticket, on_time_until)
+            or (is_newcomer_late and ticket is newcomer)
+            for ticket in tickets
+        }
+        tickets.sort(key=lambda ticket: (late[ticket], ticket.ends_at))
         # A customer's counter grows with each of its requests that starts, so its
         # later requests are placed by the counter that they will find.
         keys: dict[Ticket, tuple[bool, float, float]] = {}
         for ticket in tickets:
             use = uses[ticket.customer]
-            keys[ticket] = _is_late(ticket, on_time_until), use, ticket.ends_at
+            keys[ticket] = late[ticket], use, ticket.ends_at
             if self._rules.fair_shares:
                 uses[ticket.customer] = use + measure_share(ticket.work, ticket.weight)
         tickets.sort(key=keys.__getitem__)
         return tickets
 
-    def count_ahead(self, newcomer: Ticket, now: float) -> int:
-        """Return how many requests are ahead of a newcomer that is not in the queue."""
+    def count_ahead(
+        self, newcomer: Ticket, now: float, *, is_late: bool = False
+    ) -> int:
+        """Return how many requests are ahead of a newcomer that is not in the queue.
+
+        Args:
+            newcomer: the request.
+            now: current event-loop time.
+            is_late: whether it is placed as if it were already late.
+        """
         room = self._rooms.get(newcomer.service)
         if room is None:
             return 0
         more_urgent = sum(len(tickets) for tickets in room.by_rank[: newcomer.rank])
-        order = self.list_order(newcomer.service, newcomer.rank, now, newcomer)
+        order = self.list_order(
+            newcomer.service, newcomer.rank, now, newcomer, is_newcomer_late=is_late
+        )
         return more_urgent + order.index(newcomer)
 
     def choose_displaced(self, newcomer: Ticket, now: float) -> list[Ticket] | None:
