Overload: capacity of a service, the fleet's demand and this VM's share

VMs add their demand to messages that are sent anyway; without overload control the field is left out of the datagram, which keeps its bytes.

--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -25,6 +25,7 @@
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import (
     BackoffHint,
+    DemandHint,
     EndHint,
     FailureHint,
     HomeHint,
@@ -33,6 +34,7 @@
     PeerHints,
     SuspectHint,
     WaitHint,
+    encode_hints,
 )
 from ramppin.gateway.process.membership.members import MemberRecord
 from ramppin.gateway.process.membership.servernotices import NoticeSource
@@ -270,6 +272,11 @@
     [LeavingHint("s2", 60)],
     [BackoffHint("s3", 70)],
 )
+"""A datagram with an entry of each kind that is sent without overload control."""
+
+DEMAND_HINTS = msgspec.structs.replace(
+    FULL_HINTS, demands=[DemandHint("models", 3, [0, 1, 2, 0, 0, 0, 0, 0, 0, 4])]
+)
 """A datagram with an entry of each kind."""
 
 
@@ -283,8 +290,9 @@
         # The compressed bytes depend on the library; what they hold does not.
         "large answer's mark": large[:1],
         "large answer": zlib.decompress(large[1:]),
-        "hints": msgspec.msgpack.encode(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
-        "full hints": msgspec.msgpack.encode(FULL_HINTS),
+        "hints": encode_hints(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
+        "full hints": encode_hints(FULL_HINTS),
+        "hints with demands": encode_hints(DEMAND_HINTS),
     }
     router = {
         type(message).__name__: messages.encode_message(message)
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -1,4 +1,4 @@
-"""UDP datagrams between VMs: hints about prefix homes, loads and failures.
+"""UDP datagrams between VMs: hints about prefix homes, loads, failures and demand.
 
 Delivery is not guaranteed. Messages are MessagePack arrays, encoded by msgspec, in
 place of CBOR over WebSockets: a hint needs no connection, and msgspec validates each
@@ -96,6 +96,20 @@
     remaining_ms: int
 
 
+class DemandHint(msgspec.Struct, array_like=True, frozen=True):
+    """The sender's demand for a service.
+
+    Attributes:
+        service: the service's name.
+        running: requests that the sender has in flight at the service's servers.
+        waiting: requests that wait at the sender, by rank.
+    """
+
+    service: str
+    running: int
+    waiting: list[int]
+
+
 class PeerHints(msgspec.Struct, array_like=True, frozen=True):
     """The content of one datagram.
 
@@ -113,6 +127,7 @@
         quarantine_digest: digest of all requests that the sender refuses.
         leaving: servers that announced in answers that they are leaving.
         backoffs: servers that asked the sender for a back-off.
+        demands: the sender's demand for services; left out of the encoding if empty.
     """
 
     vm: str
@@ -126,12 +141,23 @@
     quarantine_digest: int = 0
     leaving: list[LeavingHint] = []
     backoffs: list[BackoffHint] = []
+    demands: list[DemandHint] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerHints)
 
 
+def encode_hints(hints: PeerHints) -> bytes:
+    """Encode a message.
+
+    Without overload control no VM sends a demand, and the bytes are the same as those
+    of versions without the field ``demands``.
+    """
+    fields = msgspec.structs.astuple(hints)
+    return _ENCODER.encode(fields if hints.demands else fields[:-1])
+
+
 class DatagramLink(asyncio.DatagramProtocol):
     """A UDP endpoint that exchanges hints with other VMs.
 
@@ -184,7 +210,7 @@
         """Send a message to each host; do nothing once the endpoint is closed."""
         if self._transport is None or self._transport.is_closing():
             return
-        data = _ENCODER.encode(hints)
+        data = encode_hints(hints)
         for host in hosts:
             self._transport.sendto(data, (host, port))
 
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -1,8 +1,9 @@
 """Exchange of hints between VMs by datagram.
 
 Hints are homes of prefixes and hot prefixes, failures and loads of servers, servers
-that leave or request a back-off, and requests that may crash servers. A datagram
-without any of these is a heartbeat, by which VMs detect that their peers are alive.
+that leave or request a back-off, requests that may crash servers, and this VM's demand
+for services. A datagram without any of these is a heartbeat, by which VMs detect that
+their peers are alive.
 Holds the times of the last messages to near and far VMs, and the budget of datagrams.
 """
 
@@ -10,10 +11,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ramppin.gateway.connection.datagrams import (
     DatagramLink,
+    DemandHint,
     HomeHint,
     LoadHint,
     PeerHints,
@@ -21,6 +23,7 @@
 )
 from ramppin.gateway.process.load.gossip import LoadGossip
 from ramppin.gateway.process.membership.members import FleetMembers
+from ramppin.gateway.process.overload.demandgossip import DemandGossip
 from ramppin.gateway.process.quarantine.gossip import QuarantineGossip
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
 from ramppin.gateway.process.routing.directory import ServerDirectory
@@ -63,6 +66,7 @@
         is_log_up: returns whether the shared log is available to this VM.
         suspects: gossip on requests that may crash servers.
         notices: gossip on notices of servers.
+        demands: gossip on demand for services; None if overload control is not used.
 
     .. versionadded:: 0.2
     """
@@ -79,6 +83,7 @@
         is_log_up: Callable[[float], bool] = lambda now: True,
         suspects: QuarantineGossip | None = None,
         notices: NoticeGossip | None = None,
+        demands: DemandGossip | None = None,
     ) -> None:
         self._vm = vm
         self._link = link
@@ -90,6 +95,7 @@
         self._is_log_up = is_log_up
         self._suspects = suspects or QuarantineGossip(Quarantine())
         self._notices = notices or NoticeGossip(ServerDirectory())
+        self._demands = demands
         self._sent_log_up = True
         self._woken = asyncio.Event()
         self._suspects.watch(self._woken.set)
@@ -138,6 +144,8 @@
         self._loads.apply(hints, now)
         self._notices.apply(hints.leaving, now)
         self._notices.apply_backoffs(hints.vm, hints.backoffs, now)
+        if self._demands is not None:
+            self._demands.apply(hints.vm, hints.demands, now)
         self._answer_suspects(hints, host, now)
         if hints.failures:
             domain = self._members.find_failure_domain(hints.vm)
@@ -213,7 +221,8 @@
         for near, server_loads in ((True, loads.near), (False, loads.far)):
             due_s = self._members.choose_heartbeat_s(near=near)
             waits = now - self._sent_at[near] < due_s
-            if not has_updates and not server_loads and waits:
+            demands = self._collect_demands(now, near=near)
+            if not has_updates and not server_loads and not demands and waits:
                 continue
             hints = PeerHints(
                 self._vm,
@@ -227,28 +236,46 @@
                 self._suspects.digest,
                 leaving or self._notices.collect_rebroadcast(now, near=near),
                 backoffs,
+                demands,
             )
             self._send_to(hints, near, now)
 
     def _send_loads(self, now: float) -> None:
         """Send loads to near VMs, and the important ones to far VMs within the budget.
 
-        Important are loads near the bound, and overdue requests.
+        Important are loads near the bound, and overdue requests. This VM's demand goes
+        to near VMs only, and to the others with the periodic messages.
         """
         loads = self._loads.collect(now)
-        if loads.near or loads.waits:
-            self._send_to(self._build_load_hints(loads.near, loads.waits), True, now)
+        demands = self._collect_demands(now, near=True)
+        if loads.near or loads.waits or demands:
+            hints = self._build_load_hints(loads.near, loads.waits, demands)
+            self._send_to(hints, True, now)
         if (loads.far or loads.waits) and self._may_broadcast():
             self._send_to(self._build_load_hints(loads.far, loads.waits), False, now)
 
     def _build_load_hints(
-        self, loads: list[LoadHint], waits: list[WaitHint]
+        self,
+        loads: list[LoadHint],
+        waits: list[WaitHint],
+        demands: Sequence[DemandHint] = (),
     ) -> PeerHints:
-        digest = self._suspects.digest
         return PeerHints(
-            self._vm, [], self._sent_log_up, [], loads, waits, quarantine_digest=digest
+            self._vm,
+            [],
+            self._sent_log_up,
+            [],
+            loads,
+            waits,
+            quarantine_digest=self._suspects.digest,
+            demands=list(demands),
         )
 
+    def _collect_demands(self, now: float, *, near: bool) -> list[DemandHint]:
+        if self._demands is None:
+            return []
+        return self._demands.collect(now, near=near)
+
     def _answer_suspects(self, hints: PeerHints, host: str, now: float) -> None:
         """Apply a VM's suspect requests, and send that VM alone those that it lacks."""
         outdated = self._suspects.apply(hints.suspects, now)
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """Limits that apply to every backend server of a service.
+    """Limits that apply to the backend servers of a service.
 
     Attributes:
         name: the service's name.
@@ -82,12 +82,19 @@
             0 for no limit.
         cold_s: seconds for which a server is cold after its start.
         cold_per_s: maximum requests per second to a cold server; 0 for no limit.
+        slots: requests that a server runs at once; 0 if unknown. A server's own entry
+            takes precedence.
+        cache_tokens: tokens that a server's cache memory holds; 0 if unknown.
+        limit: requests that all servers together may hold; 0 to derive it from them.
     """
 
     name: str
     max_connections: int = 0
     cold_s: float = 0.0
     cold_per_s: float = 0.0
+    slots: int = 0
+    cache_tokens: int = 0
+    limit: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -64,7 +64,16 @@
 class ServiceNode(msgspec.Struct, forbid_unknown_fields=True):
     """A service and the rules that its routes inherit.
 
-    ``slots`` and ``cache_tokens`` are accepted and have no effect.
+    Attributes:
+        max_connections: maximum connections to one server, from all VMs.
+        cold_s: seconds for which a server is cold after its start.
+        cold_per_s: maximum requests per second to a cold server; 0 for no limit.
+        slots: requests that a server runs at once, for servers whose entry does not
+            say; values outside 1 to 100,000 are ignored.
+        cache_tokens: tokens that a server's cache memory holds; 0 if unknown.
+        limit: requests that all servers together may hold, 1 or more; None to derive
+            it from the servers.
+        rules: rules that the service's routes inherit.
     """
 
     max_connections: int = 0
@@ -72,6 +81,7 @@
     cold_per_s: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
+    limit: Annotated[int, msgspec.Meta(ge=1)] | None = None
     rules: RouteRules = msgspec.field(default_factory=RouteRules)
 
 
@@ -179,7 +189,15 @@
         version=tree.version,
         routes=tuple(routes),
         services={
-            name: ServiceSpec(name, node.max_connections, node.cold_s, node.cold_per_s)
+            name: ServiceSpec(
+                name,
+                node.max_connections,
+                node.cold_s,
+                node.cold_per_s,
+                node.slots,
+                node.cache_tokens,
+                node.limit or 0,
+            )
             for name, node in tree.services.items()
         },
         customers={
