--- a/src/ramppin/gateway/process/overload/capacity.py
+++ b/src/ramppin/gateway/process/overload/capacity.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 
 from ramppin.gateway.process.load.estimate import NEVER
+from ramppin.gateway.process.load.times import MovingMean
 from ramppin.gateway.process.load.view import measure_loads
 from ramppin.gateway.process.overload.learnedlimit import (
     INITIAL_PER_SERVER,
@@ -143,6 +144,7 @@
         self._find_service = find_service
         self._reported_slots: dict[str, int] = {}
         self._mean_tokens: dict[str, float] = {}
+        self._stays: dict[str, MovingMean] = {}
         self._learned: dict[str, LearnedLimit] = {}
         self._warned_at: dict[str, float] = {}
 
@@ -177,6 +179,16 @@
             mean = self._mean_tokens.setdefault(service, float(tokens))
             self._mean_tokens[service] = mean + TOKENS_WEIGHT * (tokens - mean)
 
+    def note_answered(self, service: str, took_s: float) -> None:
+        """Record the seconds that a request stayed at a server.
+
+        The mean begins with the first request, unlike that of the load rules, which
+        begins with a second: where requests take a tenth of that, a VM with one request
+        a second would underestimate the throughput for a long time.
+        """
+        stay = self._stays.setdefault(service, MovingMean(took_s, initial_weight=1))
+        stay.note(took_s)
+
     def find_learned(self, service: str, now: float) -> LearnedLimit | None:
         """Return the learned limit of a service, or None if its slots are stated."""
         states = self._directory.list_open(service)
@@ -210,6 +222,7 @@
             _limit_now(state, server.limit, loads[state.id], spec.cold_per_s, now)
             for state, server in zip(states, servers, strict=True)
         ]
+        stay = self._stays.get(service, states[0].times.stay)
         reported = [s.load.reported_at for s in states if s.load.reported_at > NEVER]
         return ServiceCapacity(
             slots=sum(server.slots for server in servers),
@@ -220,7 +233,7 @@
                 for server in servers
             ),
             max_reserve=sum(_compute_margin(server.slots) for server in servers),
-            stay_s=states[0].times.stay.mean_s,
+            stay_s=stay.mean_s,
             servers=len(states),
             reporting=len(reported),
             source=_find_source(spec, slots, reported),
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -159,6 +159,7 @@
         recent: event-loop times of starts that are not visible in flight yet.
         used_at: event-loop time of the last request of each rank, of any VM.
         buckets: a token bucket for each rank.
+        cap_bucket: token bucket of all ranks, for a part of the limit under 1.
         is_reporting: whether enough servers have reported their load since the start of
             this process.
         snapshot: what was known when it was last measured.
@@ -171,6 +172,7 @@
     buckets: list[_Bucket] = field(
         default_factory=lambda: [_Bucket() for _ in range(RANKS)]
     )
+    cap_bucket: _Bucket = field(default_factory=_Bucket)
     is_reporting: bool = False
     snapshot: _Snapshot | None = None
 
@@ -236,7 +238,7 @@
         return self.peers.compute_share(own, sum(self.peers.waiting[: rank + 1]))
 
     def compute_cap(self, rank: int) -> float:
-        """Return the requests that this VM may have in flight, at least 1.
+        """Return this VM's part of the limit, in requests in flight.
 
         Used where load reports are missing. As long as these are expected, each known
         VM has the same part.
@@ -245,10 +247,10 @@
         limit = self.capacity.limit - reserve
         if self.is_starting:
             known = self.peers.scale * (1 + self.peers.senders)
-            return max(1.0, limit / known) if known else 1.0
+            return limit / known if known else 0.0
         own = max(1, self.own + sum(self.waiting[: rank + 1]))
         others = self.peers.running + sum(self.peers.waiting[: rank + 1])
-        return max(1.0, limit * self.peers.compute_share(own, others))
+        return limit * self.peers.compute_share(own, others)
 
     def is_busy(self) -> bool:
         """Return whether the service's slots are nearly used."""
@@ -256,10 +258,17 @@
             # Nothing can be started, and the request path answers as it does without
             # overload control.
             return False
-        is_full = self.held >= BUSY_SHARE * self.capacity.slots
         if self.is_starting:
-            return self.own >= BUSY_SHARE * self.compute_cap(0)
-        return is_full
+            return self.own >= BUSY_SHARE * max(1.0, self.compute_cap(0))
+        held = self.held
+        if not self.has_reports:
+            # What other VMs run is known with their messages' delay, in which requests
+            # may end and be replaced by those that wait.
+            held += sum(
+                self.peers.estimate_waiting(own, rank)
+                for rank, own in enumerate(self.waiting)
+            )
+        return held >= BUSY_SHARE * self.capacity.slots
 
 
 class FleetStartLimiter(StartLimiter):
@@ -301,7 +310,7 @@
         if not view.is_busy():
             return True
         if not view.has_reports:
-            return view.own + 1 <= view.compute_cap(rank)
+            return self._may_fill(view, self._open(service, now).cap_bucket, rank, now)
         available = view.compute_available(rank)
         share = max(0.0, available) * view.compute_part(rank)
         bucket = self._open(service, now).buckets[rank]
@@ -319,8 +328,8 @@
         starts = self._open(service, now)
         starts.recent.append(now)
         starts.used_at[rank] = now
-        bucket = starts.buckets[rank]
-        bucket.tokens = max(0.0, bucket.tokens - 1)
+        for bucket in (starts.buckets[rank], starts.cap_bucket):
+            bucket.tokens = max(0.0, bucket.tokens - 1)
 
     def note_waiting(self, service: str, waiting: Sequence[int], now: float) -> None:
         """Record this VM's waiting requests by rank, as 10 values."""
@@ -368,6 +377,19 @@
             age_s=min(MAX_AGE_S, now - known_at),
         )
 
+    def _may_fill(self, view: _View, bucket: _Bucket, rank: int, now: float) -> bool:
+        """Return whether this VM's part of the limit allows another request.
+
+        Each VM may have one request in flight. If its part is less, as where there are
+        more VMs than slots, it starts requests at the rate of its part.
+        """
+        cap = view.compute_cap(rank)
+        free_rate = view.compute_share(rank) / REPORT_DELAY_S
+        bucket.refill(max(cap / view.capacity.stay_s, free_rate), 1.0, now)
+        if view.own + 1 > max(1.0, cap):
+            return False
+        return cap >= 1 or bucket.tokens >= 1
+
     # What the request path observes.
 
     def note_slots(self, server_id: str, slots: int, now: float) -> None:
@@ -380,6 +402,7 @@
 
     def note_answered(self, service: str, took_s: float, now: float) -> None:
         """Record that a server answered a request, and the seconds that it took."""
+        self._estimator.note_answered(service, took_s)
         learned = self._estimator.find_learned(service, now)
         if learned is not None:
             view = self._view(service, now)
