--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -34,7 +34,7 @@
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionStrategy
 from ramppin.gateway.process.routing.serverstate import ServerState
-from ramppin.gateway.version.routing import RoutingTable
+from ramppin.gateway.version.routing import RoutingTable, ServiceSpec
 
 NEVER_S = 999_999.0
 """Seconds that represent an unbounded age in lines and answers, which hold numbers."""
@@ -116,9 +116,13 @@
         """Return the seconds since the list of servers was known to be current."""
         return round(min(NEVER_S, now - self.servers_confirmed_at()), 2)
 
+    def find_service(self, service: str) -> ServiceSpec | None:
+        """Return the settings of a service, or None."""
+        return self.table.services.get(service) if self.table else None
+
     def share_connections(self, service: str) -> int | None:
         """Return this VM's share of a server's connections; None for no limit."""
-        spec = self.table.services.get(service) if self.table else None
+        spec = self.find_service(service)
         if spec is None:
             return None
         return share_connections(spec.max_connections, self.live_vms)
@@ -138,7 +142,7 @@
 
     def find_cold_rate(self, service: str) -> float:
         """Return the requests a second that a cold server accepts; 0 for no limit."""
-        spec = self.table.services.get(service) if self.table else None
+        spec = self.find_service(service)
         return spec.cold_per_s if spec else 0.0
 
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -33,7 +33,8 @@
 from ramppin.gateway.process.load.gossip import LoadGossip
 from ramppin.gateway.process.operations import GatewayState, OperationsResponder
 from ramppin.gateway.process.overload.activation import OverloadActivation
-from ramppin.gateway.process.overload.startlimiter import StartLimiter
+from ramppin.gateway.process.overload.demandgossip import DemandGossip
+from ramppin.gateway.process.overload.startlimiter import FleetStartLimiter
 from ramppin.gateway.process.quarantine.gossip import QuarantineGossip
 from ramppin.gateway.process.recovery.peeranswers import RecordsResponder
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
@@ -115,8 +116,15 @@
         self.tables = GatewayTables(
             config, sources, self.context, self.homes, generator, self._suspects
         )
+        self.start_limiter = FleetStartLimiter(
+            directory,
+            self.context.find_service,
+            self._list_sharing_vms,
+            self.tables.members.find_failure_domain,
+            config.failure_domain,
+        )
         self.overload = OverloadActivation(
-            self.context, config.overload, self._build_start_limiter, generator
+            self.context, config.overload, self.start_limiter, generator
         )
         self.context.note_table = self.overload.apply
         self.context.find_home = self.homes.find
@@ -174,6 +182,11 @@
             self.tables.monitor.is_up,
             self._suspects,
             NoticeGossip(self.context.directory),
+            DemandGossip(
+                self.start_limiter,
+                self.context.directory.list_services,
+                lambda: self.context.overload is not None,
+            ),
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
             task = asyncio.create_task(work)
@@ -334,9 +347,6 @@
                 context.decisions.refill()
             context.decisions.flush()
 
-    def _build_start_limiter(self) -> StartLimiter:
-        raise NotImplementedError
-
     def _list_sharing_vms(self, now: float) -> list[str]:
         return self.tables.list_sharing_vms(now)
 
--- a/src/ramppin/gateway/process/overload/activation.py
+++ b/src/ramppin/gateway/process/overload/activation.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.overload.returns import ReturnDetector
 from ramppin.gateway.process.overload.rules import OverloadRules
 from ramppin.gateway.process.overload.scheduler import Scheduler
-from ramppin.gateway.process.overload.startlimiter import StartLimiter
+from ramppin.gateway.process.overload.startlimiter import FleetStartLimiter
 from ramppin.gateway.version.routing import RoutingTable
 
 
@@ -25,7 +24,7 @@
     Args:
         context: shared state of the process; its ``overload`` is set here.
         configured: rules of the process's configuration; None for none.
-        build_limiter: returns the limiter of starts, once it is needed.
+        limiter: what this VM may start now.
         generator: random number generator.
 
     Attributes:
@@ -38,12 +37,12 @@
         self,
         context: GatewayContext,
         configured: OverloadRules | None,
-        build_limiter: Callable[[], StartLimiter],
+        limiter: FleetStartLimiter,
         generator: random.Random,
     ) -> None:
         self._context = context
         self.configured = configured
-        self._build_limiter = build_limiter
+        self._limiter = limiter
         self._generator = generator
         self._rules: OverloadRules | None = None
 
@@ -63,21 +62,19 @@
             if control is not None:
                 control.close()
         elif control is not None:
-            control.replace_scheduler(self._build_scheduler(rules, control.limiter))
+            control.replace_scheduler(self._build_scheduler(rules))
         else:
-            limiter = self._build_limiter()
-            scheduler = self._build_scheduler(rules, limiter)
-            context.overload = OverloadControl(scheduler, limiter, ReturnDetector())
+            context.overload = OverloadControl(
+                self._build_scheduler(rules), self._limiter, ReturnDetector()
+            )
             if context.drain is not None:
                 context.overload.note_drain(context.drain)
 
-    def _build_scheduler(
-        self, rules: OverloadRules, limiter: StartLimiter
-    ) -> Scheduler:
+    def _build_scheduler(self, rules: OverloadRules) -> Scheduler:
         directory = self._context.directory
         return Scheduler(
             rules,
-            limiter,
+            self._limiter,
             self._generator,
             lambda service: directory.find_times(service).wait.mean_s,
         )
--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -12,7 +12,10 @@
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.overload.returns import ReturnDetector
 from ramppin.gateway.process.overload.scheduler import Scheduler, ServiceQueue
-from ramppin.gateway.process.overload.startlimiter import CapacityState, StartLimiter
+from ramppin.gateway.process.overload.startlimiter import (
+    CapacityState,
+    FleetStartLimiter,
+)
 from ramppin.gateway.process.overload.ticket import (
     Ticket,
     TicketState,
@@ -41,7 +44,10 @@
     """
 
     def __init__(
-        self, scheduler: Scheduler, limiter: StartLimiter, returns: ReturnDetector
+        self,
+        scheduler: Scheduler,
+        limiter: FleetStartLimiter,
+        returns: ReturnDetector,
     ) -> None:
         self._scheduler = scheduler
         self.limiter = limiter
@@ -83,6 +89,18 @@
 
     # called for other events
 
+    def note_report(self, server_id: str, slots: int | None) -> None:
+        """Record a server's load report, which may start waiting requests.
+
+        Args:
+            server_id: id of the server's incarnation.
+            slots: the slots that it states; None if it states none.
+        """
+        if slots is not None:
+            now = asyncio.get_running_loop().time()
+            self.limiter.note_slots(server_id, slots, now)
+        self.note_change()
+
     def note_change(self) -> None:
         """Check the waiting requests soon, since a load or a peer's demand changed.
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -58,7 +58,8 @@
         resumable: whether only complete events are forwarded.
         may_take_over: returns whether another server could take over the request.
         note_notice: called with the server's notice when an answer's head arrives.
-        note_load: called after a load report was recorded; None if nothing follows.
+        note_load: called with the slots that a load report states, after the report
+            was recorded; None if nothing follows.
 
     Attributes:
         answer_started: whether part of an answer was sent to the caller, by this
@@ -79,7 +80,7 @@
         resumable: bool,
         may_take_over: Callable[[], bool],
         note_notice: Callable[[ServerNotice], None],
-        note_load: Callable[[], None] | None = None,
+        note_load: Callable[[int | None], None] | None = None,
     ) -> None:
         self._names = names
         self._caller = caller
@@ -355,10 +356,18 @@
         if len(numbers) >= 2 and numbers[0].isdigit() and numbers[1].isdigit():
             self._state.note_load(int(numbers[0]), int(numbers[1]), self._loop.time())
             if self._note_load_change is not None:
-                self._note_load_change()
+                self._note_load_change(_parse_slots(numbers))
             return
         LOG.warning(
             "a load report is not RUNNING,WAITING and is ignored: %.40r",
             report,
             extra={"peer": self._state.server.name, "step": "answer"},
         )
+
+
+def _parse_slots(numbers: list[bytes]) -> int | None:
+    """Return the slots of a load report; None if it states none or is malformed."""
+    try:
+        return int(numbers[2]) if len(numbers) > 2 else None
+    except ValueError:
+        return None
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 from ramppin.gateway.connection.callerwire import CallerConnection
 from ramppin.gateway.connection.httpwire import Headers, find_header, keep_end_to_end
@@ -268,8 +269,11 @@
             result = await self._send(
                 admission, selection, builder, retries, connection
             )
+            took_s = self._loop.time() - started
             if result.end is AttemptEnd.DELIVERED:
-                state.times.stay.note(self._loop.time() - started)
+                state.times.stay.note(took_s)
+            if self._queueing is not None:
+                self._queueing.note_attempt(result.end, took_s)
             result.lost = connection.was_lost or state.restarted
             if connection.was_timed_out:
                 self._context.pool.note_timed_out(connection)
@@ -290,7 +294,6 @@
     ) -> AttemptResult:
         """Send the request over a connection and forward its answer."""
         now, state, route = self._loop.time(), selection.state, admission.route
-        overload = self._context.overload
         attempt = Attempt(
             self._context.names,
             self._connection,
@@ -301,7 +304,7 @@
             resumable=route.resumable,
             may_take_over=lambda: self._may_take_over(retries),
             note_notice=lambda notice: self._note_notice(state, notice),
-            note_load=None if overload is None else overload.note_change,
+            note_load=self._choose_load_listener(state),
         )
         self._attempt = attempt
         source = self._context.directory.find_copy_source(selection.copy_from, now)
@@ -320,6 +323,15 @@
             self._progress.answer_started = self._attempt.answer_started
         return retries.judge_takeover(self._loop.time()).allows
 
+    def _choose_load_listener(
+        self, state: ServerState
+    ) -> Callable[[int | None], None] | None:
+        """Return what is called after a load report of a server, or None."""
+        overload = self._context.overload
+        if overload is None:
+            return None
+        return lambda slots: overload.note_report(state.id, slots)
+
     def _note_notice(self, state: ServerState, notice: ServerNotice) -> None:
         """Record a notice that a server sent in an answer."""
         notices, now = self._context.directory.notices, self._loop.time()
--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.process.overload.ticket import Ticket, Turn, TurnDecision
 from ramppin.gateway.request.admission import Admission
 from ramppin.gateway.request.rank import compute_rank
+from ramppin.gateway.request.result import AttemptEnd
 from ramppin.gateway.request.work import UNKNOWN, RequestWork, estimate_work
 from ramppin.gateway.version.routing import Route
 
@@ -103,6 +104,19 @@
         now = self._loop.time()
         return self._note_refused(decided, now) if decided.rule else decided
 
+    def note_attempt(self, end: AttemptEnd, took_s: float) -> None:
+        """Record an attempt, from which the capacity of the service is estimated.
+
+        Args:
+            end: how it ended.
+            took_s: seconds from the selection of the server until it ended.
+        """
+        limiter, now = self._control.limiter, self._loop.time()
+        if end is AttemptEnd.DELIVERED:
+            limiter.note_answered(self.ticket.service, took_s, now)
+        elif end is AttemptEnd.REJECTED:
+            limiter.note_rejected(self.ticket.service, now)
+
     def cancel(self) -> None:
         """Leave the admission queue because the caller disconnected."""
         if self._decided is not None and not self._decided.done():
@@ -137,6 +151,9 @@
 
     def _note_start(self, decision: TurnDecision, now: float) -> TurnDecision:
         self._started_at = now
+        if self._work.tokens:
+            limiter = self._control.limiter
+            limiter.note_tokens(self.ticket.service, self._work.tokens, now)
         metrics = self._context.metrics
         metrics.wait_seconds.observe(decision.waited_s, self.ticket.service)
         return decision
