--- /dev/null
+++ b/features/overload_path/rules.feature
@@ -0,0 +1,62 @@
+Feature: what the admission queue is told about a request
+
+  Scenario Outline: the rank of a customer of priority <customer> on a route of priority <route>
+    Then a customer of priority <customer> has the rank <rank> on a route of priority <route>
+
+    Examples:
+      | customer | route | rank |
+      | none     | 0     | 0    |
+      | none     | 2     | 2    |
+      | none     | 7     | 2    |
+      | 0        | 1     | 1    |
+      | 1        | 0     | 3    |
+      | 2        | 2     | 8    |
+      | 3        | 0     | 9    |
+      | 3        | 2     | 9    |
+      | 9        | 0     | 9    |
+      | -1       | 0     | 0    |
+      | 1        | -2    | 1    |
+
+  Scenario Outline: the rank in the queue is the priority that a server gets
+    Then a prompt of rank <rank> is sent with the priority <rank>
+
+    Examples:
+      | rank |
+      | 0    |
+      | 4    |
+      | 9    |
+
+  Scenario Outline: work of a prompt: <parts>, size <size>, hint <hint>, <cached>
+    Then a prompt with the parts "<parts>", the size "<size>", the hint "<hint>" and a <cached> prefix has <tokens> tokens and the work <work>
+
+    Examples:
+      | parts              | size      | hint | cached | tokens | work  |
+      | none               | none      | none | new    | 0      | 1     |
+      | a:10240,b:1280     | 11520,500 | 384  | new    | 11904  | 429   |
+      | a:10240,b:1280     | 11520,500 | 384  | cached | 1664   | 389   |
+      | a:10240,b:1280     | 11520,500 | none | cached | 1780   | 505   |
+      | none               | 2560,500  | 40   | new    | 2600   | 50    |
+      | none               | none      | 40   | new    | 40     | 40    |
+      | a:256              | none      | none | new    | 256    | 1     |
+      | a:x,b:2            | 512,8     | 8    | new    | 520    | 10    |
+      | none               | 512       | bad  | new    | 512    | 2     |
+      | none               | none      | -4   | new    | 0      | 1     |
+      | none               | none      | 99999999999 | new | 0  | 1     |
+
+  Scenario Outline: when a caller without a first byte disconnects: <kind>, target <target>, pause <pause>
+    Then a caller on a <kind> route with the target <target> and the pause <pause> waits <patience> s
+
+    Examples:
+      | kind   | target | pause | patience |
+      | stream | 0.1    | none  | 2.0      |
+      | stream | 1.545  | 0.4   | 6.18     |
+      | stream | 0.419  | 0.4   | 3.2      |
+      | stream | 0.419  | 0.3   | 2.4      |
+      | stream | none   | 0.3   | inf      |
+      | once   | 0.163  | none  | inf      |
+
+  Scenario: the ticket holds what the settings and headers state
+    Then the ticket of a prompt tells its rank, customer, weight, work, size and times
+
+  Scenario: work is counted for the 20 customers with the most, the others as other
+    Then of 30 customers the 20 with the most work have a label, and no value decreases
--- a/features/steps/overload_path_steps.py
+++ b/features/steps/overload_path_steps.py
@@ -129,10 +129,11 @@
     run(context, start())
 
 
-@given("the queue takes 1 request")
-@when("settings whose queue takes 1 request are published")
-def step_small_queue(context):
-    run(context, publish(context, overload={"max_waiting": 1}))
+@given("the queue takes {count:d} request")
+@given("the queue takes {count:d} requests")
+@when("settings whose queue takes {count:d} request are published")
+def step_small_queue(context, count):
+    run(context, publish(context, overload={"max_waiting": count}))
 
 
 @given("the server takes {count:d} requests at a time")
--- a/src/ramppin/formatting.py
+++ b/src/ramppin/formatting.py
@@ -43,7 +43,9 @@
 
 
 def show_explanation(found: dict[str, Any]) -> str:
-    """Return why a decision was made."""
+    """Return why a decision was made, by a router or by a gateway."""
+    if "decisions" in found:
+        return _show_gateway_decisions(found)
     lines = [
         f"request   {found['request_id']}",
         f"decided   by {found['vm']} with settings version {found['version']}",
@@ -63,6 +65,47 @@
     return "\n".join(lines)
 
 
+def _show_gateway_decisions(found: dict[str, Any]) -> str:
+    """Return a gateway's decisions about a request, oldest first."""
+    lines = [f"request   {found['request_id']}"]
+    if not found["decisions"]:
+        lines.append("no decision is kept: only those of the last requests are")
+    for decision in found["decisions"]:
+        is_attempt = "end" in decision
+        lines.append(_show_attempt(decision) if is_attempt else _show_end(decision))
+    return "\n".join(lines)
+
+
+def _show_attempt(decision: dict[str, Any]) -> str:
+    if decision["end"] == "delivered":
+        text = f"answered by {decision['server']} with {decision['status']}"
+        first_ms, target_ms = decision["first_ms"], decision["target_ms"]
+        if first_ms is not None:
+            text += f", first byte after {first_ms} ms"
+        if target_ms is not None:
+            text += f" (target {target_ms} ms)"
+    else:
+        text = f"attempt at {decision['server']}: {decision['end']}"
+        text += f", status {decision['status']}, then {decision['rule']}"
+    return f"{text}; {_show_wait(decision)}"
+
+
+def _show_end(decision: dict[str, Any]) -> str:
+    verb = "refused" if decision["runs"] == 0 else "given up"
+    text = f"{verb} with {decision['status']} by the rule {decision['rule']}"
+    if decision["ahead"] or decision["estimate_ms"]:
+        text += f": estimated to wait {decision['estimate_ms']} ms"
+        text += f" behind {decision['ahead']} requests"
+    text += f"; {_show_wait(decision)}, {decision['time_left_ms']} ms left"
+    if decision["retry_after_s"] is not None:
+        text += f", to come back in {decision['retry_after_s']:.2f} s"
+    return text
+
+
+def _show_wait(decision: dict[str, Any]) -> str:
+    return f"{decision['waited_ms']} ms in the admission queue"
+
+
 def show_status(found: dict[str, Any]) -> str:
     """Return the fleet at a glance."""
     lines = [f"seen by {found['seen_by']}, settings version {found['version']}", ""]
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -209,6 +209,9 @@
         for host, host_node in tree.hosts.items()
         for prefix, node in host_node.routes.items()
     ]
+    customers = {
+        name: _build_customer(name, node) for name, node in tree.customers.items()
+    }
     return RoutingTable(
         version=tree.version,
         routes=tuple(routes),
@@ -225,9 +228,9 @@
             for name, node in tree.services.items()
         },
         customers={
-            key: _build_customer(name, node)
-            for name, node in tree.customers.items()
-            for key in node.keys
+            key: customer
+            for name, customer in customers.items()
+            for key in tree.customers[name].keys
         },
         limits=CallerLimits(**msgspec.structs.asdict(tree.limits)),
         overload=_build_overload(tree.overload),
