--- a/features/overload_fleet.py
+++ b/features/overload_fleet.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ramppin.gateway.connection.datagrams import PeerHints, encode_hints
+from ramppin.gateway.connection.datagrams import PeerHints
 from ramppin.gateway.process.load.gossip import LoadGossip
 from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
 from ramppin.gateway.process.overload.demandgossip import DemandGossip
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -29,6 +30,7 @@
     PeerDemand,
 )
 from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.version.routing import ServiceSpec
 
 BUSY_SHARE = 0.75
@@ -47,10 +49,10 @@
 """Seconds after which a started request counts among the requests in flight at its
 server. Until then it is counted here."""
 
-SNAPSHOT_S = 0.05
-"""Seconds for which the capacity of a service is not measured again, a fraction of the
-delay of reports; own requests are counted at once. Measuring 45 servers for each
-request would cost more than its other decisions."""
+SNAPSHOT_S = 0.08
+"""Seconds for which the capacity of a service is not measured again: the shortest
+period of the messages with loads. Own requests are counted at once. Measuring 45
+servers for each request would cost more than its other decisions."""
 
 MAX_AGE_S = 999.0
 """Age in seconds that is shown where nothing has been received."""
@@ -121,12 +123,18 @@
         capacity: capacity of its servers.
         peers: demand of the other VMs.
         own: this VM's requests in flight.
+        positions: for each rank the number of more urgent ranks in use.
+        states: the servers.
+        abandoned: requests that this VM gave up and that servers may still hold.
     """
 
     at: float
     capacity: ServiceCapacity
     peers: PeerDemand
     own: int
+    positions: Sequence[int]
+    states: Sequence[ServerState]
+    abandoned: int
 
 
 @dataclass(slots=True)
@@ -177,7 +185,7 @@
     snapshot: _Snapshot | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _View:
     """A service's capacity and demand, with this VM's requests up to now.
 
@@ -419,8 +427,8 @@
 
     def find_demand(self, service: str, now: float) -> Demand:
         """Return this VM's demand for a service."""
-        starts = self._open(service, now)
-        return Demand(service, self._count_own(service, starts, now), starts.waiting)
+        view = self._view(service, now)
+        return Demand(service, view.own, tuple(view.waiting))
 
     def apply_peer_demand(self, vm: str, demand: Demand, now: float) -> None:
         """Apply the demand of another VM."""
@@ -449,25 +457,51 @@
             starts = self._services[service] = _ServiceStarts(now)
         return starts
 
-    def _count_own(self, service: str, starts: _ServiceStarts, now: float) -> int:
-        """Return this VM's requests in flight, with those that were just started."""
-        recent = starts.recent
-        while recent and now - recent[0] >= VISIBLE_AFTER_S:
-            recent.popleft()
+    def _discount(
+        self, held: float, running: float, capacity: ServiceCapacity, now: float
+    ) -> float:
+        """Return what servers hold if no report has arrived for longer than usual.
+
+        Servers report when they begin to answer. If all VMs wait for free capacity, no
+        requests start, and the last reports do not show those that end.
+
+        Args:
+            held: requests that the servers hold according to the last reports.
+            running: requests that the VMs have in flight, a lower bound: servers that
+                have stopped do not end requests.
+            capacity: capacity of the servers.
+            now: event-loop time.
+        """
+        missing_s = now - capacity.reported_at - REPORT_DELAY_S
+        if missing_s <= 0 or self._directory.stall_detector.is_behind(now):
+            return held
+        remaining = held * math.exp(-missing_s / capacity.stay_s)
+        return min(held, max(running, remaining))
+
+    def _take_snapshot(
+        self, service: str, starts: _ServiceStarts, now: float
+    ) -> _Snapshot:
         states = self._directory.list_service(service)
-        return len(recent) + sum(state.count_own(now) for state in states)
+        abandoned = sum(state.waiting.count_abandoned(now) for state in states)
+        own = abandoned + _count_started(starts, states, now)
+        return _Snapshot(
+            now,
+            self._estimator.measure(service, now),
+            self._demand.sum_up(service, now),
+            own,
+            _count_more_urgent(starts, now),
+            states,
+            abandoned,
+        )
 
     def _view(self, service: str, now: float) -> _View:
         starts = self._open(service, now)
-        own = self._count_own(service, starts, now)
         snapshot = starts.snapshot
         if snapshot is None or not 0 <= now - snapshot.at < SNAPSHOT_S:
-            snapshot = starts.snapshot = _Snapshot(
-                now,
-                self._estimator.measure(service, now),
-                self._demand.sum_up(service, now),
-                own,
-            )
+            snapshot = starts.snapshot = self._take_snapshot(service, starts, now)
+            own = snapshot.own
+        else:
+            own = snapshot.abandoned + _count_started(starts, snapshot.states, now)
         capacity, peers = snapshot.capacity, snapshot.peers
         if capacity.servers and not starts.is_reporting:
             needed = min(MIN_REPORTING, capacity.servers)
@@ -475,10 +509,12 @@
         is_starting = not starts.is_reporting and (
             capacity.reporting > 0 or now - starts.since < DEMAND_TTL_S
         )
-        if starts.is_reporting:
-            held = capacity.held + own - snapshot.own
+        running = peers.estimate_running(own)
+        if not starts.is_reporting:
+            held = max(capacity.held, running)
         else:
-            held = max(capacity.held, peers.estimate_running(own))
+            reported = capacity.held + own - snapshot.own
+            held = self._discount(reported, running, capacity, now)
         return _View(
             capacity=capacity,
             peers=peers,
@@ -487,10 +523,20 @@
             held=held,
             has_reports=starts.is_reporting,
             is_starting=is_starting,
-            positions=_count_more_urgent(starts, now),
+            positions=snapshot.positions,
         )
 
 
+def _count_started(
+    starts: _ServiceStarts, states: Sequence[ServerState], now: float
+) -> int:
+    """Return this VM's requests in flight, with those that were just started."""
+    recent = starts.recent
+    while recent and now - recent[0] >= VISIBLE_AFTER_S:
+        recent.popleft()
+    return len(recent) + sum([state.in_flight for state in states])
+
+
 def _note_ranks(starts: _ServiceStarts, waiting: Sequence[int], now: float) -> None:
     """Record the ranks of waiting requests as in use."""
     for rank, count in enumerate(waiting):
