--- a/features/overload_fleet.py
+++ b/features/overload_fleet.py
@@ -12,7 +12,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -153,14 +153,13 @@
         self.host = f"10.0.{number // 250}.{number % 250 + 1}"
         self.domain = f"domain-{number % fleet.pattern.domains}"
         self.phase_s = fleet.generator.random() * MIN_PERIOD_S
-        self.waiting = [0] * RANKS
-        self.started = 0
-        self.started_at: dict[int, int] = {}
+        self.visible: set[str] | None = None
 
     def open(self) -> None:
         """Start the process, with nothing but the tables of VMs and servers."""
         fleet = self._fleet
-        self.started_of: list[int] = [0] * RANKS
+        self.waiting = [0] * RANKS
+        self.started_of = [0] * RANKS
         self.members = FleetMembers(self.name, self.domain)
         for vm in fleet.vms:
             entry = msgspec.json.encode(MemberRecord(vm.host, vm.domain))
@@ -190,7 +189,8 @@
         )
 
     def list_vms(self, now: float) -> list[str]:
-        return [self.name, *(m.vm for m in self.members.list_recent(now))]
+        names = [self.name, *(m.vm for m in self.members.list_recent(now))]
+        return [n for n in names if self.visible is None or n in self.visible]
 
     def receive(self, rank: int) -> None:
         """Receive a request: start it at once, or let it wait."""
@@ -216,7 +216,6 @@
         fleet = self._fleet
         self.limiter.note_started(SERVICE, rank, fleet.now)
         self.started_of[rank] += 1
-        fleet.starts.append((fleet.now, self, rank))
         states = [
             state
             for state in self.directory.list_open(SERVICE)
@@ -261,9 +260,7 @@
         self.numbers = itertools.count()
         self.is_enabled = True
         self.samples: list[Sample] = []
-        self.starts: list[tuple[float, ReplayedVm, int]] = []
         self.demand_messages = 0
-        self.messages = 0
         self.is_cut: Callable[[ReplayedVm, ReplayedVm], bool] = lambda a, b: False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self.servers = [
@@ -291,7 +288,6 @@
 
     def deliver(self, sender: ReplayedVm, hints: PeerHints, hosts) -> None:
         hosts = list(hosts)
-        self.messages += len(hosts)
         if hints.demands:
             self.demand_messages += len(hosts)
         for host in hosts:
@@ -302,8 +298,13 @@
                     lambda v=vm: v.exchange.apply(hints, sender.host, self.now),
                 )
 
-    def set_load(self, load: float) -> None:
-        self.pattern = replace(self.pattern, load=load)
+    def restart(self) -> None:
+        """Restart all VMs at once; servers end the requests of lost connections."""
+        self._events.clear()
+        for server in self.servers:
+            server.clear()
+        for vm in self.vms:
+            vm.open()
 
     def play(self, seconds: float) -> list[Sample]:
         """Play for some seconds and return the samples of that time."""
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -256,7 +256,7 @@
         if self.is_starting:
             known = self.peers.scale * (1 + self.peers.senders)
             return limit / known if known else 0.0
-        own = max(1, self.own + sum(self.waiting[: rank + 1]))
+        own = self.own + max(1, sum(self.waiting[: rank + 1]))
         others = self.peers.running + sum(self.peers.waiting[: rank + 1])
         return limit * self.peers.compute_share(own, others)
 
