--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -22,7 +22,6 @@
 from ramppin.gateway.process.overload.rules import OverloadRules
 from ramppin.gateway.process.overload.startlimiter import StartLimiter
 from ramppin.gateway.process.overload.ticket import (
-    RANKS,
     RefusalRule,
     Ticket,
     TicketState,
@@ -196,23 +195,24 @@
         A request that will miss its target while it waits is placed and estimated as a
         late one: others that arrive later and are on time will go before it.
         """
+        service, rank = ticket.service, ticket.rank
         is_late = self._room.is_late(ticket, now)
         ahead = self._room.count_ahead(ticket, now)
-        ticket.raw_estimate_s, estimate_s = self._estimate(ticket, ahead, is_late, now)
+        raw_s, estimate_s = self._estimate(service, rank, ahead, is_late, now)
+        ticket.raw_estimate_s = raw_s
         if is_late:
             ticket.raw_late_estimate_s = ticket.raw_estimate_s
         elif self._room.is_late(ticket, now + estimate_s):
             ahead = self._room.count_ahead(ticket, now, is_late=True)
-            raw_s, estimate_s = self._estimate(ticket, ahead, True, now)
+            raw_s, estimate_s = self._estimate(service, rank, ahead, True, now)
             ticket.raw_late_estimate_s = raw_s
         ticket.estimate_s = estimate_s
         return ahead
 
     def _estimate(
-        self, ticket: Ticket, ahead: int, is_late: bool, now: float
+        self, service: str, rank: int, ahead: int, is_late: bool, now: float
     ) -> tuple[float, float]:
         """Return the estimate of a wait before and after the correction."""
-        service, rank = ticket.service, ticket.rank
         raw_s = self._forecast.estimate_wait_s(
             service,
             rank,
@@ -291,10 +291,18 @@
         usual_wait_s = self._usual_wait_s(service)
         ahead = 0
         is_changed = False
-        for rank in range(RANKS):
+        for rank, count in enumerate(self._room.count_by_rank(service)):
+            if count == 0:
+                continue
+            # Estimates grow linearly with the requests ahead: the limiter and the
+            # correction are asked once for each rank, not for each request.
+            on_time_s = self._estimate(service, rank, 1, False, now)[1]
+            late_s = self._estimate(service, rank, 0, True, now)[1]
             for ticket in self._room.list_order(service, rank, now):
-                is_late = self._room.is_late(ticket, now)
-                estimate_s = self._estimate(ticket, ahead, is_late, now)[1]
+                if self._room.is_late(ticket, now):
+                    estimate_s = late_s * (ahead + 1)
+                else:
+                    estimate_s = on_time_s * ahead
                 first_byte_at = now + estimate_s + usual_wait_s
                 if is_hopeless(first_byte_at, ticket.limit_at, now):
                     self._room.remove(ticket)
@@ -311,7 +319,7 @@
         """Refuse a request that was removed from the queue for no forecast."""
         self._note_left(ticket, now)
         ahead = sum(self._room.count_by_rank(ticket.service)[: ticket.rank + 1])
-        estimate_s = self._estimate(ticket, ahead, True, now)[1]
+        estimate_s = self._estimate(ticket.service, ticket.rank, ahead, True, now)[1]
         self._refuse(ticket, rule, now, estimate_s, ahead)
 
     def _refuse(
