--- a/features/gateway_lines.py
+++ b/features/gateway_lines.py
@@ -129,6 +129,11 @@
         }
         decisions = (await operator.ask("/explain/failed"))["decisions"]
         answers["given up"] = describe_keys(decisions[-1:])
+        self._fixture.publish(build_tree(4, overload={}))
+        context = self._gateway.context
+        await wait_for(lambda: context.overload, "overload control is enabled")
+        dump = await operator.ask("/dump")
+        answers["/dump overload"] = describe_keys(dump["overload"])
         return answers
 
     async def _restart_server(self) -> None:
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -38,6 +38,8 @@
 )
 from ramppin.gateway.process.membership.members import MemberRecord
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.overload.capacity import CapacitySource
+from ramppin.gateway.process.overload.ticket import RefusalRule
 from ramppin.gateway.process.quarantine.quarantine import ChangeKind
 from ramppin.gateway.process.recovery.logmonitor import LogCall
 from ramppin.gateway.process.recovery.peermessages import (
@@ -324,6 +326,8 @@
     """Return the values that decision lines, metrics and answers take from enums."""
     return {
         "rules": sorted(verdict.name.lower() for verdict in Verdict),
+        "rules of overload control": sorted(rule.value for rule in RefusalRule),
+        "sources of capacity": sorted(source.value for source in CapacitySource),
         "endings": sorted(ending.name.lower() for ending in Ending),
         "ends of attempts": sorted(end.value for end in AttemptEnd),
         "closure reasons": sorted(reason.value for reason in ClosureReason),
