--- a/features/overload_path/rules.feature
+++ b/features/overload_path/rules.feature
@@ -58,5 +58,21 @@
   Scenario: the ticket holds what the settings and headers state
     Then the ticket of a prompt tells its rank, customer, weight, work, size and times
 
+  Scenario Outline: the scheduler is called by events and one timer: <what>
+    Then with <what> the scheduler is checked <checks> times
+
+    Examples:
+      | what                                             | checks |
+      | nothing waiting, 0.2 s and 20 events             | 0      |
+      | 1 waiting, 20 events in one iteration            | 1      |
+      | 1 waiting, a check due after 0.05 s              | 1      |
+      | 1 waiting that leaves, a check due after 0.05 s  | 0      |
+
+  Scenario: newcomers do not postpone a check that is due before theirs
+    Then with a check due after 0.2 s and a newcomer every 0.01 s the scheduler is checked
+
+  Scenario: a check that stays due does not occupy the event loop
+    Then with a check that stays due the scheduler is checked at most 40 times in 0.1 s
+
   Scenario: work is counted for the 20 customers with the most, the others as other
     Then of 30 customers the 20 with the most work have a label, and no value decreases
--- a/features/steps/overload_rule_steps.py
+++ b/features/steps/overload_rule_steps.py
@@ -16,8 +16,10 @@
 from ramppin.gateway.connection.httpwire import HeaderNames
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.process.overload.activation import OverloadActivation
+from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.overload.returns import ReturnDetector
 from ramppin.gateway.process.overload.rules import OverloadRules
+from ramppin.gateway.process.overload.ticket import Turn, TurnDecision
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.reporting.metrics import MAX_CUSTOMERS, CustomerTally
 from ramppin.gateway.request.admission import Admission
@@ -35,6 +37,7 @@
 from ramppin.gateway.version.routingfile import TreeDecoder
 from ramppin.losses import Grouping, LossReport
 from ramppin_platform.settings import PlatformSettings
+from standins.common import wait_for
 
 NAMES = HeaderNames()
 SERVICES = (WeightedService("plain", 1.0),)
@@ -293,6 +296,94 @@
     assert tally.values["other",] < total / 2
 
 
+# events and the timer
+
+
+class CheckedScheduler:
+    """A scheduler that lets every request wait, and counts checks.
+
+    Attributes:
+        gap_s: seconds after each call at which the next check is due.
+    """
+
+    def __init__(self, gap_s: float) -> None:
+        self.gap_s = gap_s
+        self.checks = 0
+
+    def submit(self, ticket, now: float) -> TurnDecision:
+        return TurnDecision(Turn.WAIT)
+
+    def withdraw(self, ticket, now: float) -> None:
+        pass
+
+    def note_ended(self, service: str, now: float) -> None:
+        pass
+
+    def pump(self, now: float) -> None:
+        self.checks += 1
+
+    def find_next_check(self, now: float) -> float:
+        return now + self.gap_s
+
+
+@then("with {what} the scheduler is checked {checks:d} times")
+def step_checks(context, what, checks):
+    async def play() -> int:
+        scheduler = CheckedScheduler(0.05 if "due" in what else 60.0)
+        control = OverloadControl(scheduler, None, ReturnDetector())
+        loop = asyncio.get_running_loop()
+        if "1 waiting" in what:
+            control.submit("first", loop.time())
+        for _ in range(20 if "20 events" in what else 0):
+            control.note_report("s1", None)
+        if "leaves" in what:
+            control.withdraw("first", loop.time())
+        if "one iteration" in what:
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        elif "nothing" in what or "leaves" in what:
+            await asyncio.sleep(0.2)
+        else:
+            await wait_for(lambda: scheduler.checks, "a check")
+        return scheduler.checks
+
+    assert run(context, play()) == checks
+
+
+@then(
+    "with a check due after {gap:g} s and a newcomer every {period:g} s the scheduler "
+    "is checked"
+)
+def step_newcomers(context, gap, period):
+    async def play() -> int:
+        scheduler = CheckedScheduler(gap)
+        control = OverloadControl(scheduler, None, ReturnDetector())
+        for number in range(200):
+            control.submit(f"newcomer {number}", asyncio.get_running_loop().time())
+            await asyncio.sleep(period)
+            if scheduler.checks:
+                break
+        return scheduler.checks
+
+    assert run(context, play()) == 1
+
+
+@then(
+    "with a check that stays due the scheduler is checked at most {most:d} times in "
+    "{seconds:g} s"
+)
+def step_stays_due(context, most, seconds):
+    async def play() -> int:
+        scheduler = CheckedScheduler(-1.0)
+        control = OverloadControl(scheduler, None, ReturnDetector())
+        control.submit("first", asyncio.get_running_loop().time())
+        await asyncio.sleep(seconds)
+        control.withdraw("first", asyncio.get_running_loop().time())
+        return scheduler.checks
+
+    assert 1 <= run(context, play()) <= most
+
+
 # operators
 
 
