Record one of eight answers where servers state their slots

Each answer took 10 us (4 servers) to 40 us (45 servers) of processor time below capacity; only the mean time of requests is learned from them.

--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -28,6 +28,14 @@
 event loop."""
 
 
+ALL_ANSWERS = 16
+"""First answers of each service that are all recorded, of which the mean consists."""
+
+ANSWERS_PER_SAMPLE = 8
+"""Answers of which one is recorded where a sample suffices. Recording one takes 10 µs
+with 4 servers and 40 µs with 45."""
+
+
 class OverloadControl:
     """Gives the requests of this process their turns.
 
@@ -57,6 +65,7 @@
         self._due_at: float | None = None
         self._drain: Drain | None = None
         self._pump_is_scheduled = False
+        self._answers: dict[str, int] = {}
 
     # called by the request path
 
@@ -87,6 +96,24 @@
         if self._timer is not None and not self._waiting:
             self._set_timer(now)
 
+    def note_answered(
+        self, service: str, took_s: float, now: float, *, is_sampled: bool
+    ) -> None:
+        """Record the time that an answered request took at a server.
+
+        Args:
+            service: name of the service.
+            took_s: seconds from the selection of the server to the end of the answer.
+            now: current event-loop time.
+            is_sampled: whether a sample suffices: only the mean of the times is learned
+                from the answers, as the server states its slots.
+        """
+        count = self._answers.get(service, 0)
+        self._answers[service] = count + 1
+        if is_sampled and count >= ALL_ANSWERS and count % ANSWERS_PER_SAMPLE:
+            return
+        self.limiter.note_answered(service, took_s, now)
+
     # called for other events
 
     def note_report(self, server_id: str, slots: int | None) -> None:
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -273,7 +273,7 @@
             if result.end is AttemptEnd.DELIVERED:
                 state.times.stay.note(took_s)
             if self._queueing is not None:
-                self._queueing.note_attempt(result.end, took_s)
+                self._queueing.note_attempt(state.server, result.end, took_s)
             result.lost = connection.was_lost or state.restarted
             if connection.was_timed_out:
                 self._context.pool.note_timed_out(connection)
--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -13,6 +13,7 @@
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.overload.ticket import Ticket, Turn, TurnDecision
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.request.admission import Admission
 from ramppin.gateway.request.rank import compute_rank
 from ramppin.gateway.request.result import AttemptEnd
@@ -63,6 +64,7 @@
         self._loop = asyncio.get_running_loop()
         self._decided: asyncio.Future[TurnDecision] | None = None
         self._started_at: float | None = None
+        self._has_waited = False
         now = self._loop.time()
         route, customer = admission.route, admission.customer
         self._work = self._estimate_work(request)
@@ -99,21 +101,28 @@
             return TurnDecision(Turn.START)
         if decision.turn is Turn.REFUSED:
             return self._note_refused(decision, now)
+        self._has_waited = True
         self._decided = self._loop.create_future()
         decided = await self._decided
         now = self._loop.time()
         return self._note_refused(decided, now) if decided.rule else decided
 
-    def note_attempt(self, end: AttemptEnd, took_s: float) -> None:
+    def note_attempt(
+        self, server: BackendServer, end: AttemptEnd, took_s: float
+    ) -> None:
         """Record an attempt, from which the capacity of the service is estimated.
 
         Args:
+            server: the server.
             end: how it ended.
             took_s: seconds from the selection of the server until it ended.
         """
         limiter, now = self._control.limiter, self._loop.time()
         if end is AttemptEnd.DELIVERED:
-            limiter.note_answered(self.ticket.service, took_s, now)
+            is_sampled = server.slots > 0 and not self._has_waited
+            self._control.note_answered(
+                self.ticket.service, took_s, now, is_sampled=is_sampled
+            )
         elif end is AttemptEnd.REJECTED:
             limiter.note_rejected(self.ticket.service, now)
 
