--- a/features/overload_queue/patterns.feature
+++ b/features/overload_queue/patterns.feature
@@ -152,3 +152,7 @@
     Given an admission queue for 1 requests and 4000 bytes
     When a request is displaced by a newcomer, and its callback lets the newcomer start
     Then the newcomer's submit returns START and no decision follows
+
+  Scenario: a request that is withdrawn and submitted to another scheduler gets one decision
+    When a request waits, is withdrawn and submitted to another scheduler, as for new rules
+    Then the other scheduler alone decides about it, once
--- a/features/steps/overload_queue_pattern_steps.py
+++ b/features/steps/overload_queue_pattern_steps.py
@@ -433,3 +433,34 @@
 def step_returned_start(context):
     assert context.answer.turn is Turn.START, context.answer
     assert context.newcomer.decisions == []
+
+
+@when(
+    "a request waits, is withdrawn and submitted to another scheduler, as for new rules"
+)
+def step_resubmit(context):
+    context.schedulers = []
+    context.request = Request(at=0.0)
+    ticket = context.request.make_ticket()
+    for at in (0.0, 0.1):
+        limiter = FakeLimiter(rate=100.0)
+        scheduler = Scheduler(
+            OverloadRules(enabled=True),
+            limiter,
+            random.Random(1),
+            lambda service: USUAL_WAIT_S,
+        )
+        context.schedulers.append((scheduler, limiter))
+        assert scheduler.submit(ticket, at).turn is Turn.WAIT
+        if at == 0.0:
+            scheduler.withdraw(ticket, at)
+
+
+@then("the other scheduler alone decides about it, once")
+def step_decided_once(context):
+    for scheduler, limiter in context.schedulers:
+        limiter.allowed = 5
+        scheduler.pump(0.2)
+        scheduler.pump(0.3)
+    assert [d.turn for d in context.request.decisions] == [Turn.START]
+    assert [len(limiter.started) for _, limiter in context.schedulers] == [0, 1]
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -105,7 +105,7 @@
         self._checked_at = float("-inf")
 
     def submit(self, ticket: Ticket, now: float) -> TurnDecision:
-        """Return START, WAIT or REFUSED for a new request.
+        """Return START, WAIT or REFUSED for a new request, or one that was withdrawn.
 
         A WAIT is followed by exactly one call of the ticket's ``decide`` with START or
         REFUSED, unless it is withdrawn before.
@@ -119,6 +119,7 @@
             self._forecast.note_started(service, ticket.rank, False, now)
             return _STARTED
         ticket.state = TicketState.SUBMITTED
+        ticket.decision = None
         ticket.submitted_at = now
         self._drop_expired(service, now)
         self._room.activate(ticket, now)
@@ -138,6 +139,10 @@
     def withdraw(self, ticket: Ticket, now: float) -> None:
         """Remove a request whose caller disconnected; no decision follows."""
         ticket.state = TicketState.WITHDRAWN
+        if self._undelivered:
+            self._undelivered = deque(
+                entry for entry in self._undelivered if entry[0] is not ticket
+            )
         if self._room.remove(ticket):
             self._note_left(ticket, now)
             self._note_waiting(ticket.service, now)
@@ -200,9 +205,8 @@
         ahead = self._room.count_ahead(ticket, now)
         raw_s, estimate_s = self._estimate(service, rank, ahead, is_late, now)
         ticket.raw_estimate_s = raw_s
-        if is_late:
-            ticket.raw_late_estimate_s = ticket.raw_estimate_s
-        elif self._room.is_late(ticket, now + estimate_s):
+        ticket.raw_late_estimate_s = raw_s if is_late else None
+        if not is_late and self._room.is_late(ticket, now + estimate_s):
             ahead = self._room.count_ahead(ticket, now, is_late=True)
             raw_s, estimate_s = self._estimate(service, rank, ahead, True, now)
             ticket.raw_late_estimate_s = raw_s
@@ -360,7 +364,7 @@
     def _deliver(self) -> None:
         """Call the callbacks of the decisions made; nested calls leave it to the first.
 
-        A request that was withdrawn meanwhile gets no decision.
+        So callbacks that cause further decisions are not nested in each other.
         """
         if self._is_delivering:
             return
@@ -368,8 +372,6 @@
         try:
             while self._undelivered:
                 ticket, decision = self._undelivered.popleft()
-                if ticket.state is TicketState.WITHDRAWN:
-                    continue
                 try:
                     ticket.decide(decision)
                 except Exception:
