--- a/features/overload_queue/patterns.feature
+++ b/features/overload_queue/patterns.feature
@@ -124,6 +124,19 @@
       | 0.25  | 1    |
       | 0.25  | 2    |
 
+  Scenario Outline: starts that go first take part of the rate: <what>
+    When for 20 s requests of rank <rank> start at 6 per second, <late> of them late
+    Then with 4 ahead of a rank 1 request that will be <state>, a rate of 10 gives <least> to <most> s
+
+    Examples: 4 / 10 s, or 4 / (10 - 6) s; a late one also waits for its own start
+      | what                             | rank | late | state   | least | most |
+      | more urgent ones                 | 0    | 0.0  | on time | 0.9   | 1.1  |
+      | more urgent ones that are late   | 0    | 1.0  | on time | 0.9   | 1.1  |
+      | of its rank, for one on time     | 1    | 0.0  | on time | 0.4   | 0.4  |
+      | of its rank, for a late one      | 1    | 0.0  | late    | 1.1   | 1.4  |
+      | of its rank, all of them late    | 1    | 1.0  | late    | 0.5   | 0.5  |
+      | less urgent ones                 | 2    | 0.0  | late    | 0.5   | 0.5  |
+
   Scenario Outline: the correction is forgotten after <pause> s without waits
     When waits were <actual> times as long as estimated, and <pause> s pass
     Then an estimate of 1.0 s is corrected to <least> to <most> s
--- a/features/steps/overload_queue_pattern_steps.py
+++ b/features/steps/overload_queue_pattern_steps.py
@@ -260,6 +260,33 @@
     assert context.longest >= count, context.longest
 
 
+@when(
+    "for {seconds:g} s requests of rank {rank:d} start at {rate:g} per second, "
+    "{late:g} of them late"
+)
+def step_others_start(context, seconds, rank, rate, late):
+    context.forecast = Forecast()
+    for n in range(int(seconds * rate)):
+        context.forecast.note_started("chat", rank, late > 0, n / rate)
+    context.now = seconds
+
+
+@then(
+    "with {ahead:d} ahead of a rank 1 request that will be {state}, a rate of {rate:g} "
+    "gives {least:g} to {most:g} s"
+)
+def step_estimated(context, ahead, state, rate, least, most):
+    found = context.forecast.estimate_wait_s(
+        "chat",
+        1,
+        ahead=ahead,
+        start_rate_per_s=rate,
+        is_late=state == "late",
+        now=context.now,
+    )
+    assert least - 1e-9 <= found <= most + 1e-9, found
+
+
 @when("waits were {actual:g} times as long as estimated, and {pause:g} s pass")
 def step_waits(context, actual, pause):
     context.forecast = Forecast()
