--- a/features/steps/overload_queue_pattern_steps.py
+++ b/features/steps/overload_queue_pattern_steps.py
@@ -260,6 +260,33 @@
     assert context.longest >= count, context.longest
 
 
+@when(
+    "for {seconds:g} s requests of rank {rank:d} start at {rate:g} per second, "
+    "{late:g} of them late"
+)
+def step_others_start(context, seconds, rank, rate, late):
+    context.forecast = Forecast()
+    for n in range(int(seconds * rate)):
+        context.forecast.note_started("chat", rank, late > 0, n / rate)
+    context.now = seconds
+
+
+@then(
+    "with {ahead:d} ahead of a rank 1 request that will be {state}, a rate of {rate:g} "
+    "gives {least:g} to {most:g} s"
+)
+def step_estimated(context, ahead, state, rate, least, most):
+    found = context.forecast.estimate_wait_s(
+        "chat",
+        1,
+        ahead=ahead,
+        start_rate_per_s=rate,
+        is_late=state == "late",
+        now=context.now,
+    )
+    assert least - 1e-9 <= found <= most + 1e-9, found
+
+
 @when("waits were {actual:g} times as long as estimated, and {pause:g} s pass")
 def step_waits(context, actual, pause):
     context.forecast = Forecast()
@@ -433,3 +460,34 @@
 def step_returned_start(context):
     assert context.answer.turn is Turn.START, context.answer
     assert context.newcomer.decisions == []
+
+
+@when(
+    "a request waits, is withdrawn and submitted to another scheduler, as for new rules"
+)
+def step_resubmit(context):
+    context.schedulers = []
+    context.request = Request(at=0.0)
+    ticket = context.request.make_ticket()
+    for at in (0.0, 0.1):
+        limiter = FakeLimiter(rate=100.0)
+        scheduler = Scheduler(
+            OverloadRules(enabled=True),
+            limiter,
+            random.Random(1),
+            lambda service: USUAL_WAIT_S,
+        )
+        context.schedulers.append((scheduler, limiter))
+        assert scheduler.submit(ticket, at).turn is Turn.WAIT
+        if at == 0.0:
+            scheduler.withdraw(ticket, at)
+
+
+@then("the other scheduler alone decides about it, once")
+def step_decided_once(context):
+    for scheduler, limiter in context.schedulers:
+        limiter.allowed = 5
+        scheduler.pump(0.2)
+        scheduler.pump(0.3)
+    assert [d.turn for d in context.request.decisions] == [Turn.START]
+    assert [len(limiter.started) for _, limiter in context.schedulers] == [0, 1]
