Overload: tests of services that report no load

Two rules could be removed without a failing test: the start rate where a VM's part of the limit is under one request, and that waiting requests count where servers report no load.

--- a/features/overload_capacity/fleet.feature
+++ b/features/overload_capacity/fleet.feature
@@ -44,6 +44,11 @@
     And the slots of all servers are halved
     Then within 2 s no more than the new limit is held, and in the next 1.5 s at most 0.1 of the slots are idle
 
+  Scenario: plain servers that report no load, with fewer slots than there are VMs
+    When 72 VMs send 1.2 times what 4 plain servers of 6 slots complete for 3 s
+    And 3 s more are played
+    Then at most 50 requests are held, and of the slots at most 0.15 are idle
+
   Scenario: plain servers that report no load
     When 72 VMs send 1.2 times what 4 plain servers of 24 slots complete for 5 s
     Then no more than the limit is held, and of the slots at most 0.25 are idle while requests wait
--- a/features/overload_capacity/starts.feature
+++ b/features/overload_capacity/starts.feature
@@ -74,6 +74,16 @@
       | 12  | 108    | may not |
       | 24  | 480    | may not |
 
+  Scenario Outline: a service that reports no load, of which others run <running> and <waiting> wait
+    Then without load reports, <running> running and <waiting> waiting requests of others make 96 slots "<state>"
+
+    Examples: requests that wait may start before the next message
+      | running | waiting | state |
+      | 71      | 0       | free  |
+      | 72      | 0       | busy  |
+      | 10      | 0       | free  |
+      | 10      | 100     | busy  |
+
   Scenario Outline: the expected start rate of rank <rank>
     Then with <held> of 120 held, ranks "<own>" own and "<others>" other waiting requests rank <rank> expects <rate> starts a second
 
--- a/features/steps/overload_capacity_steps.py
+++ b/features/steps/overload_capacity_steps.py
@@ -572,6 +572,18 @@
     assert limiter.may_start(SERVICE, 0, now) == (may == "may")
 
 
+@then(
+    "without load reports, {running:d} running and {waiting:d} waiting requests of "
+    'others make 96 slots "{state}"'
+)
+def step_unreported(context, running, waiting, state):
+    limiter = build_limiter(build_servers(4), 2)
+    limiter.is_busy(SERVICE, NOW)
+    demand = Demand(SERVICE, running, (0, waiting, *NO_WAITING[2:]))
+    limiter.apply_peer_demand("vm-1", demand, NOW + 3)
+    assert limiter.is_busy(SERVICE, NOW + 3) == (state == "busy")
+
+
 @then(
     'with {held:d} of 120 held, ranks "{own}" own and "{others}" other waiting '
     "requests rank {rank:d} expects {rate:g} starts a second"
--- a/features/steps/overload_fleet_steps.py
+++ b/features/steps/overload_fleet_steps.py
@@ -47,6 +47,12 @@
     context.samples = fleet.play(seconds)
 
 
+@then("at most {most:d} requests are held, and of the slots at most {share:g} are idle")
+def step_plain_held(context, most, share):
+    assert max(sample.held for sample in context.samples) <= most
+    check_idle(context, context.samples, share)
+
+
 def compute_bound(fleet: Fleet) -> float:
     """Return the limit, one request per VM, and what ends in one report delay."""
     pattern = fleet.pattern
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -199,7 +199,6 @@
             requests in flight are limited.
         is_starting: whether load reports are still expected to arrive.
         positions: for each rank the number of more urgent ranks in use.
-        catch_up: whether this VM's state may be out of date after a stall.
     """
 
     capacity: ServiceCapacity
