--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -18,7 +18,6 @@
 )
 from ramppin.gateway.process.overload.ticket import (
     Ticket,
-    TicketState,
     Turn,
     TurnDecision,
 )
@@ -158,7 +157,6 @@
         now = asyncio.get_running_loop().time()
         for ticket in sorted(self._waiting, key=lambda ticket: ticket.arrived):
             previous.withdraw(ticket, now)
-            ticket.state = TicketState.NEW
             decision = scheduler.submit(ticket, now)
             if decision.turn is not Turn.WAIT:
                 ticket.decide(decision)
