--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -25,6 +25,7 @@
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import (
     BackoffHint,
+    DemandHint,
     EndHint,
     FailureHint,
     HomeHint,
@@ -33,9 +34,12 @@
     PeerHints,
     SuspectHint,
     WaitHint,
+    encode_hints,
 )
 from ramppin.gateway.process.membership.members import MemberRecord
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.overload.capacity import CapacitySource
+from ramppin.gateway.process.overload.ticket import RefusalRule
 from ramppin.gateway.process.quarantine.quarantine import ChangeKind
 from ramppin.gateway.process.recovery.logmonitor import LogCall
 from ramppin.gateway.process.recovery.peermessages import (
@@ -270,6 +274,11 @@
     [LeavingHint("s2", 60)],
     [BackoffHint("s3", 70)],
 )
+"""A datagram with an entry of each kind that is sent without overload control."""
+
+DEMAND_HINTS = msgspec.structs.replace(
+    FULL_HINTS, demands=[DemandHint("models", 3, [0, 1, 2, 0, 0, 0, 0, 0, 0, 4])]
+)
 """A datagram with an entry of each kind."""
 
 
@@ -283,8 +292,9 @@
         # The compressed bytes depend on the library; what they hold does not.
         "large answer's mark": large[:1],
         "large answer": zlib.decompress(large[1:]),
-        "hints": msgspec.msgpack.encode(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
-        "full hints": msgspec.msgpack.encode(FULL_HINTS),
+        "hints": encode_hints(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
+        "full hints": encode_hints(FULL_HINTS),
+        "hints with demands": encode_hints(DEMAND_HINTS),
     }
     router = {
         type(message).__name__: messages.encode_message(message)
@@ -316,6 +326,8 @@
     """Return the values that decision lines, metrics and answers take from enums."""
     return {
         "rules": sorted(verdict.name.lower() for verdict in Verdict),
+        "rules of overload control": sorted(rule.value for rule in RefusalRule),
+        "sources of capacity": sorted(source.value for source in CapacitySource),
         "endings": sorted(ending.name.lower() for ending in Ending),
         "ends of attempts": sorted(end.value for end in AttemptEnd),
         "closure reasons": sorted(reason.value for reason in ClosureReason),
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -18,6 +18,7 @@
 from ramppin.gateway.process.limits.coldquota import ColdQuota
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
+from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
 from ramppin.gateway.process.quarantine.servercheck import ServerChecks
 from ramppin.gateway.process.reporting.decisions import DecisionLog
@@ -33,7 +34,7 @@
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.routing.selection import SelectionStrategy
 from ramppin.gateway.process.routing.serverstate import ServerState
-from ramppin.gateway.version.routing import RoutingTable
+from ramppin.gateway.version.routing import RoutingTable, ServiceSpec
 
 NEVER_S = 999_999.0
 """Seconds that represent an unbounded age in lines and answers, which hold numbers."""
@@ -70,6 +71,9 @@
             servers was last known to be current.
         first_read: set once settings and servers have been read, or could not be.
         tasks: tasks of the running exchanges.
+        overload: gives requests their turns; None while overload control is disabled.
+        note_table: called after routing settings have taken effect.
+        find_home: returns the server that has cached a prefix, by its key, or None.
     """
 
     names: HeaderNames
@@ -95,6 +99,9 @@
     servers_confirmed_at: Callable[[], float] = lambda: float("-inf")
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    overload: OverloadControl | None = None
+    note_table: Callable[[RoutingTable], None] = lambda table: None
+    find_home: Callable[[int], str | None] = lambda key: None
 
     def __post_init__(self) -> None:
         self.gate = ServerGate(self.directory, self.cold_quota, self.find_cold_rate)
@@ -109,9 +116,13 @@
         """Return the seconds since the list of servers was known to be current."""
         return round(min(NEVER_S, now - self.servers_confirmed_at()), 2)
 
+    def find_service(self, service: str) -> ServiceSpec | None:
+        """Return the settings of a service, or None."""
+        return self.table.services.get(service) if self.table else None
+
     def share_connections(self, service: str) -> int | None:
         """Return this VM's share of a server's connections; None for no limit."""
-        spec = self.table.services.get(service) if self.table else None
+        spec = self.find_service(service)
         if spec is None:
             return None
         return share_connections(spec.max_connections, self.live_vms)
@@ -131,7 +142,7 @@
 
     def find_cold_rate(self, service: str) -> float:
         """Return the requests a second that a cold server accepts; 0 for no limit."""
-        spec = self.table.services.get(service) if self.table else None
+        spec = self.find_service(service)
         return spec.cold_per_s if spec else 0.0
 
     def choose_strategy(self, keeps_prefix: bool) -> SelectionStrategy:
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -32,6 +32,9 @@
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
 from ramppin.gateway.process.load.gossip import LoadGossip
 from ramppin.gateway.process.operations import GatewayState, OperationsResponder
+from ramppin.gateway.process.overload.activation import OverloadActivation
+from ramppin.gateway.process.overload.demandgossip import DemandGossip
+from ramppin.gateway.process.overload.startlimiter import FleetStartLimiter
 from ramppin.gateway.process.quarantine.gossip import QuarantineGossip
 from ramppin.gateway.process.recovery.peeranswers import RecordsResponder
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
@@ -113,6 +116,18 @@
         self.tables = GatewayTables(
             config, sources, self.context, self.homes, generator, self._suspects
         )
+        self.start_limiter = FleetStartLimiter(
+            directory,
+            self.context.find_service,
+            self._list_sharing_vms,
+            self.tables.members.find_failure_domain,
+            config.failure_domain,
+        )
+        self.overload = OverloadActivation(
+            self.context, config.overload, self.start_limiter, generator
+        )
+        self.context.note_table = self.overload.apply
+        self.context.find_home = self.homes.find
         self._hints: HintExchange | None = None
         self._inner_listener = ListenerState()
         self._servers: dict[str, asyncio.Server] = {}
@@ -167,6 +182,11 @@
             self.tables.monitor.is_up,
             self._suspects,
             NoticeGossip(self.context.directory),
+            DemandGossip(
+                self.start_limiter,
+                self.context.directory.list_services,
+                lambda: self.context.overload is not None,
+            ),
         )
         for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
             task = asyncio.create_task(work)
@@ -176,7 +196,9 @@
         self.context.decisions.note("started", peers=link.port, **ports)
 
     def reload(self, config: GatewayConfig) -> None:
-        """Apply settings that can change at run time: retry rules and drain times.
+        """Apply settings that can change at run time.
+
+        These are the retry rules, the drain times and the rules of overload control.
 
         Changes of addresses and names require a restart.
         """
@@ -184,8 +206,11 @@
             self.config,
             retry_rules=config.retry_rules,
             drain_times=config.drain_times,
+            overload=config.overload,
         )
         self.context.retry_budget.replace_rules(config.retry_rules)
+        self.overload.configured = config.overload
+        self.overload.apply(self.context.table)
         self.context.decisions.note(
             "reloaded",
             retry_ratio=config.retry_rules.ratio,
@@ -200,6 +225,8 @@
         self.context.listener.draining = True
         started = asyncio.get_running_loop().time()
         drain = self.context.drain = Drain(self.config.drain_times, started)
+        if self.context.overload is not None:
+            self.context.overload.note_drain(drain)
         self._stopping = asyncio.create_task(self._finish_and_stop(drain))
 
     async def stop(self) -> None:
@@ -293,6 +320,8 @@
     def _apply_hints(self, hints: PeerHints, host: str) -> None:
         if self._hints is not None:
             self._hints.apply(hints, host, asyncio.get_running_loop().time())
+        if self.context.overload is not None:
+            self.context.overload.note_change()
 
     async def _sweep(self) -> None:
         """Run periodic checks, evict expired state and write decision lines."""
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -1,6 +1,7 @@
 """Processing of one caller request from its arrival to its final answer.
 
-Applies decisions made elsewhere: admission (:mod:`~.admission`), server selection
+Applies decisions made elsewhere: admission (:mod:`~.admission`), the request's turn
+under overload control (:mod:`~.queueing`), server selection
 (:mod:`ramppin.gateway.process.routing.selection`), retries (:mod:`~.retry`) and the
 final answer (:mod:`~.finalanswer`). Owns the request's progress, but neither the
 caller's connection nor the shared state of the process.
@@ -10,6 +11,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 from ramppin.gateway.connection.callerwire import CallerConnection
 from ramppin.gateway.connection.httpwire import Headers, find_header, keep_end_to_end
@@ -17,6 +19,8 @@
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.overload.control import OverloadControl
+from ramppin.gateway.process.overload.ticket import Turn
 from ramppin.gateway.process.routing.selection import Selection
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import (
@@ -34,17 +38,15 @@
     FinalAnswer,
     answer_denied,
     answer_failed,
+    answer_left,
+    answer_refused,
     answer_stopped,
 )
+from ramppin.gateway.request.queueing import Queueing
 from ramppin.gateway.request.report import RequestReport
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
-from ramppin.gateway.request.retry import (
-    Progress,
-    Verdict,
-    judge_retry,
-    judge_takeover,
-    judge_try,
-)
+from ramppin.gateway.request.retry import Progress, Verdict
+from ramppin.gateway.request.retrying import RetryControl
 from ramppin.gateway.request.serverchoice import ServerChoice
 from ramppin.gateway.request.servernotice import ServerNotice
 from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
@@ -75,6 +77,7 @@
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._attempt: Attempt | None = None
+        self._queueing: Queueing | None = None
         self._disconnected = False
         self._last_server = ""
         self._progress = Progress()
@@ -87,6 +90,8 @@
     def disconnect(self) -> None:
         """Cancel the exchange because the caller disconnected."""
         self._disconnected = True
+        if self._queueing is not None:
+            self._queueing.cancel()
         if self._attempt is not None:
             self._attempt.cancel(AttemptEnd.CALLER_DISCONNECTED)
 
@@ -114,7 +119,10 @@
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
             context.retry_budget.note_request(admitted.service, self._loop.time())
-            await self._serve(admitted)
+            if context.overload is None:
+                await self._serve(admitted)
+            else:
+                await self._serve_in_turn(admitted, context.overload)
         except Exception:
             # After an unexpected error the caller must not wait for an answer.
             self._connection.abort()
@@ -162,6 +170,29 @@
             self._report.note_ignored_deadline(admitted.ignored_deadline)
         return admitted
 
+    async def _serve_in_turn(
+        self, admission: Admission, control: OverloadControl
+    ) -> None:
+        """Serve the request once overload control lets it start."""
+        queueing = self._queueing = Queueing(
+            self._context, control, admission, self._request, self._find_deadline_s()
+        )
+        try:
+            decision = await queueing.run()
+            self._report.note_decision(decision)
+            if self._disconnected:
+                self._note_given_up(admission, answer_left())
+                self._report.count_request(admission.service, 0)
+            elif decision.turn is Turn.START:
+                await self._serve(admission)
+            else:
+                if decision.rule is not None:
+                    rank = queueing.ticket.rank
+                    self._report.count_refusal(admission.service, rank, decision.rule)
+                self._end(admission, answer_refused(decision))
+        finally:
+            queueing.end()
+
     async def _serve(self, admission: Admission) -> None:
         builder = RequestHeadBuilder(
             self._context.names, self._request, admission.route, admission.customer
@@ -170,16 +201,21 @@
         # every server that runs it is sent to one server after another, by all VMs.
         watch = CrashWatch(self._context, admission.fingerprint)
         choice = ServerChoice(self._context, admission, watch)
+        retries = RetryControl(
+            self._context, admission, self._progress, choice, watch, self._report
+        )
         last: AttemptResult | None = None
         while not self._disconnected:
-            selection = self._select(choice, watch)
+            now = self._loop.time()
+            verdict = retries.judge_try(self._ends_at - now, now)
+            selection = choice.select(now) if verdict.allows else verdict
             if isinstance(selection, Verdict):
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_stopped(self._progress, last, selection, pause_s)
                 self._end(admission, final, choice.closed)
                 return
             started = self._loop.time()
-            last = await self._try(admission, selection, builder, choice)
+            last = await self._try(admission, selection, builder, choice, retries)
             now = self._loop.time()
             watch.note_attempt(selection.state, last, started, now)
             if last.notice.backoff_s > 0:
@@ -191,7 +227,7 @@
                 return
             if last.last_event_id is not None:
                 builder.resume_after(last.last_event_id)
-            verdict = self._judge_retry(admission, last, watch)
+            verdict = retries.judge_retry(last, now)
             self._report.note_attempt(admission, selection, last, now, verdict)
             if not verdict.allows:
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
@@ -199,17 +235,7 @@
                 self._end(admission, final, choice.closed)
                 return
 
-    # selection and sending
-
-    def _select(self, choice: ServerChoice, watch: CrashWatch) -> Selection | Verdict:
-        """Return the server for the next attempt, or the verdict if there is none."""
-        now = self._loop.time()
-        verdict = judge_try(
-            self._progress,
-            self._ends_at - now,
-            is_quarantined=not watch.may_try(now),
-        )
-        return choice.select(now) if verdict.allows else verdict
+    # sending
 
     async def _try(
         self,
@@ -217,6 +243,7 @@
         selection: Selection,
         builder: RequestHeadBuilder,
         choice: ServerChoice,
+        retries: RetryControl,
     ) -> AttemptResult:
         """Make one attempt at the selected server."""
         state = selection.state
@@ -239,9 +266,14 @@
             if obstacle:
                 self._context.pool.release_unused(connection)
                 return AttemptResult(AttemptEnd.NOT_SENT, message=obstacle)
-            result = await self._send(admission, selection, builder, choice, connection)
+            result = await self._send(
+                admission, selection, builder, retries, connection
+            )
+            took_s = self._loop.time() - started
             if result.end is AttemptEnd.DELIVERED:
-                state.times.stay.note(self._loop.time() - started)
+                state.times.stay.note(took_s)
+            if self._queueing is not None:
+                self._queueing.note_attempt(state.server, result.end, took_s)
             result.lost = connection.was_lost or state.restarted
             if connection.was_timed_out:
                 self._context.pool.note_timed_out(connection)
@@ -257,7 +289,7 @@
         admission: Admission,
         selection: Selection,
         builder: RequestHeadBuilder,
-        choice: ServerChoice,
+        retries: RetryControl,
         connection: UpstreamConnection,
     ) -> AttemptResult:
         """Send the request over a connection and forward its answer."""
@@ -270,8 +302,9 @@
             previous=self._attempt,
             streams=route.kind.is_stream,
             resumable=route.resumable,
-            may_take_over=lambda: self._judge_takeover(admission, choice).allows,
+            may_take_over=lambda: self._may_take_over(retries),
             note_notice=lambda notice: self._note_notice(state, notice),
+            note_load=self._choose_load_listener(state),
         )
         self._attempt = attempt
         source = self._context.directory.find_copy_source(selection.copy_from, now)
@@ -284,6 +317,21 @@
         self._progress.answer_started = attempt.answer_started
         return result
 
+    def _may_take_over(self, retries: RetryControl) -> bool:
+        """Return whether another server may take over from the current one."""
+        if self._attempt is not None:
+            self._progress.answer_started = self._attempt.answer_started
+        return retries.judge_takeover(self._loop.time()).allows
+
+    def _choose_load_listener(
+        self, state: ServerState
+    ) -> Callable[[int | None], None] | None:
+        """Return what is called after a load report of a server, or None."""
+        overload = self._context.overload
+        if overload is None:
+            return None
+        return lambda slots: overload.note_report(state.id, slots)
+
     def _note_notice(self, state: ServerState, notice: ServerNotice) -> None:
         """Record a notice that a server sent in an answer."""
         notices, now = self._context.directory.notices, self._loop.time()
@@ -292,48 +340,27 @@
         if notice.backoff_s > 0:
             notices.note_backoff(state.id, notice.backoff_s, now)
 
-    # retries
-
-    def _judge_retry(
-        self, admission: Admission, result: AttemptResult, watch: CrashWatch
-    ) -> Verdict:
-        """Return whether the request may be retried; count a retry in the budget."""
-        budget, now = self._context.retry_budget, self._loop.time()
-        service = admission.service
-        has_budget = budget.allows_retry(service, now)
-        verdict = judge_retry(
-            admission.route,
-            self._progress,
-            result.end,
-            has_budget=has_budget,
-            crashes_servers=result.lost and watch.may_crash_another(),
-        )
-        if verdict is Verdict.BUDGET_SPENT:
-            self._report.count_refused_retry(service)
-        elif verdict.allows and result.end is not AttemptEnd.NOT_SENT:
-            budget.consume(service, now)
-        return verdict
-
-    def _judge_takeover(self, admission: Admission, choice: ServerChoice) -> Verdict:
-        """Return whether another server may take over from the current one."""
-        now = self._loop.time()
-        if self._attempt is not None:
-            self._progress.answer_started = self._attempt.answer_started
-        return judge_takeover(
-            admission.route,
-            self._progress,
-            has_other_server=choice.has_other_server(now),
-            has_budget=self._context.retry_budget.allows_retry(admission.service, now),
-        )
-
     # final answer
 
     def _end(
-        self, admission: Admission, final: FinalAnswer, closed: tuple[str, ...]
+        self,
+        admission: Admission,
+        final: FinalAnswer,
+        closed: tuple[str, ...] = (),
     ) -> None:
         """End a request for which no attempt delivered an answer."""
         if self._disconnected:
             return
+        self._note_given_up(admission, final, closed)
+        self._report.count_request(admission.service, final.status)
+        self._answer(final)
+
+    def _note_given_up(
+        self,
+        admission: Admission,
+        final: FinalAnswer,
+        closed: tuple[str, ...] = (),
+    ) -> None:
         now = self._loop.time()
         self._report.note_given_up(
             admission,
@@ -344,8 +371,6 @@
             time_left_s=self._ends_at - now,
             now=now,
         )
-        self._report.count_request(admission.service, final.status)
-        self._answer(final)
 
     def _answer(self, final: FinalAnswer) -> None:
         """Send the final answer to the caller, or abort its connection."""
