Record the longest pause of a stream and the causes of late answers

- The longest pause between forwarded pieces is measured over all attempts of a request.
The time for which the caller does not read is excluded.
- answered and attempt_failed have pause_ms and target_pause_ms.
- ramppin losses: rule 'late' is split into its causes.
The case of the table that expected 'late' expects 'late: first byte'; five cases are new.

--- a/features/losses/losses.feature
+++ b/features/losses/losses.feature
@@ -6,7 +6,12 @@
     Examples:
       | line                                                 | found               |
       | answered first_ms=90 target_ms=100                   | nothing             |
-      | answered first_ms=101 target_ms=100                  | late by late        |
+      | answered first_ms=101 target_ms=100                  | late by late: first byte |
+      | answered first_ms=90 target_ms=100 pause_ms=300 target_pause_ms=300 | nothing |
+      | answered first_ms=90 target_ms=100 pause_ms=301 target_pause_ms=300 | late by late: pause |
+      | answered first_ms=101 target_ms=100 pause_ms=301 target_pause_ms=300 | late by late: first byte and pause |
+      | answered pause_ms=301                                | nothing             |
+      | answered target_pause_ms=300                         | nothing             |
       | answered first_ms=101                                | nothing             |
       | given_up runs=0 status=503 rule=no_server            | refused by no_server |
       | given_up runs=1 status=502 rule=not_repeatable       | lost by not_repeatable |
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -31,6 +31,7 @@
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.servernotice import NO_NOTICE, ServerNotice, parse_notice
+from ramppin.gateway.request.streampauses import StreamPauses
 
 MAX_BUFFERED_BYTES = 262_144
 """Maximum number of bytes of an answer that are buffered before it is forwarded in
@@ -101,6 +102,7 @@
         self._paused = False
         self._check_timer: asyncio.TimerHandle | None = None
         self.answer_started: bool = previous.answer_started if previous else False
+        self._pauses = previous.pauses if previous else StreamPauses()
         self._events: EventSplitter | None = None
         if resumable:
             self._events = previous.events if previous else EventSplitter()
@@ -112,6 +114,11 @@
         """Splitter of the stream into events; None if the stream can't be resumed."""
         return self._events
 
+    @property
+    def pauses(self) -> StreamPauses:
+        """Pauses of the stream, including those of earlier attempts."""
+        return self._pauses
+
     async def run(
         self,
         connection: UpstreamConnection,
@@ -156,6 +163,7 @@
 
     def set_paused(self, paused: bool) -> None:
         """Pause or resume the server's answer."""
+        self._pauses.note_held(paused, self._loop.time())
         if self._connection is None or self._result.done():
             return
         # A server that this VM paused must not count as unresponsive.
@@ -244,13 +252,16 @@
             self._forward(data)
 
     def _forward(self, data: bytes) -> None:
-        if self._events is None:
+        if self._events is not None:
+            try:
+                data = self._events.feed(data)
+            except ProtocolError as error:
+                self._fail(error.message)
+                return
+        if data:
             self._caller.send_body(data)
-            return
-        try:
-            self._caller.send_body(self._events.feed(data))
-        except ProtocolError as error:
-            self._fail(error.message)
+            if self._streams:
+                self._pauses.note_piece(self._received_at)
 
     # end of the attempt
 
@@ -287,6 +298,7 @@
                 last_event_id=events.last_id if events else None,
                 message=message,
                 first_byte_at=self._first_byte_at,
+                longest_pause_s=self._pauses.longest_s,
                 notice=self._notice,
             )
         )
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -100,6 +100,8 @@
             "took_ms": round((now - self._arrived) * 1000),
             "first_ms": self._measure_first_ms(result),
             "target_ms": _to_ms(admission.route.target_s),
+            "pause_ms": _to_ms(result.longest_pause_s),
+            "target_pause_ms": _to_ms(admission.route.target_pause_s),
             "rule": verdict.name.lower() if verdict else "",
         }
         self._count_attempt(admission.service, result)
--- a/src/ramppin/gateway/request/result.py
+++ b/src/ramppin/gateway/request/result.py
@@ -42,6 +42,8 @@
         last_event_id: ID of the last event sent to the caller, or None.
         message: description of the failure, for the log.
         first_byte_at: event-loop time at which the first byte was sent to the caller.
+        longest_pause_s: longest pause between pieces of the stream so far in seconds;
+            None with fewer than two pieces.
         lost: whether the connection was lost before the answer was complete, or the
             server is known to have terminated.
         notice: the server's notice about itself.
@@ -53,5 +55,6 @@
     last_event_id: bytes | None = None
     message: str = ""
     first_byte_at: float | None = None
+    longest_pause_s: float | None = None
     lost: bool = False
     notice: ServerNotice = NO_NOTICE
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -51,6 +51,8 @@
         keeps_prefix: whether backend servers cache prompt prefixes.
         target_s: target time to the first byte; None if none is set. Requests that
             exceed it count as late in ``ramppin losses``.
+        target_pause_s: longest pause between pieces of a stream in seconds; None if
+            none is set. Streams that exceed it count as late as well.
     """
 
     name: str
@@ -65,6 +67,7 @@
     public: bool = False
     keeps_prefix: bool = False
     target_s: float | None = None
+    target_pause_s: float | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -41,6 +41,7 @@
     time_limit_s: float | None = None
     max_attempts: int | None = None
     target_latency_s: float | None = None
+    target_pause_s: Annotated[float, msgspec.Meta(gt=0)] | None = None
     priority: int | None = None
     public: bool | None = None
     keeps_prefix: bool | None = None
--- a/src/ramppin/losses.py
+++ b/src/ramppin/losses.py
@@ -19,6 +19,12 @@
 OTHER_KEYS = "(others)"
 """The key that sums up what is beyond :data:`MAX_KEYS`."""
 
+LATE_CAUSES = (
+    ("first byte", "first_ms", "target_ms"),
+    ("pause", "pause_ms", "target_pause_ms"),
+)
+"""Causes for which an answer is late: name, field and target of ``answered``."""
+
 MAX_SHOWN_TEXT = 60
 """Characters that are shown of a line that is none."""
 
@@ -33,7 +39,7 @@
     """It was told that nothing ran."""
 
     LATE = "late"
-    """The first byte came after its route's target."""
+    """The first byte came after its route's target, or a pause was longer than it."""
 
     LEFT = "left"
     """It left before the answer was whole."""
@@ -208,11 +214,15 @@
     if event == "attempt_failed" and line.get("end") == "caller left":
         return Loss.LEFT, "caller left"
     if event == "answered":
-        first_ms, target_ms = line.get("first_ms"), line.get("target_ms")
-        if first_ms is None or target_ms is None:
-            return None, ""
-        if _read_number(line, "first_ms") > _read_number(line, "target_ms"):
-            return Loss.LATE, "late"
+        causes = [
+            cause
+            for cause, name, target in LATE_CAUSES
+            if line.get(name) is not None
+            and line.get(target) is not None
+            and _read_number(line, name) > _read_number(line, target)
+        ]
+        if causes:
+            return Loss.LATE, f"late: {' and '.join(causes)}"
     return None, ""
 
 
