Place requests by the speed that servers report

Servers that share their machines with others work 2.5 times slower for half a second, and some are slower at all times. Load counted requests regardless of the time that they take.

- The fourth figure of the load report is read and validated; it applies fully for 0.3 s and decays to a long-term average of answers by 0.6 s.
Peers get it with the load report; a figure of 100 adds no byte to a datagram.
- Servers are below the bound if their load times their slowness, relative to the mean, is below it, and so is their load.
If no server has room by its speed, load alone decides.
- Requests without a prefix go to the server with the least own requests times slowness.
- Prompts with over 2,000 uncached tokens pass over servers with a slowness of 1.5 or more, and those that were sent another one within 0.3 s.
The lines answered and attempt_failed, and /dump, have slowness.

The interface test encodes hints by encode_hints, as datagrams are; its recorded bytes are unchanged.

--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -33,6 +33,7 @@
     PeerHints,
     SuspectHint,
     WaitHint,
+    encode_hints,
 )
 from ramppin.gateway.process.membership.members import MemberRecord
 from ramppin.gateway.process.membership.servernotices import NoticeSource
@@ -283,8 +284,11 @@
         # The compressed bytes depend on the library; what they hold does not.
         "large answer's mark": large[:1],
         "large answer": zlib.decompress(large[1:]),
-        "hints": msgspec.msgpack.encode(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
-        "full hints": msgspec.msgpack.encode(FULL_HINTS),
+        "hints": encode_hints(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
+        "full hints": encode_hints(FULL_HINTS),
+        "hints with a speed": encode_hints(
+            PeerHints("vm-1", [], loads=[LoadHint("s1", 3, 50, 250)])
+        ),
     }
     router = {
         type(message).__name__: messages.encode_message(message)
--- a/features/steps/server_speed_pause_steps.py
+++ b/features/steps/server_speed_pause_steps.py
@@ -78,8 +78,8 @@
         self.attempt: Attempt | None = None
         self.state = ServerState(BackendServer("s0", "m", "127.0.0.1", 1))
 
-    def begin(self) -> None:
-        self.attempt = Attempt(
+    def build_attempt(self) -> Attempt:
+        return Attempt(
             self.names,
             SilentCaller(),
             REQUEST_ID,
@@ -90,9 +90,15 @@
             may_take_over=lambda: False,
             note_notice=lambda notice: None,
         )
+
+    def build_head(self, status: int = 200, *headers: tuple) -> AnswerHead:
+        own = [(self.names.request_id, REQUEST_ID), (self.names.signature, b"1")]
+        return AnswerHead(status, [*own, *headers], None)
+
+    def begin(self) -> None:
+        self.attempt = self.build_attempt()
         self.attempt._connection = SilentConnection()
-        headers = [(self.names.request_id, REQUEST_ID), (self.names.signature, b"1")]
-        assert self.attempt.accept_head(AnswerHead(200, headers, None))
+        assert self.attempt.accept_head(self.build_head())
 
     def take(self, step: str) -> None:
         if step == "piece":
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -17,6 +17,10 @@
 LOG = logging.getLogger(__name__)
 
 
+USUAL_SPEED = 100
+"""Speed figure of a server at its usual speed, in percent."""
+
+
 class HomeHint(msgspec.Struct, array_like=True, frozen=True):
     """The home of a prefix: its key, the backend server, and the age in ms."""
 
@@ -33,7 +37,24 @@
 
 
 class LoadHint(msgspec.Struct, array_like=True, frozen=True):
-    """A backend server, the requests in its load report, and the report's age in ms."""
+    """A backend server, the requests in its load report, and the report's age in ms.
+
+    Attributes:
+        server: the server's id.
+        requests: number of requests that it held.
+        age_ms: age of the report.
+        speed: how long work took there, in percent of the usual time. Left out of the
+            message where it is 100.
+    """
+
+    server: str
+    requests: int
+    age_ms: int
+    speed: int = USUAL_SPEED
+
+
+class _SpeedlessLoadHint(msgspec.Struct, array_like=True, frozen=True):
+    """A :class:`LoadHint` without its last element; msgspec leaves out none itself."""
 
     server: str
     requests: int
@@ -132,6 +153,21 @@
 _DECODER = msgspec.msgpack.Decoder(PeerHints)
 
 
+def encode_hints(hints: PeerHints) -> bytes:
+    """Return the datagram of hints."""
+    if not hints.loads:
+        return _ENCODER.encode(hints)
+    loads = [
+        _SpeedlessLoadHint(hint.server, hint.requests, hint.age_ms)
+        if hint.speed == USUAL_SPEED
+        else hint
+        for hint in hints.loads
+    ]
+    return _ENCODER.encode(
+        msgspec.structs.replace(hints, loads=cast(list[LoadHint], loads))
+    )
+
+
 class DatagramLink(asyncio.DatagramProtocol):
     """A UDP endpoint that exchanges hints with other VMs.
 
@@ -184,7 +220,7 @@
         """Send a message to each host; do nothing once the endpoint is closed."""
         if self._transport is None or self._transport.is_closing():
             return
-        data = _ENCODER.encode(hints)
+        data = encode_hints(hints)
         for host in hosts:
             self._transport.sendto(data, (host, port))
 
--- a/src/ramppin/gateway/process/load/gossip.py
+++ b/src/ramppin/gateway/process/load/gossip.py
@@ -95,6 +95,7 @@
             if state is not None and 0 <= hint.age_ms <= REPORT_MAX_AGE_S * MS_PER_S:
                 at = now - hint.age_ms / MS_PER_S
                 state.load.apply_peer_report(hint.requests, state.in_flight, at)
+                state.speed.apply_peer_report(hint.speed, at, now)
 
     def _collect_waits(self, now: float) -> list[WaitHint]:
         """Return the overdue requests by server, if they changed or must be repeated.
@@ -125,5 +126,7 @@
 
 
 def _build_hint(state: ServerState, now: float) -> LoadHint:
-    age_ms = round(state.load.measure_age(now) * MS_PER_S)
-    return LoadHint(state.id, state.load.requests, age_ms)
+    load = state.load
+    age_ms = round(load.measure_age(now) * MS_PER_S)
+    speed = state.speed.find_percent(load.reported_at)
+    return LoadHint(state.id, load.requests, age_ms, speed)
--- a/src/ramppin/gateway/process/load/times.py
+++ b/src/ramppin/gateway/process/load/times.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from ramppin.gateway.process.load.speed import UsualTimes
+
 INITIAL_STAY_S = 1.0
 """Initial mean stay in seconds, in the order of the answer to a short chat."""
 
@@ -54,6 +56,7 @@
     Attributes:
         stay: time from the choice of a server until its answer was complete.
         wait: time from sending until the first byte of the answer.
+        usual: usual times of answers, with which a server's speed is compared.
 
     .. versionadded:: 0.3
     """
@@ -61,3 +64,4 @@
     def __init__(self) -> None:
         self.stay = MovingMean(INITIAL_STAY_S)
         self.wait = MovingMean(INITIAL_WAIT_S, initial_weight=2)
+        self.usual = UsualTimes()
--- a/src/ramppin/gateway/process/load/view.py
+++ b/src/ramppin/gateway/process/load/view.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ramppin.gateway.process.routing.serverstate import ServerState
@@ -41,11 +41,49 @@
         loads: estimated load of each server, by id.
         mean: mean load of all servers.
         bound: load that a server must stay below to get more requests.
+        slowness: how long work takes at each server, as a multiple of the usual time;
+            empty if no server of the service reports its speed.
+        mean_slowness: mean of these.
     """
 
     loads: dict[str, float] = field(default_factory=dict)
     mean: float = 0.0
     bound: float = math.inf
+    slowness: dict[str, float] = field(default_factory=dict)
+    mean_slowness: float = 1.0
+
+    def weigh(self, server_id: str) -> float:
+        """Return a server's load as it counts when servers are compared.
+
+        Its requests take the time of more requests at a server of mean speed, or of
+        fewer.
+        """
+        load = self.loads[server_id]
+        if not self.slowness:
+            return load
+        return load * self.slowness[server_id] / self.mean_slowness
+
+    def has_room(self, server_id: str) -> bool:
+        """Return whether a server is below the bound, also by its speed.
+
+        A fast server holds no more requests than the bound allows any server.
+        """
+        bound = self.bound
+        if self.loads[server_id] >= bound:
+            return False
+        return not self.slowness or self.weigh(server_id) < bound
+
+    def list_below(self, server_ids: Iterable[str]) -> list[str]:
+        """Return the servers below the bound, in their order.
+
+        If none has room by its speed, the number of requests alone decides: a slow
+        server below the bound precedes one at the bound.
+        """
+        ids = list(server_ids)
+        room = [server_id for server_id in ids if self.has_room(server_id)]
+        if room or not self.slowness:
+            return room
+        return [server_id for server_id in ids if self.loads[server_id] < self.bound]
 
 
 def measure_loads(
@@ -65,7 +103,16 @@
     """
     mean = estimate_mean(states, now)
     loads = {state.id: state.estimate_load(now, mean) for state in states}
-    return LoadView(loads, mean, ratio * mean + slack)
+    slowness = _measure_slowness(states, now)
+    mean_slowness = sum(slowness.values()) / len(slowness) if slowness else 1.0
+    return LoadView(loads, mean, ratio * mean + slack, slowness, mean_slowness)
+
+
+def _measure_slowness(states: Sequence[ServerState], now: float) -> dict[str, float]:
+    """Return the slowness of each server; empty if none reports its speed."""
+    if not any(state.speed.is_reported for state in states):
+        return {}
+    return {state.id: state.speed.find_slowness(now) for state in states}
 
 
 def estimate_mean(states: Sequence[ServerState], now: float) -> float:
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -105,6 +105,7 @@
             "in_flight": state.in_flight,
             "load": state.find_known_load(now),
             "report_age_s": _round_s(state.load.measure_age(now)),
+            "slowness": round(state.speed.find_slowness(now), 2),
             "failure_rate": round(state.health.failure_rate, 2),
             # Public name of the suspect state, kept for operators' tools.
             "aside": state.health.is_suspect(now),
--- a/src/ramppin/gateway/process/routing/homes.py
+++ b/src/ramppin/gateway/process/routing/homes.py
@@ -29,6 +29,10 @@
 MAX_HOMES_PER_GENERATION = 20_000
 """Maximum number of homes in one generation; two generations are kept."""
 
+MAX_PLACED_SERVERS = 1_000
+"""Maximum number of servers whose last placement by a peer is stored; the one that was
+not announced for longest is dropped."""
+
 
 @dataclass(slots=True)
 class Home:
@@ -79,6 +83,7 @@
         self._young: dict[int, Home] = {}
         self._old: dict[int, Home] = {}
         self._pending: dict[int, Home] = {}
+        self._peer_placed_at: dict[str, float] = {}
         self.changes = 0
         self.hot = HotPrefixes()
         self.has_pending_placement = False
@@ -120,6 +125,7 @@
         known = self._find(announcement.key)
         if known is None or not self._is_usable(known.server):
             self._put(announcement.key, reported)
+            self._note_peer_placement(reported)
         elif known.server == reported.server:
             known.placed_at = min(known.placed_at, reported.placed_at)
             known.announced_at = now
@@ -130,6 +136,17 @@
         else:
             self._pending[announcement.key] = known
 
+    def find_peer_placement(self, server: str) -> float:
+        """Return when a peer last placed a prefix there that was unknown here."""
+        return self._peer_placed_at.get(server, float("-inf"))
+
+    def _note_peer_placement(self, home: Home) -> None:
+        placed_at = max(home.placed_at, self.find_peer_placement(home.server))
+        self._peer_placed_at.pop(home.server, None)
+        self._peer_placed_at[home.server] = placed_at
+        if len(self._peer_placed_at) > MAX_PLACED_SERVERS:
+            del self._peer_placed_at[next(iter(self._peer_placed_at))]
+
     def collect_announcements(self, now: float, limit: int) -> list[HomeAnnouncement]:
         """Return and clear the pending announcements, at most ``limit`` of them."""
         keys = list(self._pending)[:limit]
--- a/src/ramppin/gateway/process/routing/nearestselection.py
+++ b/src/ramppin/gateway/process/routing/nearestselection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from ramppin.gateway.process.load.view import BOUND_RATIO, LoadView
@@ -31,6 +32,8 @@
     those without overdue requests of peers get 1.5 times their part, not all requests:
     VMs with the same reports would all choose the least loaded one and overload it.
 
+    Where servers report their speed, a request at a slow server counts as more.
+
     Args:
         failure_domain: failure domain of this process.
         generator: breaks ties, so that VMs make different choices.
@@ -51,11 +54,14 @@
     ) -> Selection:
         """Return the server with the fewest own requests, a preferred one if equal."""
         servers = len(view.loads)
-        below = [state for state in eligible if view.loads[state.id] < view.bound]
+        room = set(view.list_below(state.id for state in eligible))
+        below = [state for state in eligible if state.id in room]
         drawn, share = self._draw_candidates(below or eligible, servers, now)
         near = sum(self._is_near(state) for state in drawn)
         prefer_near = self._generator.random() < BOUND_RATIO * near / servers / share
-        chosen = min(drawn, key=lambda s: self._build_sort_key(s, prefer_near, now))
+        chosen = min(
+            drawn, key=lambda s: self._build_sort_key(s, view, prefer_near, now)
+        )
         return build_selection(chosen, 0, view, now)
 
     def _draw_candidates(
@@ -79,7 +85,17 @@
         return state.server.failure_domain == self._failure_domain
 
     def _build_sort_key(
-        self, state: ServerState, prefer_near: bool, now: float
+        self, state: ServerState, view: LoadView, prefer_near: bool, now: float
     ) -> tuple[float, float]:
         penalty = 0 if self._is_near(state) == prefer_near else OTHER_DOMAIN_PENALTY
-        return state.count_own(now) + penalty, self._generator.random()
+        point = self._generator.random()
+        if not view.slowness:
+            return state.count_own(now) + penalty, point
+        # An exponential draw with the slowness as its mean is the least of several
+        # with a chance according to the speed: VMs with few requests mostly have none
+        # at any server.
+        slowness = view.slowness[state.id]
+        return (
+            state.count_own(now) * slowness + penalty,
+            -math.log(1.0 - point) * slowness,
+        )
--- a/src/ramppin/gateway/process/routing/prefixselection.py
+++ b/src/ramppin/gateway/process/routing/prefixselection.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+from ramppin.gateway.process.load.longprompts import RECENT_S
 from ramppin.gateway.process.load.view import (
     BOUND_RATIO,
     BOUND_SLACK,
@@ -36,6 +37,11 @@
 the bound. VMs that choose at the same moment, as after a stall, all estimate that the
 home is free, and would overload it."""
 
+SLOW_RATIO = 1.5
+"""Slowness from which a server gets no long uncached prompt: 12,000 tokens would stop
+the streams there for 220 ms and more, close to the pauses of 300 ms that routes allow.
+"""
+
 
 class PrefixSelection(SelectionStrategy):
     """Sends prompts to the server that has their prefix cached, below a load bound.
@@ -48,6 +54,10 @@
     servers, as many as the home's last peak requires. A prompt that skips a home at the
     bound prefers cold servers.
 
+    Where servers report their speed, loads are compared by the time that they take, and
+    long uncached prompts go to servers that are not slow at the moment and were sent no
+    other one just before.
+
     Args:
         homes: homes of prefixes.
         bound: multiple of the mean load that a server may hold.
@@ -90,12 +100,25 @@
         last_home = self._homes.find_any(key)
         replica_count = self._compute_replica_count(key, home, view, now)
         replica_index = int(self._generator.random() * replica_count)
-        if home is not None and replica_index == 0 and view.loads[home.id] < view.bound:
+        is_long = (
+            bool(view.slowness)
+            and request.work is not None
+            and request.work.is_long(cached=last_home is not None)
+        )
+        allowed = self._list_for_long_prompt(eligible, view, now) if is_long else None
+        if (
+            home is not None
+            and replica_index == 0
+            and view.has_room(home.id)
+            and (allowed is None or home.id in allowed)
+        ):
             chosen, rank = home.id, 0
         else:
             chosen, rank = self._choose_alternative(
-                key, by_id, replica_index, view, now
+                key, by_id, replica_index, allowed, view, now
             )
+        if is_long:
+            by_id[chosen].long_prompts.note_started(key, now)
         if home is not None and chosen == home.id:
             self._homes.note_used(key, now)
         return replace(
@@ -127,6 +150,7 @@
         key: int,
         by_id: dict[str, ServerState],
         replica_index: int,
+        allowed: frozenset[str] | None,
         view: LoadView,
         now: float,
     ) -> tuple[str, int]:
@@ -136,20 +160,21 @@
             key: key of the prefix.
             by_id: the servers to choose from, by id.
             replica_index: index among the servers below the bound; the home has 0.
+            allowed: ids of servers below the bound to choose from; None for all.
             view: the loads of all open servers.
             now: event-loop time.
         """
         home = self._homes.find(key)
         ranked = self._ranking.rank(key, list(by_id))
-        below = [
-            server_id for server_id in ranked if view.loads[server_id] < view.bound
-        ]
+        below = view.list_below(ranked)
+        if allowed is not None:
+            below = [server_id for server_id in below if server_id in allowed]
         if not below:
             chosen = min(ranked, key=lambda server_id: view.loads[server_id])
         elif home is None:
             chosen = _choose_home(below, view)
             self._homes.note_placed(key, chosen, now)
-        elif replica_index == 0 and home in by_id:
+        elif replica_index == 0 and home in by_id and home not in below:
             # The cold servers here are those for which this VM has quota left. They are
             # empty while the others have peak load, and unused quota expires.
             cold = [s for s in below if by_id[s].coldness.is_cold(now)]
@@ -159,6 +184,33 @@
             chosen = below[min(replica_index, len(below) - 1)]
         return chosen, 0 if chosen == home else 1 + ranked.index(chosen)
 
+    def _list_for_long_prompt(
+        self, eligible: Sequence[ServerState], view: LoadView, now: float
+    ) -> frozenset[str] | None:
+        """Return the servers for a long uncached prompt; None for all.
+
+        These are the servers below the bound that are not slow now and are not known
+        to have started another long prompt just before. If all those that are not slow
+        have started one, they are still preferred to slow ones.
+        """
+        below = set(view.list_below(state.id for state in eligible))
+        quick = [
+            state
+            for state in eligible
+            if state.id in below and view.slowness[state.id] < SLOW_RATIO
+        ]
+        free = [state.id for state in quick if not self._is_interrupted(state, now)]
+        return frozenset(free or [state.id for state in quick]) or None
+
+    def _is_interrupted(self, state: ServerState, now: float) -> bool:
+        """Return whether a server is known to have started a long prompt just before.
+
+        A prefix that a peer has just placed counts as long: its length is not told.
+        """
+        if state.long_prompts.has_recent(now):
+            return True
+        return now - self._homes.find_peer_placement(state.id) < RECENT_S
+
     def _measure(self, states: Sequence[ServerState], now: float) -> LoadView:
         return measure_loads(states, now, ratio=self._bound, slack=self._slack)
 
@@ -170,6 +222,6 @@
     time agree without communication; the second is chosen if it is clearly less loaded.
     """
     first = below[0]
-    if len(below) > 1 and view.loads[below[1]] + HOME_LOAD_MARGIN < view.loads[first]:
+    if len(below) > 1 and view.weigh(below[1]) + HOME_LOAD_MARGIN < view.weigh(first):
         return below[1]
     return first
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ramppin.gateway.process.load.longprompts import PromptWork
 from ramppin.gateway.process.load.view import LoadView, measure_loads
 from ramppin.gateway.process.routing.eligibility import list_eligible
 from ramppin.gateway.process.routing.serverstate import ServerState
@@ -30,6 +31,7 @@
             one server; None for no limit.
         failing: ids of servers that fail according to reports of the fleet.
         suspect_key: the request's fingerprint if it may have crashed servers.
+        work: size of the prompt; None if it is unknown.
     """
 
     prefix_key: int | None = None
@@ -37,6 +39,7 @@
     max_in_flight: int | None = None
     failing: frozenset[str] = frozenset()
     suspect_key: int | None = None
+    work: PromptWork | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,7 @@
         report_age_s: age of its load report in seconds.
         copy_from: id of another server that has the prompt's prefix, or None.
         shared_by: number of servers that share the prefix, including its home.
+        slowness: how long work takes there, as a multiple of the usual time.
         closed: labels ``REASON:ID`` of closed servers, at most the first few.
     """
 
@@ -67,6 +71,7 @@
     copy_from: str | None = None
     shared_by: int = 1
     closed: tuple[str, ...] = ()
+    slowness: float = 1.0
 
 
 class SelectionStrategy(ABC):
@@ -153,4 +158,5 @@
         mean=view.mean,
         in_flight=state.in_flight,
         report_age_s=state.load.measure_age(now),
+        slowness=view.slowness.get(state.id, 1.0),
     )
--- a/src/ramppin/gateway/process/routing/serverstate.py
+++ b/src/ramppin/gateway/process/routing/serverstate.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 
 from ramppin.gateway.process.load.estimate import ServerLoad
+from ramppin.gateway.process.load.longprompts import LongPrompts
+from ramppin.gateway.process.load.speed import ServerSpeed
 from ramppin.gateway.process.load.times import ServiceTimes
 from ramppin.gateway.process.load.waiting import WaitingRequests
 from ramppin.gateway.process.membership.coldness import ServerColdness
@@ -72,6 +74,8 @@
         server: its newest entry.
         in_flight: number of requests of this VM that it holds.
         load: its newest load report.
+        speed: its speed.
+        long_prompts: long uncached prompts that this VM sent to it.
         waiting: requests that wait for it, of this VM and of its peers.
         times: response times of its service.
         health: failures and answers that this VM observed.
@@ -102,6 +106,8 @@
         self.load = ServerLoad()
         self.waiting = WaitingRequests(stall_detector)
         self.times = times or ServiceTimes()
+        self.speed = ServerSpeed(self.times.usual, stall_detector)
+        self.long_prompts = LongPrompts()
         self.health = ServerHealth(stall_detector)
         self.evidence = FleetEvidence()
         self.shedding = FleetShedding()
--- a/src/ramppin/gateway/request/admission.py
+++ b/src/ramppin/gateway/request/admission.py
@@ -14,8 +14,9 @@
 from ramppin.gateway.connection.httpwire import HeaderNames
 from ramppin.gateway.connection.requestreader import CallerRequest
 from ramppin.gateway.process.limits.drain import Drain
+from ramppin.gateway.process.load.longprompts import PromptWork
 from ramppin.gateway.request.fingerprint import hash_request
-from ramppin.gateway.request.promptkey import hash_prefix
+from ramppin.gateway.request.promptkey import count_tokens, hash_prefix
 from ramppin.gateway.version.routing import (
     Customer,
     Route,
@@ -72,6 +73,7 @@
             servers cache no prefixes.
         fingerprint: hash of the request, the same each time that it is sent.
         time_limit_s: time limit in seconds from the request's arrival.
+        work: size of a prompt with a shared prefix; None if it is not stated.
         ignored_deadline: the caller's deadline if it is not a number, else None.
     """
 
@@ -82,6 +84,7 @@
     prefix_key: int | None
     fingerprint: int
     time_limit_s: float
+    work: PromptWork | None = None
     ignored_deadline: bytes | None = None
 
 
@@ -122,7 +125,10 @@
     if drain is not None and not drain.may_accept(time_limit_s, now):
         return Denial.STOPPING
     parts = request.find(names.prompt_parts)
-    prefix_key = hash_prefix(parts) if parts and route.keeps_prefix else None
+    prefix_key = work = None
+    if parts and route.keeps_prefix:
+        prefix_key = hash_prefix(parts)
+        work = measure_work(parts, route)
     return Admission(
         table=table,
         route=route,
@@ -131,10 +137,17 @@
         prefix_key=prefix_key,
         fingerprint=hash_request(request, customer),
         time_limit_s=time_limit_s,
+        work=work,
         ignored_deadline=deadline if deadline_s is None else None,
     )
 
 
+def measure_work(parts: bytes, route: Route) -> PromptWork | None:
+    """Return the size of a prompt, or None if its parts do not state it."""
+    counts = count_tokens(parts)
+    return None if counts is None else PromptWork(*counts, route.target_pause_s)
+
+
 def find_customer(
     request: CallerRequest, table: RoutingTable, names: HeaderNames
 ) -> Customer | None:
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -25,12 +25,14 @@
     AnswerReceiver,
     UpstreamConnection,
 )
+from ramppin.gateway.process.load.speed import MAX_PERCENT, MIN_PERCENT, parse_speed
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.answerkind import AnswerKind, judge_answer
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.servernotice import NO_NOTICE, ServerNotice, parse_notice
+from ramppin.gateway.request.speedsamples import count_learned_tokens
 from ramppin.gateway.request.streampauses import StreamPauses
 
 MAX_BUFFERED_BYTES = 262_144
@@ -41,6 +43,9 @@
 """Interval in seconds at which the attempt checks whether the server is unresponsive: a
 quarter of the time after which it counts as such."""
 
+SPEED_INDEX = 3
+"""Position of the speed in a load report."""
+
 LOG = logging.getLogger(__name__)
 
 _LENGTH = frozenset({b"content-length"})
@@ -102,6 +107,10 @@
         self._paused = False
         self._check_timer: asyncio.TimerHandle | None = None
         self.answer_started: bool = previous.answer_started if previous else False
+        self._learned_tokens: int | None = None
+        self._pause_sum_s = 0.0
+        self._pause_count = 0
+        self._has_piece = False
         self._pauses = previous.pauses if previous else StreamPauses()
         self._events: EventSplitter | None = None
         if resumable:
@@ -138,6 +147,9 @@
         self._received_at = self._loop.time()
         self._sent_at = self._received_at
         self._state.waiting.note_sent(self, self._sent_at)
+        self._learned_tokens = count_learned_tokens(
+            request, self._names, self._state, self._sent_at
+        )
         timer = self._loop.call_at(ends_at, self.cancel, AttemptEnd.TIMED_OUT)
         self._check_unresponsive()
         try:
@@ -191,6 +203,9 @@
         self._head = head
         self._kind = judge_answer(head, self._names)
         self._note_load(head.headers)
+        if self._kind is AnswerKind.SUCCESS and self._learned_tokens is not None:
+            wait_s = self._received_at - self._sent_at
+            self._state.speed.note_wait(wait_s, self._learned_tokens, self._received_at)
         return True
 
     def accept_body(self, data: bytes) -> None:
@@ -227,6 +242,9 @@
             self._first_byte_at = self._loop.time()
             headers = keep_end_to_end(head.headers, _LENGTH)
             self._caller.send_answer(head.status, headers, b"".join(self._buffered))
+        if self._pause_count:
+            mean_s = self._pause_sum_s / self._pause_count
+            self._state.speed.note_pauses(mean_s, self._received_at)
         self._state.health.note_outcome(kind.outcome, self._loop.time())
         self._finish(kind.end)
 
@@ -261,7 +279,19 @@
         if data:
             self._caller.send_body(data)
             if self._streams:
-                self._pauses.note_piece(self._received_at)
+                self._note_piece()
+
+    def _note_piece(self) -> None:
+        """Record that a piece of the stream was forwarded."""
+        now = self._received_at
+        pause_s = self._pauses.note_piece(now)
+        if self._learned_tokens is None:
+            return
+        # The pause before its first piece may be another server's.
+        if pause_s is not None and self._has_piece and self._state.speed.may_learn(now):
+            self._pause_sum_s += pause_s
+            self._pause_count += 1
+        self._has_piece = True
 
     # end of the attempt
 
@@ -356,16 +386,32 @@
             )
 
     def _note_load(self, headers: Headers) -> None:
-        """Record the load that an answer reports, ``RUNNING,WAITING,SLOTS``."""
+        """Record the load that an answer reports, ``RUNNING,WAITING,SLOTS[,SPEED]``."""
         report = find_header(headers, self._names.load)
         if report is None:
             return
         numbers = report.split(b",")
         if len(numbers) >= 2 and numbers[0].isdigit() and numbers[1].isdigit():
-            self._state.note_load(int(numbers[0]), int(numbers[1]), self._loop.time())
+            self._state.note_load(int(numbers[0]), int(numbers[1]), self._received_at)
+            if len(numbers) > SPEED_INDEX:
+                self._note_speed(numbers[SPEED_INDEX])
             return
         LOG.warning(
             "a load report is not RUNNING,WAITING and is ignored: %.40r",
             report,
             extra={"peer": self._state.server.name, "step": "answer"},
         )
+
+    def _note_speed(self, figure: bytes) -> None:
+        """Record the speed in a load report; ignore a malformed one."""
+        percent = parse_speed(figure)
+        if percent is not None:
+            self._state.speed.note_report(percent, self._received_at)
+            return
+        LOG.warning(
+            "a server's speed is not a number from %d to %d and is ignored: %.40r",
+            MIN_PERCENT,
+            MAX_PERCENT,
+            figure,
+            extra={"peer": self._state.server.name, "step": "answer"},
+        )
--- a/src/ramppin/gateway/request/promptkey.py
+++ b/src/ramppin/gateway/request/promptkey.py
@@ -1,9 +1,15 @@
-"""Computes the key that routes prompts with a shared prefix to one backend server."""
+"""Reads the parts of a prompt: the key of its shared prefix, and its tokens.
+
+Prompts with the same key are routed to one backend server.
+"""
 
 from __future__ import annotations
 
 import xxhash
 
+MAX_TOKEN_DIGITS = 9
+"""Maximum number of digits of a number of tokens; more are not a prompt's."""
+
 
 def hash_prefix(parts: bytes) -> int | None:
     """Return the hash of the longest shared prefix of a prompt.
@@ -21,3 +27,21 @@
         return None
     shared = ids[-2] if len(ids) > 1 else ids[0]
     return xxhash.xxh3_64_intdigest(shared)
+
+
+def count_tokens(parts: bytes) -> tuple[int, int] | None:
+    """Return the tokens of a prompt and those of its shared part.
+
+    Args:
+        parts: see :func:`hash_prefix`. A single part is the shared one.
+
+    Returns:
+        None if a part has no valid number of tokens.
+    """
+    counts = []
+    for part in parts.split(b","):
+        number = part.rpartition(b":")[2].strip()
+        if not number.isdigit() or len(number) > MAX_TOKEN_DIGITS:
+            return None
+        counts.append(int(number))
+    return sum(counts), sum(counts[: max(1, len(counts) - 1)])
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -89,6 +89,7 @@
             "load": round(selection.load),
             "bound": _round_bound(selection.bound),
             "mean": round(selection.mean, 1),
+            "slowness": round(selection.slowness, 2),
             "in_flight": selection.in_flight,
             "closed": selection.closed,
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -58,6 +58,7 @@
             context.share_connections(service),
             context.find_failing_servers(service, survey.states, now),
             self._admission.fingerprint if self._watch.is_suspect() else None,
+            self._admission.work,
         )
         strategy = context.choose_strategy(prefix_key is not None)
         selection = strategy.choose(request, survey.states, now)
