--- a/features/steps/server_speed_steps.py
+++ b/features/steps/server_speed_steps.py
@@ -154,8 +154,8 @@
 
 
 @then(
-    "after {count:d} usual waits one that is {ratio:d} times as long leaves the average "
-    "at {low:g} to {high:g}"
+    "after {count:d} usual waits one that is {ratio:d} times as long leaves the "
+    "average at {low:g} to {high:g}"
 )
 def step_one_wait(context, count, ratio, low, high):
     [speed] = build_speeds(1)
