Test the size of a prompt from the request to the choice of its server

Without it, long prompts were placed by tables alone: removing the size from the admission or from the selection failed no scenario. The fallback to the load alone has a case in which the home is not the first server.

--- a/features/server_speed/placement.feature
+++ b/features/server_speed/placement.feature
@@ -23,7 +23,7 @@
 
   Scenario: a slow home below the bound precedes quick servers at the bound
     Then with loads "4 9 9 9", figures "600 100 100 100", home "second" and a bound of 7 a prompt goes to "first"
-    And with loads "5 4 9 9", figures "900 900 100 100", home "first" and a bound of 7 a prompt goes to "first"
+    And with loads "4 5 9 9", figures "900 900 100 100", home "second" and a bound of 7 a prompt goes to "second"
 
   Scenario: the guarantee of the load bound holds with any figures
     Then in 3000 draws of loads and figures no prompt goes to a server at the bound while an eligible one is below
@@ -88,5 +88,9 @@
     Then 9 long prompts of new prefixes at once reach 9 of 12 servers, and none of the 3 slow ones
     And 30 of them reach no slow one, and each quick one gets at most 8
 
+  Scenario: a gateway passes a long prompt over its home by the figure of the last answer
+    Given a gateway before 2 model servers, of which the home of a prefix reports 250
+    Then a prompt of 10000+100 tokens goes to the home, and one of 10000+2001 right after it to the other server
+
   Scenario: without figures all choices and draws are those of the build before
     Then 4000 choices without figures are as recorded
--- a/features/steps/server_speed_placement_steps.py
+++ b/features/steps/server_speed_placement_steps.py
@@ -11,7 +11,7 @@
 import xxhash
 from behave import given, then, when
 
-from features.gateway_support import build_server
+from features.gateway_support import GatewayFixture, build_server, build_tree
 from ramppin.gateway.process.load.longprompts import PromptWork
 from ramppin.gateway.process.load.view import measure_loads
 from ramppin.gateway.process.routing.homes import HomeAnnouncement, PrefixHomes
@@ -397,6 +397,69 @@
     assert max(found.values()) <= most, found
 
 
+# a gateway
+
+WAIT_TRIES = 50
+SHORT_PARTS = "a:10000,b:100"
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def ask_prompt(fixture: GatewayFixture, parts: str) -> str:
+    """Send a prompt and return the name of the server that got it."""
+    headers = {"Ramppin-Prompt-Parts": parts}
+    answer = await fixture.ask("/stream/", headers=headers)
+    assert answer.status == 200, answer.data
+    return answer.body.decode()
+
+
+@given(
+    "a gateway before {count:d} model servers, of which the home of a prefix reports "
+    "{figure:d}"
+)
+def step_gateway(context, count, figure):
+    figures: dict[str, int] = {}
+
+    async def answer(reply) -> None:
+        name = reply.request.headers[b"ramppin-backend-server"].decode()
+        load = b"Ramppin-Load: 1,0,8,%d\r\n" % figures.get(name, 100)
+        await reply.answer(body=name.encode(), headers=load)
+
+    async def start() -> None:
+        fixture = context.fixture = GatewayFixture()
+        context.cleanups.append(fixture.stop)
+        await fixture.start()
+        fixture.publish(build_tree())
+        for number in range(count):
+            backend = await fixture.add_backend(f"m{number}", "model")
+            backend.script = answer
+        await fixture.wait_until_ready(count)
+        context.home = await ask_prompt(fixture, SHORT_PARTS)
+        figures[context.home] = figure
+
+    run(context, start())
+
+
+@then(
+    "a prompt of {shared:d}+{short:d} tokens goes to the home, and one of "
+    "{same:d}+{long:d} right after it to the other server"
+)
+def step_passed_over(context, shared, short, same, long):
+    async def ask() -> str:
+        # On a busy machine the figure may be too old when the long prompt is placed.
+        for _ in range(WAIT_TRIES):
+            parts = f"a:{shared},b:{short}"
+            assert await ask_prompt(context.fixture, parts) == context.home
+            found = await ask_prompt(context.fixture, f"a:{same},c:{long}")
+            if found != context.home:
+                break
+        return found
+
+    assert run(context, ask()) != context.home
+
+
 # without figures
 
 RECORDED = "74716c1cebcb399b"
