--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -295,6 +295,9 @@
         "hints": encode_hints(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
         "full hints": encode_hints(FULL_HINTS),
         "hints with demands": encode_hints(DEMAND_HINTS),
+        "hints with a speed": encode_hints(
+            PeerHints("vm-1", [], loads=[LoadHint("s1", 3, 50, 250)])
+        ),
     }
     router = {
         type(message).__name__: messages.encode_message(message)
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -17,6 +17,10 @@
 LOG = logging.getLogger(__name__)
 
 
+USUAL_SPEED = 100
+"""Speed figure of a server at its usual speed, in percent."""
+
+
 class HomeHint(msgspec.Struct, array_like=True, frozen=True):
     """The home of a prefix: its key, the backend server, and the age in ms."""
 
@@ -33,7 +37,24 @@
 
 
 class LoadHint(msgspec.Struct, array_like=True, frozen=True):
-    """A backend server, the requests in its load report, and the report's age in ms."""
+    """A backend server, the requests in its load report, and the report's age in ms.
+
+    Attributes:
+        server: the server's id.
+        requests: number of requests that it held.
+        age_ms: age of the report.
+        speed: how long work took there, in percent of the usual time. Left out of the
+            message where it is 100.
+    """
+
+    server: str
+    requests: int
+    age_ms: int
+    speed: int = USUAL_SPEED
+
+
+class _SpeedlessLoadHint(msgspec.Struct, array_like=True, frozen=True):
+    """A :class:`LoadHint` without its last element; msgspec leaves out none itself."""
 
     server: str
     requests: int
@@ -149,11 +170,20 @@
 
 
 def encode_hints(hints: PeerHints) -> bytes:
-    """Encode a message.
+    """Return the datagram of hints.
 
-    Without overload control no VM sends a demand, and the bytes are the same as those
-    of versions without the field ``demands``.
+    Values that few VMs need are left out at the end, so that the bytes are the same as
+    those of versions without them: the usual speed of a server, and the demands, which
+    only VMs with overload control send.
     """
+    if hints.loads:
+        loads = [
+            _SpeedlessLoadHint(hint.server, hint.requests, hint.age_ms)
+            if hint.speed == USUAL_SPEED
+            else hint
+            for hint in hints.loads
+        ]
+        hints = msgspec.structs.replace(hints, loads=cast(list[LoadHint], loads))
     fields = msgspec.structs.astuple(hints)
     return _ENCODER.encode(fields if hints.demands else fields[:-1])
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -25,12 +25,15 @@
     AnswerReceiver,
     UpstreamConnection,
 )
+from ramppin.gateway.process.load.speed import MAX_PERCENT, MIN_PERCENT, parse_speed
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.answerkind import AnswerKind, judge_answer
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
 from ramppin.gateway.request.servernotice import NO_NOTICE, ServerNotice, parse_notice
+from ramppin.gateway.request.speedsamples import count_learned_tokens
+from ramppin.gateway.request.streampauses import StreamPauses
 
 MAX_BUFFERED_BYTES = 262_144
 """Maximum number of bytes of an answer that are buffered before it is forwarded in
@@ -40,6 +43,9 @@
 """Interval in seconds at which the attempt checks whether the server is unresponsive: a
 quarter of the time after which it counts as such."""
 
+SPEED_INDEX = 3
+"""Position of the speed in a load report."""
+
 LOG = logging.getLogger(__name__)
 
 _LENGTH = frozenset({b"content-length"})
@@ -105,6 +111,11 @@
         self._paused = False
         self._check_timer: asyncio.TimerHandle | None = None
         self.answer_started: bool = previous.answer_started if previous else False
+        self._learned_tokens: int | None = None
+        self._pause_sum_s = 0.0
+        self._pause_count = 0
+        self._has_piece = False
+        self._pauses = previous.pauses if previous else StreamPauses()
         self._events: EventSplitter | None = None
         if resumable:
             self._events = previous.events if previous else EventSplitter()
@@ -116,6 +127,11 @@
         """Splitter of the stream into events; None if the stream can't be resumed."""
         return self._events
 
+    @property
+    def pauses(self) -> StreamPauses:
+        """Pauses of the stream, including those of earlier attempts."""
+        return self._pauses
+
     async def run(
         self,
         connection: UpstreamConnection,
@@ -135,6 +151,9 @@
         self._received_at = self._loop.time()
         self._sent_at = self._received_at
         self._state.waiting.note_sent(self, self._sent_at)
+        self._learned_tokens = count_learned_tokens(
+            request, self._names, self._state, self._sent_at
+        )
         timer = self._loop.call_at(ends_at, self.cancel, AttemptEnd.TIMED_OUT)
         self._check_unresponsive()
         try:
@@ -160,6 +179,7 @@
 
     def set_paused(self, paused: bool) -> None:
         """Pause or resume the server's answer."""
+        self._pauses.note_held(paused, self._loop.time())
         if self._connection is None or self._result.done():
             return
         # A server that this VM paused must not count as unresponsive.
@@ -187,6 +207,9 @@
         self._head = head
         self._kind = judge_answer(head, self._names)
         self._note_load(head.headers)
+        if self._kind is AnswerKind.SUCCESS and self._learned_tokens is not None:
+            wait_s = self._received_at - self._sent_at
+            self._state.speed.note_wait(wait_s, self._learned_tokens, self._received_at)
         return True
 
     def accept_body(self, data: bytes) -> None:
@@ -223,6 +246,9 @@
             self._first_byte_at = self._loop.time()
             headers = keep_end_to_end(head.headers, _LENGTH)
             self._caller.send_answer(head.status, headers, b"".join(self._buffered))
+        if self._pause_count:
+            mean_s = self._pause_sum_s / self._pause_count
+            self._state.speed.note_pauses(mean_s, self._received_at)
         self._state.health.note_outcome(kind.outcome, self._loop.time())
         self._finish(kind.end)
 
@@ -248,13 +274,28 @@
             self._forward(data)
 
     def _forward(self, data: bytes) -> None:
-        if self._events is None:
+        if self._events is not None:
+            try:
+                data = self._events.feed(data)
+            except ProtocolError as error:
+                self._fail(error.message)
+                return
+        if data:
             self._caller.send_body(data)
+            if self._streams:
+                self._note_piece()
+
+    def _note_piece(self) -> None:
+        """Record that a piece of the stream was forwarded."""
+        now = self._received_at
+        pause_s = self._pauses.note_piece(now)
+        if self._learned_tokens is None:
             return
-        try:
-            self._caller.send_body(self._events.feed(data))
-        except ProtocolError as error:
-            self._fail(error.message)
+        # The pause before its first piece may be another server's.
+        if pause_s is not None and self._has_piece and self._state.speed.may_learn(now):
+            self._pause_sum_s += pause_s
+            self._pause_count += 1
+        self._has_piece = True
 
     # end of the attempt
 
@@ -291,6 +332,7 @@
                 last_event_id=events.last_id if events else None,
                 message=message,
                 first_byte_at=self._first_byte_at,
+                longest_pause_s=self._pauses.longest_s,
                 notice=self._notice,
             )
         )
@@ -348,13 +390,15 @@
             )
 
     def _note_load(self, headers: Headers) -> None:
-        """Record the load that an answer reports, ``RUNNING,WAITING,SLOTS``."""
+        """Record the load that an answer reports, ``RUNNING,WAITING,SLOTS[,SPEED]``."""
         report = find_header(headers, self._names.load)
         if report is None:
             return
         numbers = report.split(b",")
         if len(numbers) >= 2 and numbers[0].isdigit() and numbers[1].isdigit():
-            self._state.note_load(int(numbers[0]), int(numbers[1]), self._loop.time())
+            self._state.note_load(int(numbers[0]), int(numbers[1]), self._received_at)
+            if len(numbers) > SPEED_INDEX:
+                self._note_speed(numbers[SPEED_INDEX])
             if self._note_load_change is not None:
                 self._note_load_change(_parse_slots(numbers))
             return
@@ -364,6 +408,20 @@
             extra={"peer": self._state.server.name, "step": "answer"},
         )
 
+    def _note_speed(self, figure: bytes) -> None:
+        """Record the speed in a load report; ignore a malformed one."""
+        percent = parse_speed(figure)
+        if percent is not None:
+            self._state.speed.note_report(percent, self._received_at)
+            return
+        LOG.warning(
+            "a server's speed is not a number from %d to %d and is ignored: %.40r",
+            MIN_PERCENT,
+            MAX_PERCENT,
+            figure,
+            extra={"peer": self._state.server.name, "step": "answer"},
+        )
+
 
 def _parse_slots(numbers: list[bytes]) -> int | None:
     """Return the slots of a load report; None if it states none or is malformed."""
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -98,6 +98,7 @@
             "load": round(selection.load),
             "bound": _round_bound(selection.bound),
             "mean": round(selection.mean, 1),
+            "slowness": round(selection.slowness, 2),
             "in_flight": selection.in_flight,
             "closed": selection.closed,
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
@@ -110,6 +111,8 @@
             "waited_ms": _to_ms(self._decision.waited_s),
             "first_ms": self._measure_first_ms(result),
             "target_ms": _to_ms(admission.route.target_s),
+            "pause_ms": _to_ms(result.longest_pause_s),
+            "target_pause_ms": _to_ms(admission.route.target_pause_s),
             "rule": verdict.name.lower() if verdict else "",
         }
         self._count_attempt(admission.service, result)
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -53,8 +53,8 @@
         keeps_prefix: whether backend servers cache prompt prefixes.
         target_s: target time to the first byte; None if none is set. Requests that
             exceed it count as late in ``ramppin losses``.
-        target_pause_s: longest pause between events of a stream in seconds; None if
-            none is set.
+        target_pause_s: longest pause between pieces of a stream in seconds; None if
+            none is set. Streams that exceed it count as late as well.
     """
 
     name: str
