--- a/features/steps/overload_rule_steps.py
+++ b/features/steps/overload_rule_steps.py
@@ -240,7 +240,9 @@
 @then("the ticket of a prompt tells its rank, customer, weight, work, size and times")
 def step_ticket(context):
     async def build() -> Queueing:
-        control = SimpleNamespace(returns=ReturnDetector())
+        control = SimpleNamespace(
+            returns=ReturnDetector(), find_route_stay_s=lambda route: 0.25
+        )
         shared = SimpleNamespace(names=NAMES, find_home=lambda key: "s1")
         route = Route(
             "r",
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -140,6 +141,12 @@
             states, self.failure_domain, own_per_s * self.live_vms, now
         )
 
+    def find_max_load(self, service: str, rank: int, now: float) -> float:
+        """Return the load up to which a server gets a request; infinite for no limit."""
+        if self.overload is None:
+            return math.inf
+        return self.overload.limiter.find_server_limit(service, rank, now)
+
     def find_cold_rate(self, service: str) -> float:
         """Return the requests a second that a cold server accepts; 0 for no limit."""
         spec = self.find_service(service)
--- a/src/ramppin/gateway/process/overload/capacity.py
+++ b/src/ramppin/gateway/process/overload/capacity.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -40,6 +41,13 @@
 MIN_QUEUE_MARGIN = 1.0
 """Minimum of the queue margin in requests."""
 
+PRIORITY_ROOM_SHARE = 0.75
+"""Requests that a server which orders its queue by priority may hold beyond its limit,
+as a share of its slots, for the most urgent rank in use; none for the least urgent one.
+Such a server runs urgent requests before those that it holds already, so that waiting
+at the VM would only delay them. Less urgent ranks wait at the VM before the server's
+queue is full of them."""
+
 RANK_RESERVE_SHARE = 0.08
 """Share of a server's slots that each rank leaves free for more urgent ones: urgent
 requests that arrive within one report delay then find capacity."""
@@ -84,6 +92,10 @@
         limit: requests that they may hold.
         held: requests that they hold, by load reports and this VM's own requests.
         rank_reserve: requests that each rank leaves free for more urgent ones.
+        server_limit: requests that one server of them may hold while it is healthy and
+            warm; infinite if there is none.
+        priority_room: requests that they may hold beyond the limit for urgent ranks; 0
+            unless they order their queues by priority.
         max_reserve: maximum of that reserve; the least urgent rank may fill the slots.
         stay_s: mean time of a request at a server in seconds.
         servers: number of servers without a lasting closure.
@@ -96,6 +108,8 @@
     limit: float = 0.0
     held: float = 0.0
     rank_reserve: float = 0.0
+    server_limit: float = math.inf
+    priority_room: float = 0.0
     max_reserve: float = 0.0
     stay_s: float = 1.0
     servers: int = 0
@@ -108,12 +122,17 @@
         """Requests per second that the servers complete at the limit."""
         return self.limit / self.stay_s
 
-    def compute_reserve(self, position: int) -> float:
+    def compute_reserve(self, position: int, ranks: int = 1) -> float:
         """Return the requests that a rank leaves free for more urgent ones.
 
+        Negative for ranks that may exceed the limit.
+
         Args:
             position: number of more urgent ranks in use.
+            ranks: number of ranks in use.
         """
+        if self.priority_room and ranks > 1:
+            return -self.priority_room * max(0.0, 1 - position / (ranks - 1))
         return min(self.max_reserve, position * self.rank_reserve)
 
 
@@ -228,10 +247,14 @@
             slots=sum(server.slots for server in servers),
             limit=sum(limits),
             held=sum(loads.values()),
+            server_limit=max(server.limit for server in servers),
             rank_reserve=sum(
                 max(MIN_RANK_RESERVE, RANK_RESERVE_SHARE * server.slots)
                 for server in servers
             ),
+            priority_room=sum(PRIORITY_ROOM_SHARE * server.slots for server in servers)
+            if spec.cache_tokens
+            else 0.0,
             max_reserve=sum(_compute_margin(server.slots) for server in servers),
             stay_s=stay.mean_s,
             servers=len(states),
--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -10,7 +10,8 @@
 import asyncio
 
 from ramppin.gateway.process.limits.drain import Drain
-from ramppin.gateway.process.overload.returns import ReturnDetector
+from ramppin.gateway.process.load.times import MovingMean
+from ramppin.gateway.process.overload.returns import MAX_ROUTES, ReturnDetector
 from ramppin.gateway.process.overload.scheduler import Scheduler, ServiceQueue
 from ramppin.gateway.process.overload.startlimiter import (
     CapacityState,
@@ -65,6 +66,7 @@
         self._drain: Drain | None = None
         self._pump_is_scheduled = False
         self._answers: dict[str, int] = {}
+        self._route_stays: dict[str, MovingMean] = {}
 
     # called by the request path
 
@@ -113,6 +115,24 @@
             return
         self.limiter.note_answered(service, took_s, now)
 
+    def note_route_answered(self, route: str, took_s: float) -> None:
+        """Record the time that an answered request of a route took at a server."""
+        stay = self._route_stays.get(route)
+        if stay is None:
+            if len(self._route_stays) >= MAX_ROUTES:
+                del self._route_stays[next(iter(self._route_stays))]
+            stay = MovingMean(took_s, initial_weight=1)
+            self._route_stays[route] = stay
+        stay.note(took_s)
+
+    def find_route_stay_s(self, route: str) -> float:
+        """Return the mean time in seconds of a route's requests at a server.
+
+        0 while none was answered.
+        """
+        stay = self._route_stays.get(route)
+        return 0.0 if stay is None else stay.mean_s
+
     # called for other events
 
     def note_report(self, server_id: str, slots: int | None) -> None:
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -124,6 +124,7 @@
         peers: demand of the other VMs.
         own: this VM's requests in flight.
         positions: for each rank the number of more urgent ranks in use.
+        ranks: number of ranks in use.
         states: the servers.
         abandoned: requests that this VM gave up and that servers may still hold.
     """
@@ -133,6 +134,7 @@
     peers: PeerDemand
     own: int
     positions: Sequence[int]
+    ranks: int
     states: Sequence[ServerState]
     abandoned: int
 
@@ -199,6 +201,7 @@
             requests in flight are limited.
         is_starting: whether load reports are still expected to arrive.
         positions: for each rank the number of more urgent ranks in use.
+        ranks: number of ranks in use.
     """
 
     capacity: ServiceCapacity
@@ -209,6 +212,7 @@
     has_reports: bool
     is_starting: bool
     positions: Sequence[int]
+    ranks: int
 
     @property
     def free(self) -> float:
@@ -224,7 +228,7 @@
             self.peers.estimate_waiting(self.waiting[other], other)
             for other in range(rank)
         )
-        reserve = self.capacity.compute_reserve(self.positions[rank])
+        reserve = self.capacity.compute_reserve(self.positions[rank], self.ranks)
         return self.free - max(reserve, urgent)
 
     def compute_part(self, rank: int) -> float:
@@ -250,7 +254,7 @@
         Used where load reports are missing. As long as these are expected, each known
         VM has the same part.
         """
-        reserve = self.capacity.compute_reserve(self.positions[rank])
+        reserve = self.capacity.compute_reserve(self.positions[rank], self.ranks)
         limit = self.capacity.limit - reserve
         if self.is_starting:
             known = self.peers.scale * (1 + self.peers.senders)
@@ -362,6 +366,15 @@
         share = sum(view.compute_share(r) for r in (*ranks, rank))
         return max(rate, share / REPORT_DELAY_S)
 
+    def find_server_limit(self, service: str, rank: int, now: float) -> float:
+        """Return how many requests one server may hold for one more of a rank."""
+        view = self._view(service, now)
+        capacity = view.capacity
+        if not capacity.priority_room:
+            return capacity.server_limit
+        reserve = capacity.compute_reserve(view.positions[rank], view.ranks)
+        return capacity.server_limit - reserve / capacity.servers
+
     def describe(self, service: str, now: float) -> CapacityState:
         """Return the capacity of a service and this VM's share.
 
@@ -483,12 +496,14 @@
         states = self._directory.list_service(service)
         abandoned = sum(state.waiting.count_abandoned(now) for state in states)
         own = abandoned + _count_started(starts, states, now)
+        positions, ranks = _rank_positions(starts, now)
         return _Snapshot(
             now,
             self._estimator.measure(service, now),
             self._demand.sum_up(service, now),
             own,
-            _count_more_urgent(starts, now),
+            positions,
+            ranks,
             states,
             abandoned,
         )
@@ -523,6 +538,7 @@
             has_reports=starts.is_reporting,
             is_starting=is_starting,
             positions=snapshot.positions,
+            ranks=snapshot.ranks,
         )
 
 
@@ -543,10 +559,10 @@
             starts.used_at[rank] = now
 
 
-def _count_more_urgent(starts: _ServiceStarts, now: float) -> list[int]:
-    """Return for each rank the number of more urgent ranks in use."""
+def _rank_positions(starts: _ServiceStarts, now: float) -> tuple[list[int], int]:
+    """Return for each rank the number of more urgent ones in use, and that of all."""
     found, used = [], 0
     for used_at in starts.used_at:
         found.append(used)
         used += now - used_at <= RANK_USE_S
-    return found
+    return found, used
--- a/src/ramppin/gateway/process/overload/ticket.py
+++ b/src/ramppin/gateway/process/overload/ticket.py
@@ -88,7 +88,7 @@
         arrived: event-loop time at which the request was received.
         target_at: event-loop time of the target for the first byte, or None.
         patient_until: event-loop time at which the caller disconnects if it has
-            received no first byte.
+            received no first byte, or after which its stream can't end in time.
         ends_at: event-loop time of the deadline or of the route's limit.
         returned: whether the request repeats a request that was refused.
         decide: called once with START or REFUSED after a submit that returned WAIT.
--- a/src/ramppin/gateway/process/routing/selection.py
+++ b/src/ramppin/gateway/process/routing/selection.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -31,6 +32,9 @@
             one server; None for no limit.
         failing: ids of servers that fail according to reports of the fleet.
         suspect_key: the request's fingerprint if it may have crashed servers.
+        max_load: requests that a server may hold in any case; the load bound is no
+            higher. Near capacity it exceeds a server's slots, and a request would wait
+            at one server while others have free slots.
         work: size of the prompt; None if it is unknown.
     """
 
@@ -40,6 +44,7 @@
     failing: frozenset[str] = frozenset()
     suspect_key: int | None = None
     work: PromptWork | None = None
+    max_load: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +98,7 @@
         if not eligible:
             return None
         view = self._measure(states, now)
+        view.bound = min(view.bound, request.max_load)
         if request.suspect_key is not None:
             confined = _choose_for_suspect(request.suspect_key, eligible, view)
             if confined is not None:
--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -69,6 +69,7 @@
         route, customer = admission.route, admission.customer
         self._work = self._estimate_work(request)
         ends_at = request.arrived + admission.time_limit_s
+        stay_s = control.find_route_stay_s(route.name) if route.kind.is_stream else 0.0
         self.ticket = Ticket(
             service=admission.service,
             rank=compute_rank(route, customer),
@@ -80,7 +81,11 @@
             target_at=None
             if route.target_s is None
             else request.arrived + route.target_s,
-            patient_until=min(ends_at, request.arrived + compute_patience_s(route)),
+            # A stream that starts later is cut off by its deadline and has used a slot
+            # for nothing.
+            patient_until=min(
+                ends_at - stay_s, request.arrived + compute_patience_s(route)
+            ),
             ends_at=ends_at,
             returned=control.returns.is_returned(
                 route.name, deadline_s, admission.fingerprint, now
@@ -119,6 +124,8 @@
         """
         limiter, now = self._control.limiter, self._loop.time()
         if end is AttemptEnd.DELIVERED:
+            if self._admission.route.kind.is_stream:
+                self._control.note_route_answered(self._admission.route.name, took_s)
             is_sampled = server.slots > 0 and not self._has_waited
             self._control.note_answered(
                 self.ticket.service, took_s, now, is_sampled=is_sampled
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -16,6 +16,7 @@
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import Admission
 from ramppin.gateway.request.crashwatch import CrashWatch
+from ramppin.gateway.request.rank import compute_rank
 from ramppin.gateway.request.retry import Verdict, judge_no_server
 from ramppin.gateway.request.retryafter import (
     choose_retry_after_s,
@@ -43,6 +44,7 @@
         self._context = context
         self._admission = admission
         self._watch = watch
+        self._rank = compute_rank(admission.route, admission.customer)
         self._tried: set[str] = set()
         self.closed: tuple[str, ...] = ()
 
@@ -59,6 +61,7 @@
             context.find_failing_servers(service, survey.states, now),
             self._admission.fingerprint if self._watch.is_suspect() else None,
             self._admission.work,
+            context.find_max_load(service, self._rank, now),
         )
         strategy = context.choose_strategy(prefix_key is not None)
         selection = strategy.choose(request, survey.states, now)
