Overload: fairness by customer goes before lateness; forecast by customer

A late request of a quiet customer was put behind the requests on time of the customer that caused the load. The forecast now counts later requests of other customers up to the point at which fairness stops preferring them.

--- a/src/ramppin/gateway/process/overload/forecast.py
+++ b/src/ramppin/gateway/process/overload/forecast.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ramppin.gateway.process.overload.fairness import MAX_COUNTERS
 from ramppin.gateway.process.overload.ticket import RANKS
 
 MIN_START_RATE_PER_S = 0.01
@@ -23,6 +25,9 @@
 STARTS_DECAY_S = 4.0
 """Time constant in seconds of the measured rates of starts."""
 
+MIN_STARTS = 0.01
+"""Decayed starts under which a customer's rate is forgotten."""
+
 DECAY_STEP_S = 0.1
 """Time in seconds between two decays of the counted starts. It keeps the cost of a
 request that skips the queue low, at an error of 5 % of the rates."""
@@ -65,12 +70,27 @@
         self.at = now
 
 
+@dataclass(slots=True)
+class _CustomerStarts:
+    """Decayed starts of one customer at a rank."""
+
+    on_time: float = 0.0
+    all: float = 0.0
+    shares: float = 0.0
+
+    def decay(self, factor: float) -> None:
+        """Multiply all sums by a factor."""
+        self.on_time *= factor
+        self.all *= factor
+        self.shares *= factor
+
+
 @dataclass(slots=True)
 class _RecentStarts:
-    """Starts by rank, decayed until ``at``: those on time, and those already late."""
+    """Starts of a service by rank and customer, decayed until ``at``."""
 
-    on_time: list[float] = field(default_factory=lambda: [0.0] * RANKS)
-    late: list[float] = field(default_factory=lambda: [0.0] * RANKS)
+    by_rank: list[float] = field(default_factory=lambda: [0.0] * RANKS)
+    customers: dict[tuple[int, str], _CustomerStarts] = field(default_factory=dict)
     at: float = float("-inf")
 
     def decay(self, now: float) -> None:
@@ -78,20 +98,24 @@
         if now - self.at < DECAY_STEP_S:
             return
         factor = math.exp((self.at - now) / STARTS_DECAY_S)
-        self.on_time = [count * factor for count in self.on_time]
-        self.late = [count * factor for count in self.late]
+        self.by_rank = [count * factor for count in self.by_rank]
+        for key, starts in list(self.customers.items()):
+            starts.decay(factor)
+            if starts.all < MIN_STARTS:
+                del self.customers[key]
         self.at = now
 
-    def measure_rate(self, rank: int, is_late: bool) -> float:
-        """Return the starts per second of the requests that go before others.
-
-        These are the more urgent ones, and for a late request also those of its rank
-        that start on time.
-        """
-        count = sum(self.on_time[:rank]) + sum(self.late[:rank])
-        if is_late:
-            count += self.on_time[rank]
-        return count / STARTS_DECAY_S
+    def note(self, rank: int, customer: str, share: float, is_late: bool) -> None:
+        """Count a start."""
+        self.by_rank[rank] += 1
+        starts = self.customers.get((rank, customer))
+        if starts is None:
+            if len(self.customers) >= MAX_COUNTERS:
+                return
+            starts = self.customers[rank, customer] = _CustomerStarts()
+        starts.all += 1
+        starts.on_time += not is_late
+        starts.shares += share
 
 
 class Forecast:
@@ -107,12 +131,38 @@
         self._observed: dict[tuple[str, int, bool], _ObservedWaits] = {}
         self._starts: dict[str, _RecentStarts] = {}
 
+    def list_customers(self, service: str, rank: int) -> list[str]:
+        """Return the customers with recent starts at a rank."""
+        starts = self._starts.get(service)
+        if starts is None:
+            return []
+        return [customer for other, customer in starts.customers if other == rank]
+
+    def measure_rate_left(
+        self, service: str, rank: int, start_rate_per_s: float, now: float
+    ) -> float:
+        """Return the starts per second that more urgent ranks leave."""
+        starts = self._starts.get(service)
+        if starts is None:
+            return start_rate_per_s
+        starts.decay(now)
+        taken = sum(starts.by_rank[:rank]) / STARTS_DECAY_S
+        return max(start_rate_per_s - taken, MIN_RATE_SHARE * start_rate_per_s)
+
+    def measure_on_time_rate(self, service: str, rank: int, customer: str) -> float:
+        """Return a customer's starts on time per second at a rank."""
+        starts = self._starts.get(service)
+        found = starts.customers.get((rank, customer)) if starts is not None else None
+        return 0.0 if found is None else found.on_time / STARTS_DECAY_S
+
     def estimate_wait_s(
         self,
         service: str,
         rank: int,
+        customer: str,
         *,
         ahead: int,
+        shares_ahead: Mapping[str, float],
         start_rate_per_s: float,
         is_late: bool,
         now: float,
@@ -122,23 +172,46 @@
         Args:
             service: name of the service.
             rank: rank of the request.
+            customer: its customer.
             ahead: requests ahead in this VM's admission queue.
+            shares_ahead: by customer, the shares by which requests that arrive later
+                may go before it.
             start_rate_per_s: starts per second that this VM can expect for that rank
                 and more urgent ones.
             is_late: whether the request will miss its target, so that requests of its
-                rank that arrive later and are on time go before it.
+                customer that arrive later and are on time go before it.
             now: current event-loop time.
         """
-        taken = 0.0
-        starts = self._starts.get(service)
-        if starts is not None:
-            starts.decay(now)
-            taken = starts.measure_rate(rank, is_late)
+        rate = self.measure_rate_left(service, rank, start_rate_per_s, now)
         if is_late:
             # The next start left over by requests that are on time.
             ahead += 1
-        rate = max(start_rate_per_s - taken, MIN_RATE_SHARE * start_rate_per_s)
-        return ahead / max(rate, MIN_START_RATE_PER_S)
+        # Later requests of another customer go first at the rate of its recent starts,
+        # until its counter has reached the request's. While the wait grows, customer
+        # after customer reaches that point, the one with the least time first.
+        overtakers: list[tuple[float, float, float]] = []
+        starts = self._starts.get(service)
+        for other, shares in shares_ahead.items():
+            if shares <= 0 or starts is None or (rank, other) not in starts.customers:
+                continue
+            found = starts.customers[rank, other]
+            count = found.on_time if other == customer else found.all
+            per_s = count / STARTS_DECAY_S
+            most = shares * found.all / found.shares
+            if per_s > 0:
+                overtakers.append((most / per_s, most, per_s))
+        overtakers.sort()
+        first = float(ahead)
+        rate_left = rate - sum(per_s for _, _, per_s in overtakers)
+        least = max(MIN_RATE_SHARE * start_rate_per_s, MIN_START_RATE_PER_S)
+        for until_s, most, per_s in overtakers:
+            if rate_left > least and first / rate_left <= until_s:
+                break
+            if math.isinf(most):
+                break
+            first += most
+            rate_left += per_s
+        return first / max(rate_left, least)
 
     def correct(
         self, service: str, rank: int, is_late: bool, raw_s: float, now: float
@@ -152,12 +225,21 @@
         ratio = actual_s / (observed.estimated_s + CORRECTION_PRIOR_S)
         return raw_s * min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
 
-    def note_started(self, service: str, rank: int, is_late: bool, now: float) -> None:
-        """Count a start, by whether the request is already late."""
-        starts = self._starts.setdefault(service, _RecentStarts())
+    def note_started(
+        self,
+        service: str,
+        rank: int,
+        customer: str,
+        share: float,
+        is_late: bool,
+        now: float,
+    ) -> None:
+        """Count a start, by customer and whether the request is already late."""
+        starts = self._starts.get(service)
+        if starts is None:
+            starts = self._starts[service] = _RecentStarts()
         starts.decay(now)
-        counts = starts.late if is_late else starts.on_time
-        counts[rank] += 1
+        starts.note(rank, customer, share, is_late)
 
     def note_wait(
         self,
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -12,7 +12,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ramppin.gateway.process.overload.fairness import measure_share
 from ramppin.gateway.process.overload.forecast import (
+    MIN_RATE_SHARE,
     MIN_START_RATE_PER_S,
     Forecast,
     is_hopeless,
@@ -28,7 +30,7 @@
     Turn,
     TurnDecision,
 )
-from ramppin.gateway.process.overload.waitingroom import WaitingRoom
+from ramppin.gateway.process.overload.waitingroom import Place, WaitingRoom
 
 LOG = logging.getLogger(__name__)
 
@@ -103,6 +105,7 @@
         # Time of the last check, from which the next one is due: it must not move with
         # each call of a method.
         self._checked_at = float("-inf")
+        self._forecast_at = float("-inf")
 
     def submit(self, ticket: Ticket, now: float) -> TurnDecision:
         """Return START, WAIT or REFUSED for a new request, or one that was withdrawn.
@@ -116,7 +119,7 @@
         ):
             ticket.state = TicketState.DECIDED
             self._limiter.note_started(service, ticket.rank, now)
-            self._forecast.note_started(service, ticket.rank, False, now)
+            self._note_started(ticket, False, now)
             return _STARTED
         ticket.state = TicketState.SUBMITTED
         ticket.decision = None
@@ -156,10 +159,15 @@
     def pump(self, now: float) -> None:
         """Start and refuse every waiting request that is due."""
         self._checked_at = now
+        is_forecast_due = (
+            self._rules.early_rejection and now >= self._forecast_at + MAX_CHECK_S
+        )
+        if is_forecast_due:
+            self._forecast_at = now
         for service in self._room.list_services():
             self._drop_expired(service, now)
             self._start_due(service, now)
-            if self._rules.early_rejection:
+            if is_forecast_due:
                 self._refuse_hopeless(service, now)
         self._deliver()
 
@@ -198,29 +206,33 @@
         """Set the estimated wait of a request that arrives; return how many are ahead.
 
         A request that will miss its target while it waits is placed and estimated as a
-        late one: others that arrive later and are on time will go before it.
+        late one: those of its customer that arrive later and are on time go before it.
         """
         service, rank = ticket.service, ticket.rank
         is_late = self._room.is_late(ticket, now)
-        ahead = self._room.count_ahead(ticket, now)
-        raw_s, estimate_s = self._estimate(service, rank, ahead, is_late, now)
+        others = self._forecast.list_customers(service, rank)
+        place = self._room.find_place(ticket, others, now)
+        raw_s, estimate_s = self._estimate(ticket, place, is_late, now)
         ticket.raw_estimate_s = raw_s
         ticket.raw_late_estimate_s = raw_s if is_late else None
         if not is_late and self._room.is_late(ticket, now + estimate_s):
-            ahead = self._room.count_ahead(ticket, now, is_late=True)
-            raw_s, estimate_s = self._estimate(service, rank, ahead, True, now)
+            place = self._room.find_place(ticket, others, now, is_late=True)
+            raw_s, estimate_s = self._estimate(ticket, place, True, now)
             ticket.raw_late_estimate_s = raw_s
         ticket.estimate_s = estimate_s
-        return ahead
+        return place.ahead
 
     def _estimate(
-        self, service: str, rank: int, ahead: int, is_late: bool, now: float
+        self, ticket: Ticket, place: Place, is_late: bool, now: float
     ) -> tuple[float, float]:
         """Return the estimate of a wait before and after the correction."""
+        service, rank = ticket.service, ticket.rank
         raw_s = self._forecast.estimate_wait_s(
             service,
             rank,
-            ahead=ahead,
+            ticket.customer,
+            ahead=place.ahead,
+            shares_ahead=place.shares_ahead,
             start_rate_per_s=self._estimate_start_rate(service, rank, now),
             is_late=is_late,
             now=now,
@@ -249,14 +261,14 @@
 
     def _start_due(self, service: str, now: float) -> None:
         """Start the first requests in the order, as long as the limiter allows."""
-        while (ticket := self._room.find_first(service, now)) is not None:
-            is_expired = ticket.limit_at <= now
-            if not is_expired and not self._limiter.may_start(
-                service, ticket.rank, now
-            ):
+        while (rank := self._room.find_first_rank(service)) is not None:
+            if not self._limiter.may_start(service, rank, now):
+                break
+            ticket = self._room.find_first(service, now)
+            if ticket is None:
                 break
             self._room.remove(ticket)
-            if is_expired:
+            if ticket.limit_at <= now:
                 self._refuse_waiting(ticket, RefusalRule.EXPIRED, now)
             else:
                 self._start(ticket, now)
@@ -267,7 +279,7 @@
         self._room.charge(ticket, now)
         waited_s = now - ticket.submitted_at
         is_late = self._room.is_late(ticket, now)
-        self._forecast.note_started(ticket.service, ticket.rank, is_late, now)
+        self._note_started(ticket, is_late, now)
         is_late, raw_s = self._find_estimate(ticket, now)
         self._forecast.note_wait(
             ticket.service, ticket.rank, is_late, raw_s, waited_s, now
@@ -298,15 +310,24 @@
         for rank, count in enumerate(self._room.count_by_rank(service)):
             if count == 0:
                 continue
-            # Estimates grow linearly with the requests ahead: the limiter and the
-            # correction are asked once for each rank, not for each request.
-            on_time_s = self._estimate(service, rank, 1, False, now)[1]
-            late_s = self._estimate(service, rank, 0, True, now)[1]
+            # Requests of other customers that arrive later are left out: only a wait
+            # that is too long without them is certain enough. So estimates grow
+            # linearly with the requests ahead, and the limiter and the correction are
+            # asked once for each rank, not for each request.
+            rate = self._forecast.measure_rate_left(
+                service, rank, self._estimate_start_rate(service, rank, now), now
+            )
+            on_time_ratio = self._forecast.correct(service, rank, False, 1.0, now)
+            late_ratio = self._forecast.correct(service, rank, True, 1.0, now)
             for ticket in self._room.list_order(service, rank, now):
                 if self._room.is_late(ticket, now):
-                    estimate_s = late_s * (ahead + 1)
+                    on_time = self._forecast.measure_on_time_rate(
+                        service, rank, ticket.customer
+                    )
+                    late_rate = max(rate - on_time, MIN_RATE_SHARE * rate)
+                    estimate_s = late_ratio * (ahead + 1) / late_rate
                 else:
-                    estimate_s = on_time_s * ahead
+                    estimate_s = on_time_ratio * ahead / rate
                 first_byte_at = now + estimate_s + usual_wait_s
                 if is_hopeless(first_byte_at, ticket.limit_at, now):
                     self._room.remove(ticket)
@@ -323,7 +344,7 @@
         """Refuse a request that was removed from the queue for no forecast."""
         self._note_left(ticket, now)
         ahead = sum(self._room.count_by_rank(ticket.service)[: ticket.rank + 1])
-        estimate_s = self._estimate(ticket.service, ticket.rank, ahead, True, now)[1]
+        estimate_s = self._estimate(ticket, Place(ahead, {}), True, now)[1]
         self._refuse(ticket, rule, now, estimate_s, ahead)
 
     def _refuse(
@@ -385,6 +406,13 @@
         rate = self._limiter.estimate_start_rate(service, rank, now)
         return max(rate, MIN_START_RATE_PER_S)
 
+    def _note_started(self, ticket: Ticket, is_late: bool, now: float) -> None:
+        """Count a start for the rates from which waits are forecast."""
+        share = measure_share(ticket.work, ticket.weight)
+        self._forecast.note_started(
+            ticket.service, ticket.rank, ticket.customer, share, is_late, now
+        )
+
     def _note_left(self, ticket: Ticket, now: float) -> None:
         """Correct the forecast by a request that left without a start."""
         is_late, raw_s = self._find_estimate(ticket, now)
--- a/src/ramppin/gateway/process/overload/waitingroom.py
+++ b/src/ramppin/gateway/process/overload/waitingroom.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from ramppin.gateway.process.overload.fairness import FairShares, measure_share
 from ramppin.gateway.process.overload.rules import OverloadRules
@@ -23,11 +25,30 @@
         self.by_rank: tuple[dict[Ticket, None], ...] = tuple({} for _ in range(RANKS))
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Place of a newcomer in the order of its service.
+
+    Attributes:
+        ahead: waiting requests ahead of it.
+        shares_ahead: by customer, the shares by which its requests that arrive later
+            may still start before the newcomer. It is infinite where nothing but
+            their arrivals bounds them.
+
+    .. versionadded:: 0.4
+    """
+
+    ahead: int
+    shares_ahead: dict[str, float]
+
+
 class WaitingRoom:
     """The admission queue of the process.
 
-    Within a service the order is: rank; requests that can still meet their target or
-    have returned before those that are late; fair by customer; the earliest end.
+    Within a service the order is: rank; fair by customer; requests that can still meet
+    their target or have returned before those that are late; the earliest end. Fairness
+    goes before lateness, so that a quiet customer's request that is late is not put
+    behind those of the customer that causes the load.
 
     Args:
         rules: settings of overload control.
@@ -120,24 +141,25 @@
         return min(
             tickets,
             key=lambda ticket: (
-                _is_late(ticket, on_time_until),
                 uses[ticket.customer],
+                _is_late(ticket, on_time_until),
                 ticket.ends_at,
             ),
         )
 
     def is_late(self, ticket: Ticket, now: float) -> bool:
-        """Return whether a request is put behind those that can meet their target."""
+        """Return whether a request is put behind those of its customer on time."""
         return _is_late(ticket, now + self._usual_wait_s(ticket.service))
 
+    def find_first_rank(self, service: str) -> int | None:
+        """Return the most urgent rank with waiting requests of a service, or None."""
+        room = self._rooms.get(service)
+        if room is None:
+            return None
+        return next(rank for rank, tickets in enumerate(room.by_rank) if tickets)
+
     def list_order(
-        self,
-        service: str,
-        rank: int,
-        now: float,
-        newcomer: Ticket | None = None,
-        *,
-        is_newcomer_late: bool = False,
+        self, service: str, rank: int, now: float, newcomer: Ticket | None = None
     ) -> list[Ticket]:
         """Return the requests of a service and rank in the order of their starts.
 
@@ -146,51 +168,86 @@
             rank: the rank.
             now: current event-loop time.
             newcomer: a request that is not in the queue and is listed with it.
-            is_newcomer_late: whether it is placed as if it were already late.
         """
         room = self._rooms.get(service)
         tickets = list(room.by_rank[rank]) if room is not None else []
         if newcomer is not None:
             tickets.append(newcomer)
-        if len(tickets) < 2:
-            return tickets
-        on_time_until = now + self._usual_wait_s(service)
-        uses = self._measure_uses(service, tickets, now)
-        late = {
-            ticket: _is_late(ticket, on_time_until)
-            or (is_newcomer_late and ticket is newcomer)
-            for ticket in tickets
-        }
-        tickets.sort(key=lambda ticket: (late[ticket], ticket.ends_at))
-        # A customer's counter grows with each of its requests that starts, so its
-        # later requests are placed by the counter that they will find.
-        keys: dict[Ticket, tuple[bool, float, float]] = {}
-        for ticket in tickets:
-            use = uses[ticket.customer]
-            keys[ticket] = late[ticket], use, ticket.ends_at
-            if self._rules.fair_shares:
-                uses[ticket.customer] = use + measure_share(ticket.work, ticket.weight)
-        tickets.sort(key=keys.__getitem__)
+        if len(tickets) > 1:
+            uses = self._measure_uses(service, tickets, now)
+            on_time_until = now + self._usual_wait_s(service)
+            keys = self._compute_keys(tickets, uses, on_time_until)
+            tickets.sort(key=keys.__getitem__)
         return tickets
 
-    def count_ahead(
-        self, newcomer: Ticket, now: float, *, is_late: bool = False
-    ) -> int:
-        """Return how many requests are ahead of a newcomer that is not in the queue.
+    def find_place(
+        self,
+        newcomer: Ticket,
+        others: Iterable[str],
+        now: float,
+        *,
+        is_late: bool = False,
+    ) -> Place:
+        """Return the place of a newcomer that is not in the queue.
 
         Args:
             newcomer: the request.
+            others: customers whose requests may arrive while it waits.
             now: current event-loop time.
             is_late: whether it is placed as if it were already late.
         """
         room = self._rooms.get(newcomer.service)
-        if room is None:
-            return 0
-        more_urgent = sum(len(tickets) for tickets in room.by_rank[: newcomer.rank])
-        order = self.list_order(
-            newcomer.service, newcomer.rank, now, newcomer, is_newcomer_late=is_late
+        ahead = 0
+        tickets: list[Ticket] = []
+        if room is not None:
+            ahead = sum(len(tickets) for tickets in room.by_rank[: newcomer.rank])
+            tickets.extend(room.by_rank[newcomer.rank])
+        on_time_until = now + self._usual_wait_s(newcomer.service)
+        is_late = is_late or _is_late(newcomer, on_time_until)
+        uses = self._measure_uses(newcomer.service, [*tickets, newcomer], now)
+        lowest = min(uses.values())
+        late = {newcomer} if is_late else ()
+        keys = self._compute_keys([*tickets, newcomer], uses, on_time_until, late)
+        key = keys[newcomer]
+        ahead += sum(keys[ticket] < key for ticket in tickets)
+        shares_ahead: dict[str, float] = {}
+        for customer in others:
+            if customer == newcomer.customer or not self._rules.fair_shares:
+                # Only those on time go before it, and only if it is late.
+                shares_ahead[customer] = math.inf if is_late else 0.0
+                continue
+            use = uses.get(customer)
+            if use is None:
+                use = self._measure_use(newcomer, customer, now)
+            shares_ahead[customer] = max(0.0, key[0] - max(lowest, use))
+        return Place(ahead, shares_ahead)
+
+    def _compute_keys(
+        self,
+        tickets: list[Ticket],
+        uses: dict[str, float],
+        on_time_until: float,
+        late: Iterable[Ticket] = (),
+    ) -> dict[Ticket, tuple[float, bool, float]]:
+        """Return the keys by which the requests of one rank are ordered.
+
+        A customer's counter grows with each of its requests that starts, so its later
+        requests are placed by the counter that they will find. ``uses`` then holds the
+        counters after all these starts.
+        """
+        ends = sorted(
+            (_is_late(ticket, on_time_until) or ticket in late, ticket.ends_at, n)
+            for n, ticket in enumerate(tickets)
         )
-        return more_urgent + order.index(newcomer)
+        is_fair = self._rules.fair_shares
+        keys = {}
+        for is_late, ends_at, n in ends:
+            ticket = tickets[n]
+            use = uses[ticket.customer]
+            keys[ticket] = use, is_late, ends_at
+            if is_fair:
+                uses[ticket.customer] = use + measure_share(ticket.work, ticket.weight)
+        return keys
 
     def choose_displaced(self, newcomer: Ticket, now: float) -> list[Ticket] | None:
         """Return the requests that make way for a newcomer; None if it is refused.
@@ -274,6 +331,11 @@
                 )
         return uses
 
+    def _measure_use(self, newcomer: Ticket, customer: str, now: float) -> float:
+        """Return a customer's counter at the rank of a newcomer."""
+        shares = self._shares.get(newcomer.service)
+        return 0.0 if shares is None else shares.measure_use(newcomer.rank, customer, now)
+
     def _find_shares(self, service: str) -> FairShares:
         shares = self._shares.get(service)
         if shares is None:
