--- a/src/ramppin/gateway/process/overload/forecast.py
+++ b/src/ramppin/gateway/process/overload/forecast.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from ramppin.gateway.process.overload.fairness import MAX_COUNTERS
-from ramppin.gateway.process.overload.ticket import RANKS
+from ramppin.gateway.process.overload.ticket import RANKS, Ticket
 
 MIN_START_RATE_PER_S = 0.01
 """Minimum start rate per second, which keeps the forecast finite."""
@@ -28,6 +28,9 @@
 MIN_STARTS = 0.01
 """Decayed starts under which a customer's rate is forgotten."""
 
+MIN_SEEN_S = 0.2
+"""Minimum time in seconds over which starts are counted as a rate."""
+
 DECAY_STEP_S = 0.1
 """Time in seconds between two decays of the counted starts. It keeps the cost of a
 request that skips the queue low, at an error of 5 % of the rates."""
@@ -49,6 +52,10 @@
 MAX_CORRECTION = 4.0
 """Maximum ratio of actual to estimated waits."""
 
+SPREADS = 1.0
+"""Standard deviations of the wait that are added to the estimate of a request that
+arrives."""
+
 GIVE_UP_SHARE = 0.5
 """Share of the time left by which the forecast of a waiting request must exceed its
 limit before it is refused: a forecast that varies must not refuse it."""
@@ -74,12 +81,14 @@
 class _CustomerStarts:
     """Decayed starts of one customer at a rank."""
 
+    returned: float = 0.0
     on_time: float = 0.0
     all: float = 0.0
     shares: float = 0.0
 
     def decay(self, factor: float) -> None:
         """Multiply all sums by a factor."""
+        self.returned *= factor
         self.on_time *= factor
         self.all *= factor
         self.shares *= factor
@@ -87,11 +96,16 @@
 
 @dataclass(slots=True)
 class _RecentStarts:
-    """Starts of a service by rank and customer, decayed until ``at``."""
+    """Starts of a service by rank and customer, decayed until ``at``.
+
+    ``since`` is the time of the first one: a rate that assumed none before it would be
+    too low in the first seconds of an overload.
+    """
 
     by_rank: list[float] = field(default_factory=lambda: [0.0] * RANKS)
     customers: dict[tuple[int, str], _CustomerStarts] = field(default_factory=dict)
     at: float = float("-inf")
+    since: float = float("-inf")
 
     def decay(self, now: float) -> None:
         """Decay the counts until now, or shortly before."""
@@ -104,9 +118,17 @@
             if starts.all < MIN_STARTS:
                 del self.customers[key]
         self.at = now
+        if sum(self.by_rank) < MIN_STARTS:
+            self.since = now
+
+    def compute_rate(self, count: float) -> float:
+        """Return a decayed count as starts per second."""
+        seen_s = max(self.at - self.since, MIN_SEEN_S)
+        return count / (STARTS_DECAY_S * -math.expm1(-seen_s / STARTS_DECAY_S))
 
-    def note(self, rank: int, customer: str, share: float, is_late: bool) -> None:
+    def note(self, ticket: Ticket, share: float, is_late: bool) -> None:
         """Count a start."""
+        rank, customer = ticket.rank, ticket.customer
         self.by_rank[rank] += 1
         starts = self.customers.get((rank, customer))
         if starts is None:
@@ -115,6 +137,7 @@
             starts = self.customers[rank, customer] = _CustomerStarts()
         starts.all += 1
         starts.on_time += not is_late
+        starts.returned += ticket.returned
         starts.shares += share
 
 
@@ -146,20 +169,26 @@
         if starts is None:
             return start_rate_per_s
         starts.decay(now)
-        taken = sum(starts.by_rank[:rank]) / STARTS_DECAY_S
+        taken = starts.compute_rate(sum(starts.by_rank[:rank]))
         return max(start_rate_per_s - taken, MIN_RATE_SHARE * start_rate_per_s)
 
-    def measure_on_time_rate(self, service: str, rank: int, customer: str) -> float:
-        """Return a customer's starts on time per second at a rank."""
-        starts = self._starts.get(service)
-        found = starts.customers.get((rank, customer)) if starts is not None else None
-        return 0.0 if found is None else found.on_time / STARTS_DECAY_S
+    def measure_own_rate(self, ticket: Ticket, is_late: bool) -> float:
+        """Return the starts per second of its customer that go before a request.
+
+        Requests that have returned end earlier and go before others; before a late one
+        those on time go, too.
+        """
+        starts = self._starts.get(ticket.service)
+        if starts is None or ticket.returned:
+            return 0.0
+        found = starts.customers.get((ticket.rank, ticket.customer))
+        if found is None:
+            return 0.0
+        return starts.compute_rate(found.on_time if is_late else found.returned)
 
     def estimate_wait_s(
         self,
-        service: str,
-        rank: int,
-        customer: str,
+        ticket: Ticket,
         *,
         ahead: int,
         shares_ahead: Mapping[str, float],
@@ -170,9 +199,7 @@
         """Return the estimate of a wait in seconds, before the correction.
 
         Args:
-            service: name of the service.
-            rank: rank of the request.
-            customer: its customer.
+            ticket: the request.
             ahead: requests ahead in this VM's admission queue.
             shares_ahead: by customer, the shares by which requests that arrive later
                 may go before it.
@@ -182,6 +209,7 @@
                 customer that arrive later and are on time go before it.
             now: current event-loop time.
         """
+        service, rank = ticket.service, ticket.rank
         rate = self.measure_rate_left(service, rank, start_rate_per_s, now)
         if is_late:
             # The next start left over by requests that are on time.
@@ -195,8 +223,10 @@
             if shares <= 0 or starts is None or (rank, other) not in starts.customers:
                 continue
             found = starts.customers[rank, other]
-            count = found.on_time if other == customer else found.all
-            per_s = count / STARTS_DECAY_S
+            count = found.all
+            if math.isinf(shares):
+                count = found.on_time if is_late else found.returned
+            per_s = starts.compute_rate(count)
             most = shares * found.all / found.shares
             if per_s > 0:
                 overtakers.append((most / per_s, most, per_s))
@@ -226,20 +256,14 @@
         return raw_s * min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
 
     def note_started(
-        self,
-        service: str,
-        rank: int,
-        customer: str,
-        share: float,
-        is_late: bool,
-        now: float,
+        self, ticket: Ticket, share: float, is_late: bool, now: float
     ) -> None:
         """Count a start, by customer and whether the request is already late."""
-        starts = self._starts.get(service)
+        starts = self._starts.get(ticket.service)
         if starts is None:
-            starts = self._starts[service] = _RecentStarts()
+            starts = self._starts[ticket.service] = _RecentStarts()
         starts.decay(now)
-        starts.note(rank, customer, share, is_late)
+        starts.note(ticket, share, is_late)
 
     def note_wait(
         self,
@@ -292,6 +316,23 @@
         return observed
 
 
+def estimate_spread_s(
+    estimate_s: float, start_rate_per_s: float, rate_left_per_s: float
+) -> float:
+    """Return the standard deviation of a wait in seconds.
+
+    Starts, and the arrivals of requests that go first, vary like Poisson processes: by
+    the square root of their number during the wait.
+
+    Args:
+        estimate_s: the estimated wait in seconds.
+        start_rate_per_s: starts per second that this VM can expect.
+        rate_left_per_s: those that are left by requests that arrive later and go first.
+    """
+    varying_per_s = 2 * start_rate_per_s - rate_left_per_s
+    return math.sqrt(varying_per_s * estimate_s) / rate_left_per_s
+
+
 def is_too_late(first_byte_at: float, limit_at: float) -> bool:
     """Return whether a request that arrives is refused by its forecast.
 
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -15,8 +15,10 @@
 from ramppin.gateway.process.overload.fairness import measure_share
 from ramppin.gateway.process.overload.forecast import (
     MIN_RATE_SHARE,
+    SPREADS,
     MIN_START_RATE_PER_S,
     Forecast,
+    estimate_spread_s,
     is_hopeless,
     is_too_late,
 )
@@ -32,6 +34,7 @@
 )
 from ramppin.gateway.process.overload.waitingroom import Place, WaitingRoom
 
+HZ = 1.0
 LOG = logging.getLogger(__name__)
 
 MIN_CHECK_S = 0.02
@@ -228,9 +231,7 @@
         """Return the estimate of a wait before and after the correction."""
         service, rank = ticket.service, ticket.rank
         raw_s = self._forecast.estimate_wait_s(
-            service,
-            rank,
-            ticket.customer,
+            ticket,
             ahead=place.ahead,
             shares_ahead=place.shares_ahead,
             start_rate_per_s=self._estimate_start_rate(service, rank, now),
@@ -243,7 +244,13 @@
         """Add a request to the queue, or return the rule by which it is refused."""
         if self._rules.early_rejection:
             usual_wait_s = self._usual_wait_s(ticket.service)
-            first_byte_at = now + ticket.estimate_s + usual_wait_s
+            start_rate = self._estimate_start_rate(ticket.service, ticket.rank, now)
+            rate_left = self._forecast.measure_rate_left(
+                ticket.service, ticket.rank, start_rate, now
+            )
+            spread_s = estimate_spread_s(ticket.estimate_s, start_rate, rate_left)
+            latest_s = ticket.estimate_s + SPREADS * spread_s
+            first_byte_at = now + latest_s + usual_wait_s
             if is_too_late(first_byte_at, ticket.limit_at):
                 return RefusalRule.TOO_LATE
         displaced = self._room.choose_displaced(ticket, now)
@@ -314,21 +321,19 @@
             # that is too long without them is certain enough. So estimates grow
             # linearly with the requests ahead, and the limiter and the correction are
             # asked once for each rank, not for each request.
-            rate = self._forecast.measure_rate_left(
-                service, rank, self._estimate_start_rate(service, rank, now), now
-            )
+            start_rate = self._estimate_start_rate(service, rank, now)
+            rate = self._forecast.measure_rate_left(service, rank, start_rate, now)
             on_time_ratio = self._forecast.correct(service, rank, False, 1.0, now)
             late_ratio = self._forecast.correct(service, rank, True, 1.0, now)
             for ticket in self._room.list_order(service, rank, now):
-                if self._room.is_late(ticket, now):
-                    on_time = self._forecast.measure_on_time_rate(
-                        service, rank, ticket.customer
-                    )
-                    late_rate = max(rate - on_time, MIN_RATE_SHARE * rate)
-                    estimate_s = late_ratio * (ahead + 1) / late_rate
-                else:
-                    estimate_s = on_time_ratio * ahead / rate
-                first_byte_at = now + estimate_s + usual_wait_s
+                is_late = self._room.is_late(ticket, now)
+                own_rate = self._forecast.measure_own_rate(ticket, is_late)
+                rate_left = max(rate - own_rate, MIN_RATE_SHARE * rate)
+                ratio = late_ratio if is_late else on_time_ratio
+                estimate_s = ratio * (ahead + is_late) / rate_left
+                spread_s = estimate_spread_s(estimate_s, start_rate, rate_left)
+                earliest_s = max(0.0, estimate_s - HZ * spread_s)
+                first_byte_at = now + earliest_s + usual_wait_s
                 if is_hopeless(first_byte_at, ticket.limit_at, now):
                     self._room.remove(ticket)
                     self._note_left(ticket, now)
@@ -409,9 +414,7 @@
     def _note_started(self, ticket: Ticket, is_late: bool, now: float) -> None:
         """Count a start for the rates from which waits are forecast."""
         share = measure_share(ticket.work, ticket.weight)
-        self._forecast.note_started(
-            ticket.service, ticket.rank, ticket.customer, share, is_late, now
-        )
+        self._forecast.note_started(ticket, share, is_late, now)
 
     def _note_left(self, ticket: Ticket, now: float) -> None:
         """Correct the forecast by a request that left without a start."""
--- a/src/ramppin/gateway/process/overload/waitingroom.py
+++ b/src/ramppin/gateway/process/overload/waitingroom.py
@@ -213,8 +213,9 @@
         shares_ahead: dict[str, float] = {}
         for customer in others:
             if customer == newcomer.customer or not self._rules.fair_shares:
-                # Only those on time go before it, and only if it is late.
-                shares_ahead[customer] = math.inf if is_late else 0.0
+                # Fairness doesn't bound them: those that have returned go before it,
+                # and before a late one those on time.
+                shares_ahead[customer] = 0.0 if newcomer.returned else math.inf
                 continue
             use = uses.get(customer)
             if use is None:
