--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -218,7 +218,8 @@
         raw_s, estimate_s = self._estimate(ticket, place, is_late, now)
         ticket.raw_estimate_s = raw_s
         ticket.raw_late_estimate_s = raw_s if is_late else None
-        if not is_late and self._room.is_late(ticket, now + estimate_s):
+        latest_s = self._find_latest_s(ticket, estimate_s, now)
+        if not is_late and self._room.is_late(ticket, now + latest_s):
             place = self._room.find_place(ticket, others, now, is_late=True)
             raw_s, estimate_s = self._estimate(ticket, place, True, now)
             ticket.raw_late_estimate_s = raw_s
@@ -240,16 +241,19 @@
         )
         return raw_s, self._forecast.correct(service, rank, is_late, raw_s, now)
 
+    def _find_latest_s(self, ticket: Ticket, estimate_s: float, now: float) -> float:
+        """Return an estimated wait and what it may vary in seconds, for a newcomer."""
+        service, rank = ticket.service, ticket.rank
+        start_rate = self._estimate_start_rate(service, rank, now)
+        rate_left = self._forecast.measure_rate_left(service, rank, start_rate, now)
+        spread_s = estimate_spread_s(estimate_s, start_rate, rate_left)
+        return estimate_s + LATE_SPREADS * spread_s
+
     def _admit(self, ticket: Ticket, now: float) -> RefusalRule | None:
         """Add a request to the queue, or return the rule by which it is refused."""
         if self._rules.early_rejection:
             usual_wait_s = self._usual_wait_s(ticket.service)
-            start_rate = self._estimate_start_rate(ticket.service, ticket.rank, now)
-            rate_left = self._forecast.measure_rate_left(
-                ticket.service, ticket.rank, start_rate, now
-            )
-            spread_s = estimate_spread_s(ticket.estimate_s, start_rate, rate_left)
-            latest_s = ticket.estimate_s + LATE_SPREADS * spread_s
+            latest_s = self._find_latest_s(ticket, ticket.estimate_s, now)
             first_byte_at = now + latest_s + usual_wait_s
             if is_too_late(first_byte_at, ticket.limit_at):
                 return RefusalRule.TOO_LATE
