--- a/features/suite.py
+++ b/features/suite.py
@@ -29,6 +29,7 @@
         "cold_and_emptied",
         "leaving",
         "load_limit",
+        "overload_load",
         "planned_stop",
         "quarantine",
         "server_words",
