--- a/features/overload_load/processes.feature
+++ b/features/overload_load/processes.feature
@@ -6,8 +6,8 @@
   the least urgent were held until their deadline.
 
   Scenario: urgent requests are served, and the least urgent refused at once
-    When "priorities" is played without overload control with seeds 1 to 2
-    And the trial "priorities" is played with seeds 1 to 2
+    When "priorities" is played without overload control with seeds 1-2
+    And the trial "priorities" is played with seeds 1-2
     Then callers get at least
       | requests   | share  | least |
       | priority 0 | served | 0.99  |
@@ -16,7 +16,7 @@
     And at least 0.9 of those served without it are served
 
   Scenario: a customer with 8 times its usual load does not delay the others
-    When the trial "customers" is played with seeds 1 to 2
+    When the trial "customers" is played with seeds 1-2
     Then callers get at least
       | requests | share  | least |
       | ash      | in 1 s | 0.97  |
@@ -24,7 +24,7 @@
 
   # Work takes three times as long at one of four servers: a tenth of the throughput.
   Scenario: a slow server gets a share according to its speed
-    When the trial "slow" is played with seeds 1 to 2
+    When the trial "slow" is played with seeds 1-2
     Then callers get at least
       | requests   | share  | least |
       | priority 0 | in 1 s | 0.985 |
--- a/features/overload_servers.py
+++ b/features/overload_servers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections import Counter
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -45,14 +44,14 @@
 
     Attributes:
         reached: when a request reached a server, and which, by request id.
-        runs: how often a request began to run, by request id.
+        runs: servers at which a request began to run, by request id.
     """
 
     def __init__(self, generator, reports: int) -> None:
         super().__init__(generator)
         self.reports = reports
         self.reached: dict[str, tuple[float, str]] = {}
-        self.runs: Counter[str] = Counter()
+        self.runs: dict[str, list[str]] = {}
 
     async def add(self, server_id: str, service: str) -> OverloadServer:
         """Start a server."""
@@ -74,7 +73,7 @@
         try:
             async with server.slots:
                 await server.running.wait()
-                self.runs[request_id] += 1
+                self.runs.setdefault(request_id, []).append(server.id)
                 server.busy += 1
                 try:
                     await self._stream(server, reply)
--- a/features/overload_soak.py
+++ b/features/overload_soak.py
@@ -1,18 +1,16 @@
 """Overload of a service: a trial of what callers get, and a soak of the promises.
 
-Gateway processes before servers with slots and a queue by arrival order; routes of
-three priorities and three customers. The trial plays one load pattern and prints a
-table; the soak plays overload while VMs are killed, paused and restarted, datagrams
-between halves of the VMs are lost, the store refuses and servers go silent.
+The trial plays a load pattern and prints a table; the soak plays overload while VMs are
+killed, paused and restarted, datagrams between halves of the VMs are lost, the store
+refuses and servers go silent.
 
     python -m features.overload_soak --trial priorities|customers|slow --seeds 1-3
-    python -m features.overload_soak --seeds 1-10 --harms pause_vm,lose_datagrams
+    python -m features.overload_soak --seeds 1-10 --harms stop_vm,lose_datagrams
 
 Promises, from what callers and servers observe: a request that got 429 or 503 never
 ran, and none ran twice; an urgent request is not refused while its VM starts a less
 urgent one; the servers hold no more than the service's limit allows; every caller has
-an answer or a closed connection half a second after its deadline. A seed sets what
-happens when; when each process gets its turn is the machine's.
+an answer or a closed connection half a second after its deadline.
 """
 
 from __future__ import annotations
@@ -28,7 +26,6 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
-from functools import partial
 
 from features.domain_soak import Span
 from features.gateway_support import RawAnswer, RawCaller
@@ -44,12 +41,12 @@
 SUBJECTS = 40
 
 DEADLINE_S, DEADLINE_MARGIN_S = 6.0, 0.5
-PROMPT_S = 1.0
-"""Seconds within which a first byte is in time, and a refusal at once."""
-
 HONOURED_SHARE = 1 / 3
 """Share of the time left up to which callers honour ``Retry-After``."""
 
+PROMPT_S = 1.0
+"""Seconds within which a first byte is in time, and a refusal at once."""
+
 LIMIT = SERVERS * (SLOTS + max(1, SLOTS // 4))
 """Requests that the service can hold: slots and queue margin of each server."""
 
@@ -76,29 +73,13 @@
 OUTCOMES = ("served", "in 1 s", "refused", "late 503", "held", "failed")
 
 
-@dataclass(frozen=True, slots=True)
-class LoadPattern:
-    """What callers ask for.
-
-    Attributes:
-        load: multiple of the servers' throughput.
-        weights: load of each customer in relation to the others.
-        slowness: of one of the servers.
-        reports: figures of the servers' load reports: 0, 3 or 4.
-    """
-
-    load: float
-    weights: tuple[float, ...] = (1.0, 1.0, 1.0)
-    slowness: float = 1.0
-    reports: int = 4
-
-
-TRIALS = {
-    "priorities": LoadPattern(1.8),
-    "customers": LoadPattern(1.1, weights=(1.0, 1.0, 8.0)),
-    "slow": LoadPattern(0.9, slowness=3.0),
-    "calm": LoadPattern(0.6),
+TRIALS: dict[str, dict] = {
+    "priorities": {"load": 1.8},
+    "customers": {"load": 1.1, "weights": (1.0, 1.0, 8.0)},
+    "slow": {"load": 0.9, "slowness": 3.0},
 }
+"""Load patterns by name, attributes of the soak."""
+
 TRIAL_S = 8.0
 
 
@@ -107,18 +88,22 @@
     """One request to one VM.
 
     Attributes:
+        deadline_at: when its caller needs the whole answer.
         ended_at: when the answer was whole, the connection closed or the caller left.
         is_open: whether the caller left, half a second after its deadline.
+        is_last: whether the caller did not repeat it.
     """
 
     id: str
     vm: str
     priority: int
+    customer: str
     sent_at: float
     deadline_at: float
     first_at: float = math.inf
     ended_at: float = math.inf
     is_open: bool = False
+    is_last: bool = True
     answer: RawAnswer = field(default_factory=RawAnswer)
 
     @property
@@ -126,32 +111,21 @@
         """Whether the answer guarantees that the request never runs."""
         return self.answer.status in (429, 503)
 
-
-@dataclass
-class Asked:
-    """What a caller asked for: a call, and its repetition if that was refused."""
-
-    priority: int
-    customer: str
-    at: float
-    calls: list[Call] = field(default_factory=list)
+    @property
+    def first_byte_s(self) -> float:
+        """Seconds from the caller's first try to the first byte of this answer."""
+        return self.first_at - (self.deadline_at - DEADLINE_S)
 
     @property
     def outcome(self) -> str:
         """What became of it, one of :data:`OUTCOMES`."""
-        last = self.calls[-1]
-        if last.answer.status == 200 and last.answer.whole:
+        if self.answer.status == 200 and self.answer.whole:
             return "served"
-        if last.is_refused:
-            is_prompt = last.ended_at - last.sent_at <= PROMPT_S
+        if self.is_refused:
+            is_prompt = self.ended_at - self.sent_at <= PROMPT_S
             return "refused" if is_prompt else "late 503"
-        is_held = last.ended_at >= last.deadline_at - TURN_S
-        return "held" if is_held or last.answer.status == 504 else "failed"
-
-    @property
-    def first_byte_s(self) -> float:
-        """Seconds until the first byte of the last answer."""
-        return self.calls[-1].first_at - self.at
+        is_held = self.ended_at >= self.deadline_at - TURN_S
+        return "held" if is_held or self.answer.status == 504 else "failed"
 
 
 @dataclass
@@ -159,38 +133,34 @@
     """One run with one seed.
 
     Attributes:
-        contracts: the settings field of that name; ``pressure`` enables overload
-            control.
-        asked: what callers asked for.
+        load: multiple of the servers' throughput that callers ask for.
+        weights: load of each customer in relation to the others.
+        slowness: of one of the servers.
+        reports: figures of the servers' load reports: 0, 3 or 4.
+        contracts: the settings field that enables overload control by ``pressure``.
+        calls: what callers sent.
         held: requests at each server, sampled each report delay.
         disturbances: when harm was done.
     """
 
     vms: int = 6
-    pattern: LoadPattern = TRIALS["priorities"]
+    load: float = 1.8
+    weights: tuple[float, ...] = (1.0, 1.0, 1.0)
+    slowness: float = 1.0
+    reports: int = 4
     contracts: str = "pressure"
-    asked: list[Asked] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
     held: list[dict[str, int]] = field(default_factory=list)
     disturbances: list[Span] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         super().__post_init__()
-        self.servers = OverloadServers(self.random, self.pattern.reports)
+        self.servers = OverloadServers(self.random, self.reports)
         self.relay = DatagramRelay(self.hosts)
         self.fixture.more_settings = {"contracts": self.contracts}
 
-    @property
-    def calls(self) -> list[Call]:
-        """All calls that were sent."""
-        return [call for asked in self.asked for call in asked.calls]
-
     def _list_callers(self):
-        whole = sum(self.pattern.weights) * len(PRIORITIES)
-        return [
-            (self.per_s * weight / whole, partial(self._ask, priority, customer))
-            for customer, weight in zip(CUSTOMERS, self.pattern.weights, strict=True)
-            for priority in PRIORITIES
-        ]
+        return [(self.per_s, self._ask)]
 
     async def _start(self) -> None:
         await self.fixture.store.start()
@@ -200,10 +170,10 @@
         self.fixture.store.put("keyed.op", "config", value)
         for number in range(SERVERS):
             server = await self.servers.add(f"i-{number}", SERVICE)
-            server.slowness = 1.0 if number else self.pattern.slowness
+            server.slowness = 1.0 if number else self.slowness
             self.fixture.backends[server.id] = server
             self.fixture.announce(server.id, SERVICE, zone=DOMAINS[number])
-        self.per_s = self.pattern.load * self.servers.compute_throughput()
+        self.per_s = self.load * self.servers.compute_throughput()
         first, *others = self.hosts
         await self._begin(first)
         await asyncio.gather(*map(self._begin, others))
@@ -230,30 +200,32 @@
 
     # callers
 
-    async def _ask(self, priority: int, customer: str) -> None:
-        asked = Asked(priority, customer, time.monotonic())
-        self.asked.append(asked)
-        number, vm = len(self.asked), ""
-        for attempt in range(2):
+    async def _ask(self) -> None:
+        priority = self.random.choice(PRIORITIES)
+        [customer] = self.random.choices(CUSTOMERS, self.weights)
+        deadline_at = time.monotonic() + DEADLINE_S
+        vm = ""
+        for is_repetition in (False, True):
             vm = self.random.choice([name for name in self.running if name != vm])
-            now, deadline_at = time.monotonic(), asked.at + DEADLINE_S
-            call = Call(f"{number}_{attempt}", vm, priority, now, deadline_at)
-            asked.calls.append(call)
-            await self._call(call, customer)
-            if attempt or not call.is_refused:
+            name, now = f"{len(self.calls)}", time.monotonic()
+            call = Call(name, vm, priority, customer, now, deadline_at)
+            self.calls.append(call)
+            await self._call(call)
+            if is_repetition or not call.is_refused:
                 return
+            call.is_last = False
             found = re.search(rb"retry-after: ([\d.]+)", call.answer.head)
             left_s = deadline_at - time.monotonic()
             pause_s = float(found[1]) if found else 0.0
             await asyncio.sleep(min(pause_s, HONOURED_SHARE * left_s))
 
-    async def _call(self, call: Call, customer: str) -> None:
+    async def _call(self, call: Call) -> None:
         left_s, caller = call.deadline_at - call.sent_at, None
         subject = self.random.randrange(SUBJECTS)
         lines = [f"POST /p{call.priority}/x HTTP/1.1", "Host: h.example"]
-        lines += [f"Api-Key: {customer}", f"Attempt-Id: {call.id}"]
+        lines += [f"Api-Key: {call.customer}", f"Attempt-Id: {call.id}"]
         lines += [f"Deadline-Ms: {left_s * 1000:.0f}", "Content-Length: 0"]
-        lines += [f"Prefix-Hash: {subject + 16:x}:300,{call.id.replace('_', '')}:9"]
+        lines += [f"Prefix-Hash: {subject + 16:x}:300,{call.id}:9"]
         try:
             async with asyncio.timeout(left_s + DEADLINE_MARGIN_S):
                 port = self.fixture.ports[call.vm]
@@ -310,20 +282,18 @@
         spans = self.disturbances
         return not any(span.begin <= at < span.end + SETTLE_S for span in spans)
 
-    def _show_at(self, at: float) -> str:
+    def _show(self, at: float) -> str:
         return f"{at - self.started_at:.2f} s"
 
     def _find_runs(self) -> list[str]:
         """Return requests that ran twice, or ran although they were refused."""
         runs = self.servers.runs
-        twice = [
-            f"{name} ran {count} times" for name, count in runs.items() if count > 1
-        ]
+        twice = [f"{name} ran at {ran}" for name, ran in runs.items() if len(ran) > 1]
         return twice + [
             f"{call.id} ran, got {call.answer.status} from {call.vm} at "
-            f"{self._show_at(call.ended_at)}"
+            f"{self._show(call.ended_at)}"
             for call in self.calls
-            if call.is_refused and runs[call.id]
+            if call.is_refused and call.id in runs
         ]
 
     def _find_passed_over(self) -> list[str]:
@@ -346,9 +316,9 @@
                 first_at, name, priority = min(started)
                 broken.append(
                     f"{refused.vm} refused {refused.id} of priority {refused.priority} "
-                    f"at {self._show_at(at)}, sent at {self._show_at(refused.sent_at)},"
+                    f"at {self._show(at)}, sent at {self._show(refused.sent_at)},"
                     f" and started {len(started)} less urgent ones, {name} of priority "
-                    f"{priority} at {self._show_at(first_at)}"
+                    f"{priority} at {self._show(first_at)}"
                 )
         return broken
 
@@ -360,49 +330,43 @@
         most = LIMIT + self.vms + math.ceil(self.per_s * REPORT_DELAY_S)
         arrivals = self.servers.arrivals.get(SERVICE, [])
         held = [(1 + SERVERS * a.mean, a.at) for a in arrivals if self._is_calm(a.at)]
-        over = [pair for pair in held if pair[0] > most]
-        if not over:
-            return []
-        return [
-            f"servers held {max(over)[0]:.0f} at {self._show_at(max(over)[1])}, {most} "
-            f"allowed; over that at {len(over)} of {len(held)} arrivals, first at "
-            f"{self._show_at(over[0][1])}"
-        ]
+        over = [self._show(at) for count, at in held if count > most]
+        count, at = max(held, default=(0.0, 0.0))
+        line = f"servers held {count:.0f} at {self._show(at)}, {most} allowed"
+        return [f"{line}; {len(over)} times from {over[0]} on"] if over else []
 
     def _find_open(self) -> list[str]:
         """Return calls without an end from VMs that were not paused shortly before."""
         return [
-            f"{call.id} had no end from {call.vm} at {self._show_at(call.ended_at)}"
+            f"{call.id} had no end from {call.vm} at {self._show(call.ended_at)}"
             for call in self.calls
+            # A pause is recorded at its end.
             if call.is_open
-            and not any(
-                # A pause is recorded at its end.
-                call.ended_at - PROMPT_S < at < call.ended_at + MAX_PAUSE_S
-                for at in self.disturbed_at[call.vm]
-            )
+            and self.was_calm(call.vm, call.ended_at + MAX_PAUSE_S, MAX_PAUSE_S + 1.0)
         ]
 
     def show(self) -> str:
         """Return what was done and what callers got."""
-        outcomes = Counter(asked.outcome for asked in self.asked).most_common()
+        outcomes = Counter(
+            call.outcome for call in self.calls if call.is_last
+        ).most_common()
         got = ", ".join(f"{name} {count}" for name, count in outcomes)
         most = max(sum(held.values()) for held in self.held)
-        return f"{self.pattern}; {got}; held {most} at most; {' '.join(self.faults)}"
+        form = f"load {self.load} {self.weights}, reports {self.reports}"
+        return f"{form}; {got}; held {most} at most; {' '.join(self.faults)}"
 
     def measure_share(self, server_id: str) -> float:
         """Return the share of the requests that began to run at a server."""
-        placed = [self.servers.reached[name][1] for name in self.servers.runs]
+        placed = [server for ran in self.servers.runs.values() for server in ran]
         return placed.count(server_id) / max(1, len(placed))
 
     def show_servers(self) -> str:
         """Return what each server held in each second, and its share of the runs."""
         lines, per_s = [], round(1 / REPORT_DELAY_S)
         for server in self.servers:
-            held = [sample[server.id] for sample in self.held]
-            seconds = [held[n : n + per_s] for n in range(0, len(held), per_s)]
-            means = " ".join(f"{statistics.fmean(second):2.0f}" for second in seconds)
+            held = " ".join(f"{sample[server.id]:2}" for sample in self.held[::per_s])
             share = self.measure_share(server.id)
-            lines.append(f"    {server.id} share {share:.3f} held {means}")
+            lines.append(f"    {server.id} share {share:.3f} held {held}")
         return "\n".join(lines)
 
 
@@ -420,55 +384,65 @@
     return config
 
 
-def sum_up(asked: list[Asked], group: str = "all") -> dict[str, float]:
+def sum_up(calls: list[Call], group: str = "all") -> dict[str, float]:
     """Return the shares of each outcome, and times of the first byte in seconds.
 
     Args:
-        asked: what callers asked for.
+        calls: what callers sent; those that were repeated don't count.
         group: ``priority N``, a customer, both joined by a slash, or ``all``.
     """
-    parts = group.split("/")
     chosen = [
-        one
-        for one in asked
-        if {f"priority {one.priority}", one.customer, "all"}.issuperset(parts)
+        call
+        for call in calls
+        if call.is_last
+        and {f"priority {call.priority}", call.customer, "all"} >= set(group.split("/"))
+    ]
+    outcomes = Counter(call.outcome for call in chosen)
+    first = sorted(c.first_byte_s for c in chosen if c.outcome == "served") or [
+        math.nan
     ]
-    outcomes = Counter(one.outcome for one in chosen)
-    first = sorted(one.first_byte_s for one in chosen if one.outcome == "served")
     outcomes["in 1 s"] = sum(seconds <= PROMPT_S for seconds in first)
     row = {name: outcomes[name] / max(1, len(chosen)) for name in OUTCOMES}
-    row["median"] = statistics.median(first) if first else math.nan
-    row["p99"] = first[math.ceil(0.99 * len(first)) - 1] if first else math.nan
-    return row | {"asked": len(chosen)}
+    p99 = first[math.ceil(0.99 * len(first)) - 1]
+    return row | {"median": statistics.median(first), "p99": p99, "asked": len(chosen)}
 
 
-def show_table(asked: list[Asked]) -> str:
+def show_table(calls: list[Call]) -> str:
     """Return what each priority and each customer got."""
     names = [f"priority {n}" for n in PRIORITIES]
     pairs = [f"{name}/{customer}" for name in names for customer in CUSTOMERS]
     lines = []
     for group in (*names, *CUSTOMERS, *pairs, "all"):
-        row = sum_up(asked, group)
+        row = sum_up(calls, group)
         lines = lines or [" " * 16 + " ".join(f"{name:>8}" for name in row)]
         figures = " ".join(f"{value:8.3f}" for value in row.values())
         lines.append(f"{group:<16}{figures}")
     return "\n".join(lines)
 
 
+async def play_trial(
+    name: str, seeds: str, contracts: str = "pressure", seconds: float = TRIAL_S
+) -> list[OverloadSoak]:
+    """Play a trial with seeds, written FIRST-LAST, and return the runs."""
+    first, _, last = seeds.partition("-")
+    soaks = [
+        OverloadSoak(seed, seconds, contracts=contracts, **TRIALS[name])
+        for seed in range(int(first), int(last or first) + 1)
+    ]
+    for soak in soaks:
+        await soak.run()
+    return soaks
+
+
 def show_trial(options: argparse.Namespace) -> int:
-    """Play a trial with each seed and print what callers got."""
-    first, _, last = options.seeds.partition("-")
-    asked = []
-    for seed in range(int(first), int(last or first) + 1):
-        pattern, seconds = TRIALS[options.trial], options.seconds or TRIAL_S
-        soak = OverloadSoak(
-            seed, seconds, options.vms, pattern=pattern, contracts=options.contracts
-        )
-        asyncio.run(soak.run())
-        print(f"seed {seed}: {soak.per_s:.1f} requests per second; {soak.show()}")
-        print(soak.show_servers(), flush=True)
-        asked += soak.asked
-    print(f"{options.trial}, contracts={options.contracts}\n{show_table(asked)}")
+    """Play a trial and print what callers got."""
+    name, contracts = options.trial, options.contracts
+    soaks = asyncio.run(play_trial(name, options.seeds, contracts))
+    for soak in soaks:
+        print(f"seed {soak.seed}: {soak.per_s:.1f} requests per second; {soak.show()}")
+        print(soak.show_servers())
+    calls = [call for soak in soaks for call in soak.calls]
+    print(f"{name}, contracts={contracts}\n{show_table(calls)}")
     return 0
 
 
@@ -479,20 +453,21 @@
     generator = random.Random(f"form-{seed}")
     load = generator.choice((1.3, 1.8, 2.5))
     weights = generator.choice(((1.0, 1.0, 1.0), (1.0, 1.0, 8.0)))
-    pattern = LoadPattern(load, weights, reports=generator.choice((3, 4)))
-    return OverloadSoak(seed, seconds, vms, harms, pattern=pattern)
+    reports = generator.choice((3, 4))
+    return OverloadSoak(
+        seed, seconds, vms, harms, load=load, weights=weights, reports=reports
+    )
 
 
 def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
     """Run one seed of the soak and print what it did."""
     harms = tuple(options.harms.split(",")) if options.harms else ()
-    soak = draw_soak(seed, options.seconds or 20.0, options.vms, harms)
-    return soak.run_and_show()
+    return draw_soak(seed, options.seconds, options.vms, harms).run_and_show()
 
 
 def main() -> int:
     """Run the trial or the soak and return the exit code."""
-    parser = build_parser(__doc__, seconds=0.0, vms=OverloadSoak.vms)
+    parser = build_parser(__doc__, seconds=20.0, vms=OverloadSoak.vms)
     parser.add_argument("--trial", choices=TRIALS, help="load pattern to play")
     parser.add_argument("--harms", default=",".join(HARMS), help="joined by commas")
     parser.add_argument("--contracts", default="pressure", help="empty for none")
