--- a/features/overload_soak.py
+++ b/features/overload_soak.py
@@ -41,6 +41,10 @@
 SUBJECTS = 40
 
 DEADLINE_S, DEADLINE_MARGIN_S = 6.0, 0.5
+PATIENCE_S = 4.0
+"""Seconds without a first byte after which callers disconnect, four times the route's
+target. The callers here stay, so that what they get later is seen."""
+
 HONOURED_SHARE = 1 / 3
 """Share of the time left up to which callers honour ``Retry-After``."""
 
@@ -303,7 +307,8 @@
             at = refused.ended_at
             if not refused.is_refused or not self._is_calm(at):
                 continue
-            until = at + FORECAST_SHARE * (refused.deadline_at - at)
+            limit_at = min(refused.sent_at + PATIENCE_S, refused.deadline_at)
+            until = at + FORECAST_SHARE * (limit_at - at)
             started = [
                 (self._find_reached(call), call.id, call.priority)
                 for call in self.calls
@@ -336,12 +341,16 @@
         return [f"{line}; {len(over)} times from {over[0]} on"] if over else []
 
     def _find_open(self) -> list[str]:
-        """Return calls without an end from VMs that were not paused shortly before."""
+        """Return calls without an end from VMs that were not paused at either end.
+
+        A VM counts the deadline of a request that it did not read from its wake.
+        """
         return [
             f"{call.id} had no end from {call.vm} at {self._show(call.ended_at)}"
             for call in self.calls
             # A pause is recorded at its end.
             if call.is_open
+            and self.was_calm(call.vm, call.sent_at + MAX_PAUSE_S, MAX_PAUSE_S)
             and self.was_calm(call.vm, call.ended_at + MAX_PAUSE_S, MAX_PAUSE_S + 1.0)
         ]
 
