--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -142,7 +142,7 @@
         )
 
     def find_max_load(self, service: str, rank: int, now: float) -> float:
-        """Return the load up to which a server gets a request; infinite for no limit."""
+        """Return the load below which a server gets a request of a rank."""
         if self.overload is None:
             return math.inf
         return self.overload.limiter.find_server_limit(service, rank, now)
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -129,6 +129,9 @@
         ticket.submitted_at = now
         self._drop_expired(service, now)
         self._room.activate(ticket, now)
+        if self._may_start_at_once(ticket, now):
+            self._start(ticket, now)
+            return ticket.decision or _STARTED
         ahead = self._estimate_newcomer(ticket, now)
         rule = self._admit(ticket, now)
         if rule is not None:
@@ -142,6 +145,16 @@
             ticket.state = TicketState.WAITING
         return TurnDecision(Turn.WAIT, estimate_s=ticket.estimate_s, ahead=ahead)
 
+    def _may_start_at_once(self, ticket: Ticket, now: float) -> bool:
+        """Return whether capacity is free for a request and none waits before it.
+
+        No forecast may refuse such a request.
+        """
+        service, rank = ticket.service, ticket.rank
+        if any(self._room.count_by_rank(service)[: rank + 1]):
+            return False
+        return ticket.limit_at > now and self._limiter.may_start(service, rank, now)
+
     def withdraw(self, ticket: Ticket, now: float) -> None:
         """Remove a request whose caller disconnected; no decision follows."""
         ticket.state = TicketState.WITHDRAWN
--- a/src/ramppin/gateway/process/overload/waitingroom.py
+++ b/src/ramppin/gateway/process/overload/waitingroom.py
@@ -335,7 +335,9 @@
     def _measure_use(self, newcomer: Ticket, customer: str, now: float) -> float:
         """Return a customer's counter at the rank of a newcomer."""
         shares = self._shares.get(newcomer.service)
-        return 0.0 if shares is None else shares.measure_use(newcomer.rank, customer, now)
+        return (
+            0.0 if shares is None else shares.measure_use(newcomer.rank, customer, now)
+        )
 
     def _find_shares(self, service: str) -> FairShares:
         shares = self._shares.get(service)
