--- a/features/steps/overload_path_steps.py
+++ b/features/steps/overload_path_steps.py
@@ -151,6 +151,13 @@
         backend = await context.fixture.add_backend("p2", "plain")
         backend.script = context.held.serve
         await context.fixture.wait_until_ready(2)
+        # The limiter measures a service again after 0.08 s, and counts no requests at
+        # a server that has appeared meanwhile.
+        limiter = get_context(context).overload.limiter
+        await wait_for(
+            lambda: limiter._view("plain", context.loop.time()).capacity.servers == 2,
+            "the limiter counts both servers",
+        )
 
     run(context, add())
 
