--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -45,7 +45,8 @@
         deadline_s: the caller's deadline in seconds; None if it sent none.
 
     Attributes:
-        ticket: the request as the scheduler knows it.
+        ticket: the request as the scheduler knows it; below capacity mostly without
+            its work, target and patience, on which nothing depends there.
 
     .. versionadded:: 0.4
     """
@@ -66,7 +67,9 @@
         self._started_at: float | None = None
         self._has_waited = False
         self._work = UNKNOWN
-        now, route, customer = self._loop.time(), admission.route, admission.customer
+        # One reading for details and submission: between two, the service may turn busy.
+        now = self._created_at = self._loop.time()
+        route, customer = admission.route, admission.customer
         ends_at = request.arrived + admission.time_limit_s
         ticket = self.ticket = Ticket(
             service=admission.service,
@@ -96,7 +99,7 @@
 
     async def run(self) -> TurnDecision:
         """Return START or REFUSED, or WAIT if the caller disconnected meanwhile."""
-        ticket, now = self.ticket, self._loop.time()
+        ticket, now = self.ticket, self._created_at
         decision = self._control.submit(ticket, now)
         if decision.turn is Turn.START:
             return self._note_start(decision, now)
