--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -67,7 +67,7 @@
         self._started_at: float | None = None
         self._has_waited = False
         self._work = UNKNOWN
-        # One reading for details and submission: between two, the service may turn busy.
+        # Also used for the submission: between two readings a service may turn busy.
         now = self._created_at = self._loop.time()
         route, customer = admission.route, admission.customer
         ends_at = request.arrived + admission.time_limit_s
