--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -45,7 +45,8 @@
         deadline_s: the caller's deadline in seconds; None if it sent none.
 
     Attributes:
-        ticket: the request as the scheduler knows it.
+        ticket: the request as the scheduler knows it; below capacity mostly without
+            its work, target and patience, on which nothing depends there.
 
     .. versionadded:: 0.4
     """
@@ -65,37 +66,43 @@
         self._decided: asyncio.Future[TurnDecision] | None = None
         self._started_at: float | None = None
         self._has_waited = False
-        now = self._loop.time()
+        self._work = UNKNOWN
+        # Also used for the submission: between two readings a service may turn busy.
+        now = self._created_at = self._loop.time()
         route, customer = admission.route, admission.customer
-        self._work = self._estimate_work(request)
         ends_at = request.arrived + admission.time_limit_s
-        stay_s = control.find_route_stay_s(route.name) if route.kind.is_stream else 0.0
-        self.ticket = Ticket(
+        ticket = self.ticket = Ticket(
             service=admission.service,
             rank=compute_rank(route, customer),
             customer=customer.name if customer else "",
             weight=customer.weight if customer else 1.0,
-            work=self._work.work,
+            work=UNKNOWN.work,
             size_bytes=len(request.body) + REQUEST_OVERHEAD_BYTES,
             arrived=request.arrived,
-            target_at=None
-            if route.target_s is None
-            else request.arrived + route.target_s,
-            # A stream that starts later is cut off by its deadline and has used a slot
-            # for nothing.
-            patient_until=min(
-                ends_at - stay_s, request.arrived + compute_patience_s(route)
-            ),
+            target_at=None,
+            patient_until=ends_at,
             ends_at=ends_at,
-            returned=control.returns.is_returned(
-                route.name, deadline_s, admission.fingerprint, now
-            ),
+            returned=False,
             decide=self._decide,
         )
+        if not control.needs_details(admission.service, now):
+            return
+        self._work = self._estimate_work(request)
+        ticket.work = self._work.work
+        if route.target_s is not None:
+            ticket.target_at = request.arrived + route.target_s
+        patient_until = request.arrived + compute_patience_s(route)
+        # A stream that starts later is cut off by its deadline and has used a slot for
+        # nothing.
+        stay_s = control.find_route_stay_s(route.name) if route.kind.is_stream else 0.0
+        ticket.patient_until = min(ends_at - stay_s, patient_until)
+        ticket.returned = control.returns.is_returned(
+            route.name, deadline_s, admission.fingerprint, now
+        )
 
     async def run(self) -> TurnDecision:
         """Return START or REFUSED, or WAIT if the caller disconnected meanwhile."""
-        ticket, now = self.ticket, self._loop.time()
+        ticket, now = self.ticket, self._created_at
         decision = self._control.submit(ticket, now)
         if decision.turn is Turn.START:
             return self._note_start(decision, now)
