--- a/features/overload_queue/decisions.feature
+++ b/features/overload_queue/decisions.feature
@@ -15,7 +15,7 @@
       | without a target: on time        | x:1/a/0.5/7 y:1/a/-/9                                   | y x     |
       | returned: not behind             | x:1/a/0.5/8/r y:1/a/5/9                                 | x y     |
       | rank before lateness             | x:0/a/0.5/9 y:1/a/5/9                                   | x y     |
-      | lateness before fairness         | p:1/a/5/9 q:1/a/5/9.1 s:1/b/0.5/8                       | p q s   |
+      | fairness before lateness         | p:1/a/5/9 q:1/a/5/9.1 s:1/b/0.5/8                       | p s q   |
       | customers alternate              | p:1/a/5/6 q:1/a/5/7 r:1/a/5/8 s:1/b/5/9                 | p s q r |
       | a rank's use is its own          | n:0/b/5/9 p:1/a/5/8 q:1/a/5/8.5 s:1/b/5/7               | n s p q |
       | by weight                        | p:1/a/5/6~2 q:1/a/5/7~2 r:1/a/5/8~2 s:1/b/5/9 t:1/b/5/9.5 | p s q r t |
--- a/features/overload_queue/patterns.feature
+++ b/features/overload_queue/patterns.feature
@@ -6,9 +6,9 @@
     Given 20 slots, a request takes 1.0 s, seed <seed>
     When for 20 s each rank sends, as parts of the throughput: "0.4 0.4 1.0"
     Then of rank 0 at least 0.99 are served, 0.97 within 1.0 s
-    And of rank 1 at least 0.97 are served, 0.75 within 1.0 s
+    And of rank 1 at least 0.97 are served
     And the slots are used for at least 0.93 of the time
-    And of the refused of rank 2 at least 0.8 never waited, and none waited over 2.1 s
+    And of rank 2 that are not served at least 0.99 never waited, and none over 2.1 s
 
     Examples:
       | seed |
@@ -22,21 +22,21 @@
     Given 20 slots, a request takes 1.0 s, seed <seed>
     And an admission queue for <size> requests and 8000000 bytes
     When for 20 s 5 customers send 0.1 of the throughput each, and one 8 times that, with a target of <target> s
-    Then of the quiet customers at least 0.97 are served, <within> within 1.0 s
-    And of the one at least 0.5 are served
+    Then of the quiet customers at least 0.97 are served, 0.97 within 1.0 s
+    And of the one at least 0.62 are served
     And the slots are used for at least 0.93 of the time
 
-    Examples: requests that wait past their target go behind those that don't
-      | seed | what                       | size | target | within |
-      | 1    | the queue never fills      | 256  | 1.5    | 0.97   |
-      | 2    | the queue never fills      | 256  | 1.5    | 0.97   |
-      | 3    | the queue never fills      | 256  | 1.5    | 0.97   |
-      | 1    | the queue is full at times | 8    | 1.5    | 0.95   |
-      | 2    | the queue is full at times | 8    | 1.5    | 0.95   |
-      | 3    | the queue is full at times | 8    | 1.5    | 0.95   |
-      | 1    | a short target             | 256  | 0.4    | 0.70   |
-      | 2    | a short target             | 256  | 0.4    | 0.70   |
-      | 3    | a short target             | 256  | 0.4    | 0.70   |
+    Examples: the others leave 0.5 of the throughput for the 0.8 that the one sends
+      | seed | what                       | size | target |
+      | 1    | the queue never fills      | 256  | 1.5    |
+      | 2    | the queue never fills      | 256  | 1.5    |
+      | 3    | the queue never fills      | 256  | 1.5    |
+      | 1    | the queue is full at times | 8    | 1.5    |
+      | 2    | the queue is full at times | 8    | 1.5    |
+      | 3    | the queue is full at times | 8    | 1.5    |
+      | 1    | a short target             | 256  | 0.4    |
+      | 2    | a short target             | 256  | 0.4    |
+      | 3    | a short target             | 256  | 0.4    |
 
   Scenario Outline: a crowd that returns at once is served as capacity allows, seed <seed>
     Given 20 slots, a request takes 0.5 s, seed <seed>
--- a/src/ramppin/gateway/process/overload/fairness.py
+++ b/src/ramppin/gateway/process/overload/fairness.py
@@ -29,22 +29,35 @@
     """
 
     def __init__(self) -> None:
-        self._counters: dict[tuple[int, str], tuple[float, float]] = {}
+        # Value of the counter, shares of actual starts, and time of both.
+        self._counters: dict[tuple[int, str], tuple[float, float, float]] = {}
 
-    def measure_use(self, rank: int, customer: str, now: float) -> float:
+    def measure_counter(self, rank: int, customer: str, now: float) -> float:
         """Return a customer's counter at a rank, decayed until now."""
+        return self._measure(rank, customer, now)[0]
+
+    def measure_use(self, rank: int, customer: str, now: float) -> float:
+        """Return the shares of a customer's starts at a rank, decayed until now.
+
+        The counter is no measure of that: it is raised when the customer was idle.
+        """
+        return self._measure(rank, customer, now)[1]
+
+    def _measure(self, rank: int, customer: str, now: float) -> tuple[float, float]:
         counter = self._counters.get((rank, customer))
         if counter is None:
-            return 0.0
-        value, at = counter
-        return value * math.exp((at - now) / DECAY_S)
+            return 0.0, 0.0
+        value, use, at = counter
+        factor = math.exp((at - now) / DECAY_S)
+        return value * factor, use * factor
 
     def charge(
         self, rank: int, customer: str, work: float, weight: float, now: float
     ) -> None:
         """Increase a customer's counter by a request that starts."""
-        value = self.measure_use(rank, customer, now)
-        self._set(rank, customer, value + measure_share(work, weight), now)
+        value, use = self._measure(rank, customer, now)
+        share = measure_share(work, weight)
+        self._set(rank, customer, value + share, use + share, now)
 
     def activate(
         self, rank: int, customer: str, waiting: Iterable[str], now: float
@@ -60,14 +73,17 @@
             waiting: the customers of the requests that wait at this rank.
             now: current event-loop time.
         """
-        uses = (self.measure_use(rank, other, now) for other in waiting)
-        lowest = min(uses, default=0.0)
-        if lowest > self.measure_use(rank, customer, now):
-            self._set(rank, customer, lowest, now)
-
-    def _set(self, rank: int, customer: str, value: float, now: float) -> None:
+        counters = (self.measure_counter(rank, other, now) for other in waiting)
+        lowest = min(counters, default=0.0)
+        value, use = self._measure(rank, customer, now)
+        if lowest > value:
+            self._set(rank, customer, lowest, use, now)
+
+    def _set(
+        self, rank: int, customer: str, value: float, use: float, now: float
+    ) -> None:
         self._counters.pop((rank, customer), None)
-        self._counters[rank, customer] = value, now
+        self._counters[rank, customer] = value, use, now
         if len(self._counters) > MAX_COUNTERS:
             del self._counters[next(iter(self._counters))]
 
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -253,7 +253,10 @@
         """Add a request to the queue, or return the rule by which it is refused."""
         if self._rules.early_rejection:
             usual_wait_s = self._usual_wait_s(ticket.service)
-            latest_s = self._find_latest_s(ticket, ticket.estimate_s, now)
+            latest_s = ticket.estimate_s
+            if ticket.raw_late_estimate_s is None:
+                # The estimate for a late request allows for later arrivals already.
+                latest_s = self._find_latest_s(ticket, latest_s, now)
             first_byte_at = now + latest_s + usual_wait_s
             if is_too_late(first_byte_at, ticket.limit_at):
                 return RefusalRule.TOO_LATE
@@ -364,13 +367,19 @@
         estimate_s: float,
         ahead: int,
     ) -> None:
+        service, rank = ticket.service, ticket.rank
+        start_rate = self._estimate_start_rate(service, rank, now)
+        rate_left = self._forecast.measure_rate_left(service, rank, start_rate, now)
+        # A request that has returned is not late, so its capacity is there sooner than
+        # that for a late one.
+        capacity_s = self._forecast.correct(
+            service, rank, False, ahead / rate_left, now
+        )
         retry_after_s = self._returns.choose_retry_after_s(
-            ticket.service,
-            ticket.rank,
-            capacity_s=estimate_s,
-            start_rate_per_s=self._estimate_start_rate(
-                ticket.service, ticket.rank, now
-            ),
+            service,
+            rank,
+            capacity_s=capacity_s,
+            start_rate_per_s=rate_left,
             time_left_s=ticket.ends_at - now,
             now=now,
         )
--- a/src/ramppin/gateway/process/overload/waitingroom.py
+++ b/src/ramppin/gateway/process/overload/waitingroom.py
@@ -136,12 +136,12 @@
         if room is None:
             return None
         tickets = next(tickets for tickets in room.by_rank if tickets)
-        uses = self._measure_uses(service, tickets, now)
+        counters = self._measure_counters(service, tickets, now)
         on_time_until = now + self._usual_wait_s(service)
         return min(
             tickets,
             key=lambda ticket: (
-                uses[ticket.customer],
+                counters[ticket.customer],
                 _is_late(ticket, on_time_until),
                 ticket.ends_at,
             ),
@@ -174,9 +174,9 @@
         if newcomer is not None:
             tickets.append(newcomer)
         if len(tickets) > 1:
-            uses = self._measure_uses(service, tickets, now)
+            counters = self._measure_counters(service, tickets, now)
             on_time_until = now + self._usual_wait_s(service)
-            keys = self._compute_keys(tickets, uses, on_time_until)
+            keys = self._compute_keys(tickets, counters, on_time_until)
             tickets.sort(key=keys.__getitem__)
         return tickets
 
@@ -204,10 +204,10 @@
             tickets.extend(room.by_rank[newcomer.rank])
         on_time_until = now + self._usual_wait_s(newcomer.service)
         is_late = is_late or _is_late(newcomer, on_time_until)
-        uses = self._measure_uses(newcomer.service, [*tickets, newcomer], now)
-        lowest = min(uses.values())
+        counters = self._measure_counters(newcomer.service, [*tickets, newcomer], now)
+        lowest = min(counters.values())
         late = {newcomer} if is_late else ()
-        keys = self._compute_keys([*tickets, newcomer], uses, on_time_until, late)
+        keys = self._compute_keys([*tickets, newcomer], counters, on_time_until, late)
         key = keys[newcomer]
         ahead += sum(keys[ticket] <= key for ticket in tickets)
         shares_ahead: dict[str, float] = {}
@@ -217,24 +217,24 @@
                 # and before a late one those on time.
                 shares_ahead[customer] = 0.0 if newcomer.returned else math.inf
                 continue
-            use = uses.get(customer)
-            if use is None:
-                use = self._measure_use(newcomer, customer, now)
-            shares_ahead[customer] = max(0.0, key[0] - max(lowest, use))
+            counter = counters.get(customer)
+            if counter is None:
+                counter = self._measure_counter(newcomer, customer, now)
+            shares_ahead[customer] = max(0.0, key[0] - max(lowest, counter))
         return Place(ahead, shares_ahead)
 
     def _compute_keys(
         self,
         tickets: list[Ticket],
-        uses: dict[str, float],
+        counters: dict[str, float],
         on_time_until: float,
         late: Iterable[Ticket] = (),
     ) -> dict[Ticket, tuple[float, bool, float]]:
         """Return the keys by which the requests of one rank are ordered.
 
         A customer's counter grows with each of its requests that starts, so its later
-        requests are placed by the counter that they will find. ``uses`` then holds the
-        counters after all these starts.
+        requests are placed by the counter that they will find. ``counters`` then holds
+        those after all these starts.
         """
         ends = sorted(
             (_is_late(ticket, on_time_until) or ticket in late, ticket.ends_at, n)
@@ -244,10 +244,12 @@
         keys = {}
         for is_late, ends_at, n in ends:
             ticket = tickets[n]
-            use = uses[ticket.customer]
-            keys[ticket] = use, is_late, ends_at
+            counter = counters[ticket.customer]
+            keys[ticket] = counter, is_late, ends_at
             if is_fair:
-                uses[ticket.customer] = use + measure_share(ticket.work, ticket.weight)
+                counters[ticket.customer] = counter + measure_share(
+                    ticket.work, ticket.weight
+                )
         return keys
 
     def choose_displaced(self, newcomer: Ticket, now: float) -> list[Ticket] | None:
@@ -304,9 +306,13 @@
         order = orders[service]
         chosen = order[-1]
         if self._rules.fair_shares:
-            uses = self._measure_uses(service, order, now)
+            shares = self._find_shares(service)
+            uses: dict[str, float] = {}
             for ticket in order:
-                uses[ticket.customer] += measure_share(ticket.work, ticket.weight)
+                customer = ticket.customer
+                if customer not in uses:
+                    uses[customer] = shares.measure_use(ticket.rank, customer, now)
+                uses[customer] += measure_share(ticket.work, ticket.weight)
             heaviest = max(uses, key=uses.__getitem__)
             chosen = next(
                 ticket for ticket in reversed(order) if ticket.customer == heaviest
@@ -316,26 +322,30 @@
             del orders[service]
         return chosen
 
-    def _measure_uses(
+    def _measure_counters(
         self, service: str, tickets: Iterable[Ticket], now: float
     ) -> dict[str, float]:
         """Return the counters of the customers of some requests of the same rank."""
         shares = self._shares.get(service)
-        uses: dict[str, float] = {}
+        counters: dict[str, float] = {}
         for ticket in tickets:
             customer = ticket.customer
-            if customer not in uses:
-                uses[customer] = (
+            if customer not in counters:
+                counters[customer] = (
                     0.0
                     if shares is None
-                    else shares.measure_use(ticket.rank, customer, now)
+                    else shares.measure_counter(ticket.rank, customer, now)
                 )
-        return uses
+        return counters
 
-    def _measure_use(self, newcomer: Ticket, customer: str, now: float) -> float:
+    def _measure_counter(self, newcomer: Ticket, customer: str, now: float) -> float:
         """Return a customer's counter at the rank of a newcomer."""
         shares = self._shares.get(newcomer.service)
-        return 0.0 if shares is None else shares.measure_use(newcomer.rank, customer, now)
+        return (
+            0.0
+            if shares is None
+            else shares.measure_counter(newcomer.rank, customer, now)
+        )
 
     def _find_shares(self, service: str) -> FairShares:
         shares = self._shares.get(service)
