Memory budget for buffered requests and answers, used by the connections

The buffers were limited per connection only. One budget for the process now counts bodies, buffered answers and write buffers, pauses reading from servers, refuses large bodies and aborts the slowest readers. Enabled with a known memory limit and overload control; without it connections behave as before.

A connection to a server that was paused by the last part of an answer went back to the pool paused; the next request on it got no answer. It is resumed now.

--- a/features/gateway_lines.py
+++ b/features/gateway_lines.py
@@ -16,6 +16,7 @@
 
 from features.gateway_support import GatewayFixture, build_tree, encode_request
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.memory import AbortedConnection, Peer
 from ramppin.gateway.process.reporting.decisions import DecisionLog
 from ramppin.gateway.process.stalldetector import STALL_S
 from ramppin.gateway.request.admission import Denial
@@ -44,6 +45,7 @@
         await self._serve_requests()
         await self._hear_words()
         await self._quarantine_request()
+        await self._abort_slow_reader()
         answers = await self._ask_operator()
         await self._restart_server()
         await self._end()
@@ -120,6 +122,11 @@
         assert quarantine.admit(SUSPECT, asyncio.get_running_loop().time())
         await self._wait_for_event("quarantine_trial")
 
+    async def _abort_slow_reader(self) -> None:
+        aborted = AbortedConnection(Peer.CALLER, [], 200_000, 60_000, 50_000, 1.0, 9.0)
+        self._gateway._note_memory_abort(aborted)
+        await self._wait_for_event("connection_aborted")
+
     async def _ask_operator(self) -> dict[str, Any]:
         operator = Operator(self._gateway.operations_port)
         names = ("/dump", "/explain served", "/explain failed", "/explain unknown")
--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ramppin.gateway.connection.heldmemory import HeldMemory, reset_on_close
 from ramppin.gateway.connection.httpwire import (
     LAST_CHUNK,
     Headers,
@@ -28,12 +29,22 @@
     RequestReader,
 )
 from ramppin.gateway.connection.tcptimeouts import CALLER_TIMEOUTS, set_tcp_timeouts
+from ramppin.gateway.process.memory import MemoryBudget
 from ramppin.gateway.version.routing import CallerLimits
 
 MAX_QUEUED = 2
 """Pipelined requests of one connection that may queue; at this number the connection
 stops reading."""
 
+MEMORY_RETRY_AFTER_S = 1.0
+"""Seconds after which a request whose body found no memory may be sent again: slow
+readers are aborted or drained within seconds."""
+
+DISCARD_S = 2.0
+"""Seconds for which the rest of a refused body is read and discarded. Closing at once
+would reset the connection, and the caller might lose the answer that tells it that the
+request did not run."""
+
 
 class Responder(ABC):
     """Handles the requests and the disconnect of one connection."""
@@ -77,12 +88,14 @@
         draining: whether answers carry ``Connection: close``.
         note_refused: called with each request refused before it was read completely.
         connections: open connections.
+        memory: budget for what new connections hold; None while there is none.
     """
 
     limits: CallerLimits = field(default_factory=CallerLimits)
     draining: bool = False
     note_refused: Callable[[Refusal], None] = lambda refusal: None
     connections: set[CallerConnection] = field(default_factory=set)
+    memory: MemoryBudget | None = None
 
 
 class CallerConnection(asyncio.Protocol, RequestHandler):
@@ -114,6 +127,7 @@
         self.idle_until: float | None = None
         self.head_due: float | None = None
         self.closed = False
+        self.memory: HeldMemory | None = None
 
     @property
     def idle(self) -> bool:
@@ -127,6 +141,13 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_tcp_timeouts(transport, CALLER_TIMEOUTS)
+        if self._state.memory is not None:
+            self.memory = HeldMemory(
+                self._state.memory,
+                transport,
+                lambda paused: self._responder.accept_backpressure(paused=paused),
+                self._abort_slow_reader,
+            )
         self._state.connections.add(self)
         self._begin_idle()
 
@@ -141,7 +162,7 @@
         try:
             self._reader.feed(data)
         except RefusedRequestError as error:
-            self._refuse(error.status, error.reason)
+            self._refuse(error)
 
     def eof_received(self) -> bool:
         """Treat the caller's half-close as a disconnect."""
@@ -154,14 +175,25 @@
         self._queue.clear()
         if self._current is not None:
             self._responder.accept_disconnect()
+        if self.memory is not None:
+            self.memory.release()
 
     def pause_writing(self) -> None:
-        """Pause the responder: the write buffer is full."""
-        self._responder.accept_backpressure(paused=True)
+        """Pause the responder: the write buffer is full.
+
+        With a memory budget, the budget decides after each write.
+        """
+        if self.memory is None:
+            self._responder.accept_backpressure(paused=True)
 
     def resume_writing(self) -> None:
         """Resume the responder: the write buffer has drained."""
-        self._responder.accept_backpressure(paused=False)
+        if self.memory is None:
+            self._responder.accept_backpressure(paused=False)
+            return
+        self.memory.note_drained()
+        if self._queue and self._current is None and not self.closed:
+            self._start_queued()
 
     # RequestHandler
 
@@ -177,9 +209,20 @@
         self._queue.append(request)
         if self._current is None:
             self._start_next()
-        elif len(self._queue) >= MAX_QUEUED and self._transport is not None:
+        if len(self._queue) >= MAX_QUEUED and self._transport is not None:
             self._transport.pause_reading()
 
+    def check_memory(self, request: CallerRequest, size: int, more: int) -> None:
+        """Count bytes of a request, or refuse it if the budget does not allow them."""
+        memory = self.memory
+        if memory is None:
+            return
+        if not memory.may_accept_body(size, more):
+            reason = f"body of {size} bytes while the memory budget is nearly used up"
+            raise RefusedRequestError(503, reason, MEMORY_RETRY_AFTER_S)
+        request.held_bytes += more
+        memory.add_request(more)
+
     # called by the responder
 
     def send_answer(self, status: int, headers: Headers, body: bytes) -> None:
@@ -197,7 +240,7 @@
         sent = [*headers, (b"Content-Length", b"%d" % len(body))]
         sent += self._build_connection_headers(request)
         shown = b"" if request.method == b"HEAD" else body
-        self._transport.write(encode_answer(status, sent) + shown)
+        self._write(encode_answer(status, sent) + shown)
         self._finish(request)
 
     def start_stream(self, status: int, headers: Headers, length: int | None) -> None:
@@ -215,13 +258,13 @@
         else:
             request.keep_alive = False
         sent += self._build_connection_headers(request)
-        self._transport.write(encode_answer(status, sent))
+        self._write(encode_answer(status, sent))
 
     def send_body(self, data: bytes) -> None:
         """Send part of a body."""
         if self.closed or self._transport is None or not data:
             return
-        self._transport.write(encode_chunk(data) if self._chunked else data)
+        self._write(encode_chunk(data) if self._chunked else data)
 
     def end_stream(self) -> None:
         """End the answer and start the next request."""
@@ -229,7 +272,7 @@
         if request is None or self.closed or self._transport is None:
             return
         if self._chunked:
-            self._transport.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
         self._finish(request)
 
     def abort(self) -> None:
@@ -252,9 +295,9 @@
             self.close_if_idle()
         elif self.head_due is not None and now >= self.head_due:
             self.head_due = None
-            self._refuse(408, "the head did not end in time")
+            self._refuse(RefusedRequestError(408, "the head did not end in time"))
         elif self._awaits_body and now - self._received_at >= limits.idle_timeout_s:
-            self._refuse(408, "the body stopped")
+            self._refuse(RefusedRequestError(408, "the body stopped"))
 
     @property
     def _awaits_body(self) -> bool:
@@ -265,6 +308,25 @@
 
     # internal
 
+    def _write(self, data: bytes) -> None:
+        """Write part of an answer, and count it if there is a memory budget."""
+        if self._transport is None:
+            return
+        self._transport.write(data)
+        if self.memory is not None:
+            self.memory.note_written(len(data))
+
+    def _abort_slow_reader(self) -> None:
+        """Abort the connection and its request, and discard what is buffered."""
+        if self._transport is None:
+            return
+        if self._current is not None:
+            self._responder.accept_disconnect()
+        # Without a reset the kernel would send what it holds and then close, and an
+        # answer that is delimited by the close would look complete.
+        reset_on_close(self._transport)
+        self.abort()
+
     def _expect_head(self) -> None:
         if self.head_due is None:
             limits = self._state.limits
@@ -276,10 +338,24 @@
         self.head_due = None
 
     def _start_next(self) -> None:
+        """Start a queued request.
+
+        With a memory budget, a caller must have read most of its last answer: answers
+        to pipelined requests are otherwise buffered without limit.
+        """
+        if self.memory is not None:
+            if not self.memory.may_start_next:
+                return
+            self.memory.start_answer(self._queue[0].headers)
         self._current = self._queue.popleft()
         self._answer_started = False
         self._responder.accept_request(self._current)
 
+    def _start_queued(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self._start_next()
+
     def _build_connection_headers(self, request: CallerRequest) -> Headers:
         if self._state.draining:
             request.keep_alive = False
@@ -289,31 +365,40 @@
 
     def _finish(self, request: CallerRequest) -> None:
         self._current = None
-        if self._transport is None:
+        if self._transport is None or self.closed:
+            # Writing the end of the answer exceeded the memory budget.
             return
+        if self.memory is not None:
+            self.memory.add_request(-request.held_bytes)
         if not request.keep_alive:
             self.closed = True
             self._transport.close()
             return
         if self._queue:
-            self._transport.resume_reading()
-            self._start_next()
+            self._start_queued()
         elif self._reader.incoming is None:
             self._begin_idle()
         elif self._reader.reads_head:
             self._expect_head()
 
-    def _refuse(self, status: int, reason: str) -> None:
+    def _refuse(self, error: RefusedRequestError) -> None:
         """Refuse a request that can't be read, and close the connection."""
         if self._transport is None or self.closed:
             return
         if self._current is None:
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            self._transport.write(encode_answer(status, headers))
+            if error.retry_after_s is not None:
+                headers.append((b"Retry-After", b"%.2f" % error.retry_after_s))
+            self._transport.write(encode_answer(error.status, headers))
             self.closed = True
-            self._transport.close()
+            if error.retry_after_s is None:
+                self._transport.close()
+            else:
+                self._loop.call_later(DISCARD_S, self._transport.close)
         else:
             self._responder.accept_disconnect()
             self.abort()
         read = self._reader.incoming or CallerRequest(b"", b"", [])
-        self._state.note_refused(Refusal(status, reason, read.target, read.headers))
+        self._state.note_refused(
+            Refusal(error.status, error.reason, read.target, read.headers)
+        )
--- a/src/ramppin/gateway/connection/requestreader.py
+++ b/src/ramppin/gateway/connection/requestreader.py
@@ -30,6 +30,7 @@
         arrived: event-loop time at which the request was complete.
         keep_alive: whether the connection may stay open after the answer.
         http_1_0: whether the caller uses HTTP/1.0, without chunked encoding.
+        held_bytes: bytes of it that the memory budget counts.
     """
 
     method: bytes
@@ -39,6 +40,7 @@
     arrived: float = 0.0
     keep_alive: bool = True
     http_1_0: bool = False
+    held_bytes: int = 0
 
     def find(self, name: bytes) -> bytes | None:
         """Return the value of a header, or None."""
@@ -56,6 +58,19 @@
     def accept_complete(self, request: CallerRequest) -> None:
         """Handle a complete request."""
 
+    @abstractmethod
+    def check_memory(self, request: CallerRequest, size: int, more: int) -> None:
+        """Count bytes of a request that is being read.
+
+        Args:
+            request: the request.
+            size: size of its body as announced, or as far as it was received.
+            more: bytes that are counted now.
+
+        Raises:
+            RefusedRequestError: the memory budget does not allow the body.
+        """
+
 
 class RequestReader:
     """Parses requests, and refuses those that exceed a limit.
@@ -81,6 +96,7 @@
         self._head_size = 0
         self._unfinished_size = 0
         self._body_size = 0
+        self._announced = 0
         self.incoming: CallerRequest | None = None
         self.reads_head = False
 
@@ -139,6 +155,10 @@
         length = request.find(b"content-length")
         if length is not None:
             self._check_body(int(length))
+        self._announced = int(length or 0)
+        self._handler.check_memory(
+            request, self._announced, self._head_size + self._announced
+        )
         self._handler.accept_head(request)
 
     def on_body(self, data: bytes) -> None:
@@ -146,6 +166,8 @@
         self._body.append(data)
         self._body_size += len(data)
         self._check_body(self._body_size)
+        if self._body_size > self._announced and self.incoming is not None:
+            self._handler.check_memory(self.incoming, self._body_size, len(data))
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
@@ -185,9 +207,18 @@
 
 
 class RefusedRequestError(Exception):
-    """A request that is malformed or exceeds a limit, with the status to answer."""
+    """A request that is malformed or exceeds a limit, with the status to answer.
 
-    def __init__(self, status: int, reason: str) -> None:
+    Args:
+        status: HTTP status of the answer.
+        reason: the rule or limit that was violated.
+        retry_after_s: seconds after which the request may be sent again, if it may.
+    """
+
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(status)
         self.status = status
         self.reason = reason
+        self.retry_after_s = retry_after_s
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -22,6 +22,10 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of answers without a body (RFC 9112, section 6.3)."""
 
+PIECE_BYTES = 65_536
+"""Size of the pieces in which a body is sent if it is sent in pieces. A body that is
+written at once is copied into the write buffer if the server does not read it."""
+
 
 @dataclass(slots=True)
 class AnswerHead:
@@ -90,6 +94,13 @@
         self._reusable = True
         self._until_close = False
         self._head_request = False
+        self._rest = memoryview(b"")
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of the request that the server has not accepted."""
+        transport = self._transport
+        return len(self._rest) + (transport.get_write_buffer_size() if transport else 0)
 
     @property
     def alive(self) -> bool:
@@ -139,6 +150,10 @@
         self.was_lost = self._receiver is not None and not self.was_timed_out
         self._fail(f"connection lost: {exc or 'closed by the peer'}")
 
+    def resume_writing(self) -> None:
+        """Send the next pieces of a body."""
+        self._send_rest()
+
     # called by the owner of the request
 
     def send(
@@ -148,6 +163,7 @@
         receiver: AnswerReceiver,
         *,
         head_request: bool = False,
+        in_pieces: bool = False,
     ) -> None:
         """Send a request and pass its answer to a receiver.
 
@@ -156,6 +172,7 @@
             body: the whole body.
             receiver: takes the answer.
             head_request: whether the method is HEAD, whose answer has no body.
+            in_pieces: whether a large body is sent in pieces, as the server reads it.
 
         Raises:
             NotSentError: the connection is closed; no byte was sent.
@@ -168,6 +185,12 @@
         self._skipping = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
+        if in_pieces and len(body) > PIECE_BYTES:
+            self._transport.set_write_buffer_limits(high=0)
+            self._rest = memoryview(body)[PIECE_BYTES:]
+            self._transport.write(head + body[:PIECE_BYTES])
+            self._send_rest()
+            return
         self._transport.write(head + body if body else head)
 
     def pause(self) -> None:
@@ -184,6 +207,7 @@
         """Reset the connection; the receiver of a request in flight is not called."""
         self._receiver = None
         self._reusable = False
+        self._rest = memoryview(b"")
         if self._transport:
             self._transport.abort()
 
@@ -243,7 +267,7 @@
             return
         self.idle_since = self._loop.time()
         self.keep_alive_s = _read_keep_alive(self._headers)
-        if self._transport.get_write_buffer_size() > 0:
+        if self.unsent_bytes > 0:
             # Answered before the request was sent: buffered bytes can't be recalled.
             self._reusable = False
         if self._until_close:
@@ -251,14 +275,28 @@
         receiver.accept_end()
         if not self._reusable:
             self._close()
+        elif not self._transport.is_reading():
+            # Paused for a slow caller by the last part; the next request has another.
+            self._transport.resume_reading()
+
+    def _send_rest(self) -> None:
+        """Write the rest of a body until the write buffer is no longer empty."""
+        transport = self._transport
+        while self._rest and transport is not None and not transport.is_closing():
+            if transport.get_write_buffer_size() > 0:
+                return
+            piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
+            transport.write(piece)
 
     def _close(self) -> None:
+        self._rest = memoryview(b"")
         if self._transport is not None:
             self._transport.close()
 
     def _fail(self, message: str) -> None:
         receiver, self._receiver = self._receiver, None
         self._reusable = False
+        self._rest = memoryview(b"")
         if self._transport and not self._transport.is_closing():
             self._transport.abort()
         if receiver is not None:
--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -50,6 +50,7 @@
         drain_times: time limits of a planned stop.
         overload: rules of overload control, unless the routing settings contain some;
             None if it is disabled.
+        memory_limit_bytes: memory that the process may use; None if unknown.
         seed: seed of the random number generator.
     """
 
@@ -73,4 +74,5 @@
     cold_rules: ColdRules = field(default_factory=ColdRules)
     drain_times: DrainTimes = field(default_factory=DrainTimes)
     overload: OverloadRules | None = None
+    memory_limit_bytes: int | None = None
     seed: int | None = None
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -31,6 +31,11 @@
 from ramppin.gateway.process.limits.readiness import ReadinessResponder
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
 from ramppin.gateway.process.load.gossip import LoadGossip
+from ramppin.gateway.process.memory import (
+    AbortedConnection,
+    MemoryBudget,
+    compute_budget_bytes,
+)
 from ramppin.gateway.process.operations import GatewayState, OperationsResponder
 from ramppin.gateway.process.overload.activation import OverloadActivation
 from ramppin.gateway.process.overload.startlimiter import StartLimiter
@@ -49,6 +54,7 @@
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.stalldetector import STALL_S, StallDetector
 from ramppin.gateway.request.responder import ExchangeResponder
+from ramppin.gateway.version.routing import RoutingTable
 
 SWEEP_S = 0.25
 """Interval in seconds of checks for idle connections, missing servers and pending
@@ -118,7 +124,9 @@
         self.overload = OverloadActivation(
             self.context, config.overload, self._build_start_limiter, generator
         )
-        self.context.note_table = self.overload.apply
+        self.context.note_table = self._apply_table
+        self._memory = self._build_memory_budget()
+        self._apply_memory_budget()
         self.context.find_home = self.homes.find
         self._hints: HintExchange | None = None
         self._inner_listener = ListenerState()
@@ -198,6 +206,7 @@
         self.context.retry_budget.replace_rules(config.retry_rules)
         self.overload.configured = config.overload
         self.overload.apply(self.context.table)
+        self._apply_memory_budget()
         self.context.decisions.note(
             "reloaded",
             retry_ratio=config.retry_rules.ratio,
@@ -323,6 +332,8 @@
             for connection in list(context.listener.connections):
                 connection.check_timeouts(now)
             context.pool.sweep(now)
+            if self._memory is not None:
+                self._memory.sweep(now)
             self.tables.remove_missing(now)
             context.quarantine.evict_expired(now)
             note_quarantine(context, now)
@@ -334,6 +345,48 @@
                 context.decisions.refill()
             context.decisions.flush()
 
+    def _apply_table(self, table: RoutingTable) -> None:
+        self.overload.apply(table)
+        self._apply_memory_budget()
+
+    def _build_memory_budget(self) -> MemoryBudget | None:
+        """Return the memory budget, or None if the memory limit is unknown."""
+        limit_bytes = self.config.memory_limit_bytes
+        if limit_bytes is None:
+            return None
+        return MemoryBudget(
+            compute_budget_bytes(limit_bytes),
+            note_paused=self.context.metrics.memory_pauses.inc,
+            note_aborted=self._note_memory_abort,
+        )
+
+    def _apply_memory_budget(self) -> None:
+        """Enable the memory budget for new connections if overload control is enabled.
+
+        Routing settings that disable overload control leave the budget enabled if the
+        process's configuration enables it: the budget protects the process.
+        """
+        configured = self.config.overload
+        is_enabled = self.context.overload is not None or (
+            configured is not None and configured.enabled
+        )
+        self.context.listener.memory = self._memory if is_enabled else None
+
+    def _note_memory_abort(self, aborted: AbortedConnection) -> None:
+        """Count a connection that the memory budget closed, and write a line."""
+        found = find_header(aborted.headers, self.config.names.request_id)
+        self.context.metrics.memory_aborts.inc(aborted.peer.value)
+        self.context.decisions.note(
+            "connection_aborted",
+            request_id=(found or b"").decode("latin-1"),
+            peer=aborted.peer.value,
+            held_bytes=aborted.held_bytes,
+            total_bytes=aborted.total_bytes,
+            budget_bytes=aborted.budget_bytes,
+            unread_s=round(aborted.age_s, 2),
+            bytes_per_s=round(aborted.rate),
+        )
+
     def _build_start_limiter(self) -> StartLimiter:
         raise NotImplementedError
 
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -197,6 +197,9 @@
             cold = sum(state.coldness.is_cold(now) for state in states)
             metrics.cold_servers.set(cold, service)
         self._update_overload(metrics, now)
+        memory = context.listener.memory
+        metrics.memory_budget.set(memory.budget_bytes if memory else 0)
+        metrics.memory_held.set(memory.total_bytes if memory else 0)
 
     def _update_overload(self, metrics: GatewayMetrics, now: float) -> None:
         """Update the gauges of overload control; remove those of the past."""
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -162,6 +162,7 @@
         self._measure_tables()
         self._measure_servers()
         self._measure_overload()
+        self._measure_memory()
 
     def list_tallies(self) -> list[Tally]:
         """Return all metrics."""
@@ -316,3 +317,22 @@
             "ramppin_gateway_customer_work_seconds_total",
             "Time for which servers held the requests of a customer.",
         )
+
+    def _measure_memory(self) -> None:
+        self.memory_budget = GaugeTally(
+            "ramppin_gateway_memory_budget_bytes",
+            "Memory budget for buffered requests and answers; 0 if there is none.",
+        )
+        self.memory_held = GaugeTally(
+            "ramppin_gateway_memory_held_bytes",
+            "Bytes of requests and answers that connections hold under the budget.",
+        )
+        self.memory_pauses = CounterTally(
+            "ramppin_gateway_memory_pauses_total",
+            "Times that reading an answer from its server was paused by the budget.",
+        )
+        self.memory_aborts = CounterTally(
+            "ramppin_gateway_memory_aborts_total",
+            "Connections closed by the budget, by the side that read too slowly.",
+            ("peer",),
+        )
--- a/src/ramppin/gateway/process/settingsfile.py
+++ b/src/ramppin/gateway/process/settingsfile.py
@@ -15,6 +15,8 @@
 from ramppin.errors import SettingsError
 from ramppin.gateway.process.config import Address, GatewayConfig
 
+BYTES_PER_MB = 1_000_000
+
 Port = Annotated[int, Field(ge=0, le=65_535)]
 
 
@@ -32,6 +34,8 @@
         records_port: port for record requests of peers that can't reach the log.
         tables: file with routing settings and backend servers, relative to the
             directory of this file.
+        memory_mb: memory that the process may use, in MB. Together with overload
+            control it enables the memory budget.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -45,6 +49,7 @@
     peer_port: Port = 0
     records_port: Port = 0
     tables: Path
+    memory_mb: float | None = Field(default=None, gt=0)
 
     def build_config(self) -> GatewayConfig:
         """Return the gateway's configuration."""
@@ -56,9 +61,14 @@
             peers=Address(self.host, self.peer_port),
             records=Address(self.host, self.records_port),
             operations=Address(self.host, self.operations_port),
+            memory_limit_bytes=_to_bytes(self.memory_mb),
         )
 
 
+def _to_bytes(megabytes: float | None) -> int | None:
+    return None if megabytes is None else int(megabytes * BYTES_PER_MB)
+
+
 def load_gateway_file(path: Path) -> Result[GatewayFile, SettingsError]:
     """Read a gateway's settings; ``tables`` is relative to the file's directory."""
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -13,6 +13,7 @@
 
 from ramppin.errors import BrokenAnswerError, NotSentError, ProtocolError
 from ramppin.gateway.connection.callerwire import CallerConnection
+from ramppin.gateway.connection.heldmemory import SendingRequest
 from ramppin.gateway.connection.httpwire import (
     HeaderNames,
     Headers,
@@ -26,6 +27,7 @@
     UpstreamConnection,
 )
 from ramppin.gateway.process.membership.health import Outcome
+from ramppin.gateway.process.memory import FREE_BYTES
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.answerkind import AnswerKind, judge_answer
 from ramppin.gateway.request.events import EventSplitter
@@ -45,7 +47,7 @@
 _LENGTH = frozenset({b"content-length"})
 
 
-class Attempt(AnswerReceiver):
+class Attempt(AnswerReceiver, SendingRequest):
     """Sends a request to one backend server and forwards its answer.
 
     Args:
@@ -83,6 +85,7 @@
     ) -> None:
         self._names = names
         self._caller = caller
+        self._memory = caller.memory
         self._request_id = request_id
         self._state = state
         self._streams = streams
@@ -138,13 +141,21 @@
         self._check_unresponsive()
         try:
             connection.send(
-                head, request.body, self, head_request=request.method == b"HEAD"
+                head,
+                request.body,
+                self,
+                head_request=request.method == b"HEAD",
+                in_pieces=self._memory is not None,
             )
+            if self._memory is not None:
+                self._memory.start_sending(self)
             return await self._result
         except NotSentError as error:
             return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
         finally:
             self._state.note_ended(self, self._loop.time())
+            if self._memory is not None:
+                self._memory.end_sending()
             timer.cancel()
             if self._check_timer is not None:
                 self._check_timer.cancel()
@@ -193,12 +204,23 @@
         if self._result.done():
             return
         self._note_bytes(due=True)
+        memory = self._memory
+        if memory is not None:
+            memory.note_received(len(data))
         if self._forwarding:
             self._forward(data)
             return
         self._buffered.append(data)
         self._buffered_size += len(data)
         is_large = self._buffered_size > MAX_BUFFERED_BYTES
+        if memory is not None and self._buffered_size > FREE_BYTES:
+            memory.set_buffered(self._buffered_size)
+            if self._result.done():
+                return
+            is_large = is_large or memory.is_over_allowance
+            if is_large and self._kind is not AnswerKind.SUCCESS:
+                self._fail("answer without success exceeds the memory budget")
+                return
         if self._kind is AnswerKind.SUCCESS and (self._streams or is_large):
             self._start_forwarding()
 
@@ -221,6 +243,7 @@
         else:
             self._first_byte_at = self._loop.time()
             headers = keep_end_to_end(head.headers, _LENGTH)
+            self._free_buffered()
             self._caller.send_answer(head.status, headers, b"".join(self._buffered))
         self._state.health.note_outcome(kind.outcome, self._loop.time())
         self._finish(kind.end)
@@ -230,8 +253,22 @@
         self._note_received(due=False)
         self._fail(error.message)
 
+    # SendingRequest
+
+    def count_unsent(self) -> int:
+        """Return the bytes that the server has not accepted."""
+        return self._connection.unsent_bytes if self._connection else 0
+
+    def fail_unread(self) -> None:
+        """Fail because the server does not read the request."""
+        self._fail("the server does not read the request")
+
     # forwarding the answer
 
+    def _free_buffered(self) -> None:
+        if self._memory is not None:
+            self._memory.set_buffered(0)
+
     def _start_forwarding(self) -> None:
         head = self._head
         assert head is not None
@@ -243,6 +280,7 @@
             length = None if self._events is not None else head.length
             self._caller.start_stream(head.status, headers, length)
         buffered, self._buffered = self._buffered, []
+        self._free_buffered()
         for data in buffered:
             self._forward(data)
 
@@ -281,6 +319,7 @@
     ) -> None:
         if self._result.done():
             return
+        self._free_buffered()
         events = self._events
         self._result.set_result(
             AttemptResult(
