--- a/features/slow_readers.py
+++ b/features/slow_readers.py
@@ -342,12 +342,18 @@
 
 def build_tables(port: int, servers: int) -> dict:
     rules = {"kind": "once", "time_limit_s": 60.0}
+    # Idle connections are used again at once only for requests that may be repeated.
+    again = {"kind": "repeatable", "max_attempts": 1, "time_limit_s": 60.0}
+    routes = {
+        "/": {"service": "plain", "rules": rules},
+        "/again/": {"service": "plain", "rules": again},
+    }
     return {
         "routing": {
             "version": 1,
             "overload": {"enabled": False},
             "services": {"plain": {}},
-            "hosts": {HOST: {"routes": {"/": {"service": "plain", "rules": rules}}}},
+            "hosts": {HOST: {"routes": routes}},
             "customers": {"choir": {"keys": [KEY]}},
             "limits": {"max_body_bytes": MAX_BODY_BYTES},
         },
--- a/features/steps/vm_memory_process_steps.py
+++ b/features/steps/vm_memory_process_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import socket
 import time
 
 from behave import given, then, when
@@ -146,13 +147,45 @@
     assert not lost, len(lost)
 
 
+@when("{count:d} callers announce bodies of {size:d} kB and send nothing")
+def step_announce(context, count, size):
+    async def announce() -> None:
+        head, _, body = encode("/unread", body=bytes(size * 1000)).partition(
+            b"\r\n\r\n"
+        )
+        assert body
+        for _ in range(count):
+            _, writer = await asyncio.open_connection("127.0.0.1", context.trial.port)
+            context.writers.append(writer)
+            writer.write(head + b"\r\n\r\n")
+        await asyncio.sleep(0.2)
+
+    context.writers = []
+    run(context, announce())
+
+
+@then("one that sends {size:d} kB before it reads gets 503 as well")
+def step_refused_writer(context, size):
+    async def ask() -> None:
+        trial = context.trial
+        loop = asyncio.get_running_loop()
+        sock = socket.create_connection(("127.0.0.1", trial.port))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32_768)
+        sock.setblocking(False)
+        with sock:
+            # An error while it sends is one at which most clients give up.
+            await loop.sock_sendall(sock, encode("/unread", body=bytes(size * 1000)))
+            answer = await asyncio.wait_for(loop.sock_recv(sock, 1000), 10)
+        assert answer.startswith(b"HTTP/1.1 503 "), answer
+
+    run(context, ask())
+
+
 def count_open(trial: SlowReadersTrial) -> int:
     return sum(not caller.status and not caller.ended for caller in trial.slow)
 
 
-@when(
-    "one caller sends {count:d} requests for {size:d} kB and reads nothing for 1 s"
-)
+@when("one caller sends {count:d} requests for {size:d} kB and reads nothing for 1 s")
 def step_pipelined(context, count, size):
     async def send() -> None:
         trial = context.trial
@@ -213,7 +246,7 @@
 def step_unread(context, size):
     async def ask() -> None:
         trial = context.trial
-        await trial.add_slow(f"/size/{size * 1000}", size * 1000)
+        await trial.add_slow(f"/again/size/{size * 1000}", size * 1000)
         await wait_for(lambda: trial.slow[0].status == 200, "the answer has begun")
 
     run(context, ask())
@@ -225,7 +258,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", context.trial.port)
         began = time.monotonic()
         for _ in range(count):
-            writer.write(encode("/size/10"))
+            writer.write(encode("/again/size/10"))
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
             assert b" 200 " in head, head
             await reader.readexactly(10)
--- a/features/vm_memory/processes.feature
+++ b/features/vm_memory/processes.feature
@@ -20,6 +20,13 @@
     And the other callers were all served, their median no more than 15 ms longer
     And at most 90 bodies at a time were read, the others got 503 with Retry-After
 
+  # Closing the connection with unread data resets it, and the caller may lose the answer
+  # which tells it that the request did not run.
+  Scenario: a refused body is read to its end
+    Given a gateway process with a memory limit of 200 MB
+    When 32 callers announce bodies of 1500 kB and send nothing
+    Then one that sends 1900 kB before it reads gets 503 as well
+
   Scenario: pipelined requests whose answers are not read
     Given a gateway process with a memory limit of 200 MB
     When one caller sends 20 requests for 60 kB and reads nothing for 1 s
