--- a/features/suite.py
+++ b/features/suite.py
@@ -35,6 +35,7 @@
         "server_words",
         "settings",
         "under_failure",
+        "vm_memory",
     }
 )
 """Folders whose many processes need the machine to themselves."""
