--- a/features/overload_queue/decisions.feature
+++ b/features/overload_queue/decisions.feature
@@ -60,6 +60,14 @@
       | bytes: larger than the queue    | 9    | p:2/a/5/6#1800 q:2/a/5/7#1800               | n:1/a/5/9#4001 |           | is refused |
       | bytes: it would not fit         | 9    | p:2/a/5/6#500 q:0/a/5/7#3500                | n:1/a/5/9#1000 |           | is refused |
 
+  Scenario: a newcomer that may start at once displaces nothing from a full queue
+    Given an admission queue for 2 requests and 4000 bytes
+    When requests wait: "p:2/a/5/6@x q:2/a/5/7@x"
+    And 1 may start at once
+    And a newcomer asks: "n:0/a/5/9@y"
+    Then on arrival it starts
+    And "" are displaced and 2 wait
+
   Scenario Outline: on arrival: <what>
     Given starts at a rate of <rate> per second and a queue of <ahead> requests
     When a request arrives with <patience> s of patience and <left> s until its end
--- a/features/steps/overload_queue_steps.py
+++ b/features/steps/overload_queue_steps.py
@@ -7,7 +7,7 @@
 import re
 from dataclasses import replace
 
-from behave import given, then, when
+from behave import given, step, then, when
 
 from features.overload_queue_support import (
     FOREVER,
@@ -107,7 +107,7 @@
     context.limiter.rate = rate
 
 
-@given("{count:d} may start at once")
+@step("{count:d} may start at once")
 def step_may_start(context, count):
     context.limiter.allowed = count
 
@@ -168,6 +168,13 @@
     submit(context, name, request)
 
 
+@then('"" are displaced and {count:d} wait')
+def step_none_displaced(context, count):
+    assert not context.log, context.log
+    queues = context.scheduler.describe(context.now)
+    assert sum(sum(queue.by_rank) for queue in queues) == count, queues
+
+
 @then('"{displaced}" are displaced and the newcomer {state}')
 @then('"" are displaced and the newcomer {state}')
 def step_displaced(context, state, displaced=""):
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -130,7 +130,7 @@
         self._drop_expired(service, now)
         self._room.activate(ticket, now)
         ahead = self._estimate_newcomer(ticket, now)
-        rule = self._admit(ticket, now)
+        rule = self._admit(ticket, ahead, now)
         if rule is not None:
             self._refuse(ticket, rule, now, ticket.estimate_s, ahead)
         else:
@@ -254,8 +254,8 @@
         spread_s = estimate_spread_s(estimate_s, start_rate, rate_left)
         return estimate_s + LATE_SPREADS * spread_s
 
-    def _admit(self, ticket: Ticket, now: float) -> RefusalRule | None:
-        """Add a request to the queue, or return the rule by which it is refused."""
+    def _admit(self, ticket: Ticket, ahead: int, now: float) -> RefusalRule | None:
+        """Start a request, add it to the queue, or return the rule to refuse it."""
         if self._rules.early_rejection:
             usual_wait_s = self._usual_wait_s(ticket.service)
             latest_s = ticket.estimate_s
@@ -265,6 +265,11 @@
             first_byte_at = now + latest_s + usual_wait_s
             if is_too_late(first_byte_at, ticket.limit_at):
                 return RefusalRule.TOO_LATE
+        is_first = ahead == 0 and ticket.limit_at > now
+        if is_first and self._limiter.may_start(ticket.service, ticket.rank, now):
+            # It needs no place in the queue, so it displaces nothing.
+            self._start(ticket, now)
+            return None
         displaced = self._room.choose_displaced(ticket, now)
         if displaced is None:
             return RefusalRule.ROOM_FULL
