--- a/features/overload_queue/decisions.feature
+++ b/features/overload_queue/decisions.feature
@@ -60,6 +60,14 @@
       | bytes: larger than the queue    | 9    | p:2/a/5/6#1800 q:2/a/5/7#1800               | n:1/a/5/9#4001 |           | is refused |
       | bytes: it would not fit         | 9    | p:2/a/5/6#500 q:0/a/5/7#3500                | n:1/a/5/9#1000 |           | is refused |
 
+  Scenario: a newcomer that may start at once displaces nothing from a full queue
+    Given an admission queue for 2 requests and 4000 bytes
+    When requests wait: "p:2/a/5/6@x q:2/a/5/7@x"
+    And 1 may start at once
+    And a newcomer asks: "n:0/a/5/9@y"
+    Then on arrival it starts
+    And "" are displaced and 2 wait
+
   Scenario Outline: on arrival: <what>
     Given starts at a rate of <rate> per second and a queue of <ahead> requests
     When a request arrives with <patience> s of patience and <left> s until its end
@@ -75,6 +83,18 @@
       | first, with time left                | 10   | 0     | 0.2      | 10   | waits               |
       | first, and too late                  | 10   | 0     | 0.05     | 10   | is refused as too late |
 
+  Scenario Outline: a request that may start at once is not refused by a forecast: <what>
+    Given starts at a rate of 0.2 per second and a queue of 0 requests
+    And 1 may start at once
+    When a request arrives with <patience> s of patience and a target of <target> s
+    Then on arrival it <state>
+
+    Examples: a late request is forecast to wait for the next start, in 5 s
+      | what                        | patience | target | state               |
+      | late for its target already | 2.0      | 0.05   | starts              |
+      | on time                     | 2.0      | 1.0    | starts              |
+      | too late for its caller     | 0.05     | 0.01   | is refused as too late |
+
   Scenario: being late for the target alone is no reason for a refusal
     Given starts at a rate of 10 per second and a queue of 8 requests
     When a request arrives with 3 s of patience and a target of 0.2 s
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -133,7 +133,7 @@
             self._start(ticket, now)
             return ticket.decision or _STARTED
         ahead = self._estimate_newcomer(ticket, now)
-        rule = self._admit(ticket, now)
+        rule = self._admit(ticket, ahead, now)
         if rule is not None:
             self._refuse(ticket, rule, now, ticket.estimate_s, ahead)
         else:
@@ -228,6 +228,11 @@
         is_late = self._room.is_late(ticket, now)
         others = self._forecast.list_customers(service, rank)
         place = self._room.find_place(ticket, others, now)
+        if place.ahead == 0 and self._limiter.may_start(service, rank, now):
+            # It starts at once; a forecast of zero wait needs no correction.
+            ticket.estimate_s = ticket.raw_estimate_s = 0.0
+            ticket.raw_late_estimate_s = None
+            return 0
         raw_s, estimate_s = self._estimate(ticket, place, is_late, now)
         ticket.raw_estimate_s = raw_s
         ticket.raw_late_estimate_s = raw_s if is_late else None
@@ -262,8 +267,8 @@
         spread_s = estimate_spread_s(estimate_s, start_rate, rate_left)
         return estimate_s + LATE_SPREADS * spread_s
 
-    def _admit(self, ticket: Ticket, now: float) -> RefusalRule | None:
-        """Add a request to the queue, or return the rule by which it is refused."""
+    def _admit(self, ticket: Ticket, ahead: int, now: float) -> RefusalRule | None:
+        """Start a request, add it to the queue, or return the rule to refuse it."""
         if self._rules.early_rejection:
             usual_wait_s = self._usual_wait_s(ticket.service)
             latest_s = ticket.estimate_s
@@ -273,6 +278,11 @@
             first_byte_at = now + latest_s + usual_wait_s
             if is_too_late(first_byte_at, ticket.limit_at):
                 return RefusalRule.TOO_LATE
+        is_first = ahead == 0 and ticket.limit_at > now
+        if is_first and self._limiter.may_start(ticket.service, ticket.rank, now):
+            # It needs no place in the queue, so it displaces nothing.
+            self._start(ticket, now)
+            return None
         displaced = self._room.choose_displaced(ticket, now)
         if displaced is None:
             return RefusalRule.ROOM_FULL
