--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -229,6 +229,8 @@
             for other in range(rank)
         )
         reserve = self.capacity.compute_reserve(self.positions[rank], self.ranks)
+        if reserve < 0:
+            return self.free - reserve - urgent
         return self.free - max(reserve, urgent)
 
     def compute_part(self, rank: int) -> float:
