--- a/features/steps/server_speed_pause_steps.py
+++ b/features/steps/server_speed_pause_steps.py
@@ -33,7 +33,9 @@
 
 
 class SilentCaller:
-    """A caller's connection that accepts everything."""
+    """A caller's connection that accepts everything, without a memory budget."""
+
+    memory = None
 
     def start_stream(self, status, headers, length) -> None:
         pass
