--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -302,6 +302,48 @@
             connection, state, self.context.metrics, self.context.explanations
         )
 
+    def _apply_table(self, table: RoutingTable) -> None:
+        self.overload.apply(table)
+        self._apply_memory_budget()
+
+    def _build_memory_budget(self) -> MemoryBudget | None:
+        """Return the memory budget, or None if the memory limit is unknown."""
+        limit_bytes = self.config.memory_limit_bytes
+        if limit_bytes is None:
+            return None
+        return MemoryBudget(
+            compute_budget_bytes(limit_bytes),
+            note_paused=self.context.metrics.memory_pauses.inc,
+            note_aborted=self._note_memory_abort,
+        )
+
+    def _apply_memory_budget(self) -> None:
+        """Enable the memory budget for new connections if overload control is enabled.
+
+        Routing settings that disable overload control leave the budget enabled if the
+        process's configuration enables it: the budget protects the process.
+        """
+        configured = self.config.overload
+        is_enabled = self.context.overload is not None or (
+            configured is not None and configured.enabled
+        )
+        self.context.listener.memory = self._memory if is_enabled else None
+
+    def _note_memory_abort(self, aborted: AbortedConnection) -> None:
+        """Count a connection that the memory budget closed, and write a line."""
+        found = find_header(aborted.headers, self.config.names.request_id)
+        self.context.metrics.memory_aborts.inc(aborted.peer.value)
+        self.context.decisions.note(
+            "connection_aborted",
+            request_id=(found or b"").decode("latin-1"),
+            peer=aborted.peer.value,
+            held_bytes=aborted.held_bytes,
+            total_bytes=aborted.total_bytes,
+            budget_bytes=aborted.budget_bytes,
+            unread_s=round(aborted.age_s, 2),
+            bytes_per_s=round(aborted.rate),
+        )
+
     def _note_refused(self, refusal: Refusal) -> None:
         """Write a decision line for a request that was refused before it was read."""
         found = find_header(refusal.headers, self.config.names.request_id)
@@ -348,48 +390,6 @@
                 context.decisions.refill()
             context.decisions.flush()
 
-    def _apply_table(self, table: RoutingTable) -> None:
-        self.overload.apply(table)
-        self._apply_memory_budget()
-
-    def _build_memory_budget(self) -> MemoryBudget | None:
-        """Return the memory budget, or None if the memory limit is unknown."""
-        limit_bytes = self.config.memory_limit_bytes
-        if limit_bytes is None:
-            return None
-        return MemoryBudget(
-            compute_budget_bytes(limit_bytes),
-            note_paused=self.context.metrics.memory_pauses.inc,
-            note_aborted=self._note_memory_abort,
-        )
-
-    def _apply_memory_budget(self) -> None:
-        """Enable the memory budget for new connections if overload control is enabled.
-
-        Routing settings that disable overload control leave the budget enabled if the
-        process's configuration enables it: the budget protects the process.
-        """
-        configured = self.config.overload
-        is_enabled = self.context.overload is not None or (
-            configured is not None and configured.enabled
-        )
-        self.context.listener.memory = self._memory if is_enabled else None
-
-    def _note_memory_abort(self, aborted: AbortedConnection) -> None:
-        """Count a connection that the memory budget closed, and write a line."""
-        found = find_header(aborted.headers, self.config.names.request_id)
-        self.context.metrics.memory_aborts.inc(aborted.peer.value)
-        self.context.decisions.note(
-            "connection_aborted",
-            request_id=(found or b"").decode("latin-1"),
-            peer=aborted.peer.value,
-            held_bytes=aborted.held_bytes,
-            total_bytes=aborted.total_bytes,
-            budget_bytes=aborted.budget_bytes,
-            unread_s=round(aborted.age_s, 2),
-            bytes_per_s=round(aborted.rate),
-        )
-
     def _build_start_limiter(self) -> StartLimiter:
         raise NotImplementedError
 
