--- a/features/steps/server_speed_pause_steps.py
+++ b/features/steps/server_speed_pause_steps.py
@@ -53,7 +53,7 @@
 class SilentConnection:
     """A backend server's connection that does nothing."""
 
-    def send(self, head, body, receiver, *, head_request) -> None:
+    def send(self, head, body, receiver, *, head_request, counted) -> None:
         pass
 
     def abort(self) -> None:
