--- a/features/overload_queue/returns.feature
+++ b/features/overload_queue/returns.feature
@@ -28,6 +28,12 @@
     Then each of rank 1 returns after all of rank 0
     And a further one of rank 0 returns before the last of rank 1
 
+  Scenario: refused requests return at the rate that more urgent ones leave
+    Given starts at a rate of 10 per second and a queue of 0 requests
+    When for 10 s requests of rank 0 start at 6 per second
+    And 10 of rank 1 are refused at one moment
+    Then the last of these returns after 2.0 to 3.0 s
+
   Scenario Outline: a request is recognised as returned: <what>
     When requests of a route arrive: "<arrivals>"
     Then the last of the route is <state>
--- a/features/steps/overload_queue_steps.py
+++ b/features/steps/overload_queue_steps.py
@@ -447,6 +447,29 @@
     assert choose(context.sequence, 0, 30) < max(context.later)
 
 
+@when("for {seconds:g} s requests of rank {rank:d} start at {rate:g} per second")
+def step_starts_of_rank(context, seconds, rank, rate):
+    for n in range(int(seconds * rate)):
+        context.now = n / rate
+        context.limiter.allowed = 1
+        request = Request(at=context.now, rank=rank, customer="b")
+        assert submit(context, "urgent", request).turn is Turn.START
+    context.limiter.allowed = 0
+
+
+@when("{count:d} of rank {rank:d} are refused at one moment")
+def step_refused_at_once(context, count, rank):
+    context.pauses = []
+    for _ in range(count):
+        request = Request(at=context.now, rank=rank, patience_s=0.05, deadline_s=30.0)
+        context.pauses.append(submit(context, "n", request).retry_after_s)
+
+
+@then("the last of these returns after {least:g} to {most:g} s")
+def step_last_return(context, least, most):
+    assert least <= max(context.pauses) <= most, context.pauses
+
+
 @when('requests of a route arrive: "{arrivals}"')
 def step_route(context, arrivals):
     detector = ReturnDetector()
--- a/src/ramppin/gateway/process/overload/forecast.py
+++ b/src/ramppin/gateway/process/overload/forecast.py
@@ -52,11 +52,6 @@
 MAX_CORRECTION = 4.0
 """Maximum ratio of actual to estimated waits."""
 
-LATE_SPREADS = 0.5
-"""Standard deviations that are added to the estimated wait of a request that arrives.
-With none, 13 in 1,000 refused requests of the least urgent rank had waited before, with
-one half 8."""
-
 EARLY_SPREADS = 1.0
 """Standard deviations that are subtracted from the estimated wait of a request that
 waits: a burst of more urgent requests must not refuse it."""
--- a/src/ramppin/gateway/process/overload/scheduler.py
+++ b/src/ramppin/gateway/process/overload/scheduler.py
@@ -15,7 +15,6 @@
 from ramppin.gateway.process.overload.fairness import measure_share
 from ramppin.gateway.process.overload.forecast import (
     EARLY_SPREADS,
-    LATE_SPREADS,
     MIN_RATE_SHARE,
     MIN_START_RATE_PER_S,
     Forecast,
@@ -223,8 +222,7 @@
         raw_s, estimate_s = self._estimate(ticket, place, is_late, now)
         ticket.raw_estimate_s = raw_s
         ticket.raw_late_estimate_s = raw_s if is_late else None
-        latest_s = self._find_latest_s(ticket, estimate_s, now)
-        if not is_late and self._room.is_late(ticket, now + latest_s):
+        if not is_late and self._room.is_late(ticket, now + estimate_s):
             place = self._room.find_place(ticket, others, now, is_late=True)
             raw_s, estimate_s = self._estimate(ticket, place, True, now)
             ticket.raw_late_estimate_s = raw_s
@@ -246,23 +244,11 @@
         )
         return raw_s, self._forecast.correct(service, rank, is_late, raw_s, now)
 
-    def _find_latest_s(self, ticket: Ticket, estimate_s: float, now: float) -> float:
-        """Return an estimated wait and what it may vary in seconds, for a newcomer."""
-        service, rank = ticket.service, ticket.rank
-        start_rate = self._estimate_start_rate(service, rank, now)
-        rate_left = self._forecast.measure_rate_left(service, rank, start_rate, now)
-        spread_s = estimate_spread_s(estimate_s, start_rate, rate_left)
-        return estimate_s + LATE_SPREADS * spread_s
-
     def _admit(self, ticket: Ticket, ahead: int, now: float) -> RefusalRule | None:
         """Start a request, add it to the queue, or return the rule to refuse it."""
         if self._rules.early_rejection:
             usual_wait_s = self._usual_wait_s(ticket.service)
-            latest_s = ticket.estimate_s
-            if ticket.raw_late_estimate_s is None:
-                # The estimate for a late request allows for later arrivals already.
-                latest_s = self._find_latest_s(ticket, latest_s, now)
-            first_byte_at = now + latest_s + usual_wait_s
+            first_byte_at = now + ticket.estimate_s + usual_wait_s
             if is_too_late(first_byte_at, ticket.limit_at):
                 return RefusalRule.TOO_LATE
         is_first = ahead == 0 and ticket.limit_at > now
