--- a/src/ramppin/gateway/process/overload/capacity.py
+++ b/src/ramppin/gateway/process/overload/capacity.py
@@ -175,6 +175,8 @@
             slots: the number of its slots.
             now: event-loop time.
         """
+        if self._reported_slots.get(server_id) == slots:
+            return
         if not self._check("slots in a load report", slots, MAX_SLOTS, now):
             return
         if len(self._reported_slots) > 2 * len(self._directory):
@@ -186,6 +188,10 @@
         if self._directory.find(server_id) is not None:
             self._reported_slots[server_id] = slots
 
+    def find_reported_slots(self, server_id: str) -> int | None:
+        """Return the slots in a server's last load report; None if unknown."""
+        return self._reported_slots.get(server_id)
+
     def note_tokens(self, service: str, tokens: int, now: float) -> None:
         """Record the tokens that a request needs in a server's cache memory.
 
@@ -209,10 +215,23 @@
         stay.note(took_s)
 
     def find_learned(self, service: str, now: float) -> LearnedLimit | None:
-        """Return the learned limit of a service, or None if its slots are stated."""
-        states = self._directory.list_open(service)
+        """Return the learned limit of a service.
+
+        None if its slots are stated, or if it has no open servers: the limit would
+        begin at its minimum and stay there when the servers return.
+        """
         spec = self._find_service(service) or ServiceSpec(service)
-        if spec.limit or any(self._list_slots(states, spec, now)):
+        if spec.limit or 0 < spec.slots <= MAX_SLOTS:
+            return None
+        directory = self._directory
+        for state in directory.list_service(service):
+            # One open server that states its slots suffices for the whole service.
+            is_stated = 0 < state.server.slots <= MAX_SLOTS
+            if is_stated or state.id in self._reported_slots:
+                if directory.accepts_new_requests(state):
+                    return None
+        states = directory.list_open(service)
+        if not states or any(self._list_slots(states, spec, now)):
             return None
         return self._open_learned(service, len(states))
 
--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -159,11 +159,16 @@
             server_id: id of the server's incarnation.
             slots: the slots that it states; None if it states none.
         """
-        if slots is not None:
+        if slots is not None and self.limiter.find_reported_slots(server_id) != slots:
             now = asyncio.get_running_loop().time()
             self.limiter.note_slots(server_id, slots, now)
         self.note_change()
 
+    def note_load(self, slots: int | None) -> None:
+        """Record a load report of a server whose entry states its slots."""
+        if self._waiting:
+            self.note_change()
+
     def note_change(self) -> None:
         """Check the waiting requests soon, since a load or a peer's demand changed.
 
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -54,6 +54,14 @@
 period of the messages with loads. Own requests are counted at once. Measuring 45
 servers for each request would cost more than its other decisions."""
 
+QUIET_SHARE = 0.5
+"""Share of its limit below which a service's capacity is measured less often. Requests
+skip the admission queue there."""
+
+QUIET_SNAPSHOT_S = 0.5
+"""Seconds for which the capacity of such a service is not measured again. Own starts
+count at once, and load reports are looked at every :data:`SNAPSHOT_S`."""
+
 MAX_AGE_S = 999.0
 """Age in seconds that is shown where nothing has been received."""
 
@@ -127,6 +135,7 @@
         ranks: number of ranks in use.
         states: the servers.
         abandoned: requests that this VM gave up and that servers may still hold.
+        is_quiet: whether servers that report their load hold little.
     """
 
     at: float
@@ -137,6 +146,7 @@
     ranks: int
     states: Sequence[ServerState]
     abandoned: int
+    is_quiet: bool
 
 
 @dataclass(slots=True)
@@ -173,6 +183,8 @@
         is_reporting: whether enough servers have reported their load since the start of
             this process.
         snapshot: what was known when it was last measured.
+        started: starts since then.
+        checked_at: event-loop time at which load reports were last looked at.
     """
 
     since: float
@@ -185,6 +197,8 @@
     cap_bucket: _Bucket = field(default_factory=_Bucket)
     is_reporting: bool = False
     snapshot: _Snapshot | None = None
+    started: int = 0
+    checked_at: float = NEVER
 
 
 @dataclass(slots=True)
@@ -315,6 +329,12 @@
 
     def is_busy(self, service: str, now: float) -> bool:
         """Return whether requests must pass through the admission queue."""
+        snapshot = self._find_snapshot(service, now)
+        if snapshot.is_quiet:
+            capacity = snapshot.capacity
+            most = capacity.held + self._open(service, now).started
+            if most < BUSY_SHARE * capacity.slots:
+                return False
         return self._view(service, now).is_busy()
 
     def may_start(self, service: str, rank: int, now: float) -> bool:
@@ -340,6 +360,7 @@
         """Record that a request is sent, whether it waited or not."""
         starts = self._open(service, now)
         starts.recent.append(now)
+        starts.started += 1
         starts.used_at[rank] = now
         for bucket in (starts.buckets[rank], starts.cap_bucket):
             bucket.tokens = max(0.0, bucket.tokens - 1)
@@ -370,11 +391,11 @@
 
     def find_server_limit(self, service: str, rank: int, now: float) -> float:
         """Return how many requests one server may hold for one more of a rank."""
-        view = self._view(service, now)
-        capacity = view.capacity
+        snapshot = self._find_snapshot(service, now)
+        capacity = snapshot.capacity
         if not capacity.priority_room:
             return capacity.server_limit
-        reserve = capacity.compute_reserve(view.positions[rank], view.ranks)
+        reserve = capacity.compute_reserve(snapshot.positions[rank], snapshot.ranks)
         return capacity.server_limit - reserve / capacity.servers
 
     def describe(self, service: str, now: float) -> CapacityState:
@@ -418,6 +439,10 @@
         """Record the slots in a server's load report."""
         self._estimator.note_slots(server_id, slots, now)
 
+    def find_reported_slots(self, server_id: str) -> int | None:
+        """Return the slots in a server's last load report; None if unknown."""
+        return self._estimator.find_reported_slots(server_id)
+
     def note_tokens(self, service: str, tokens: int, now: float) -> None:
         """Record the uncached prompt and expected output tokens of a request."""
         self._estimator.note_tokens(service, tokens, now)
@@ -499,25 +524,34 @@
         abandoned = sum(state.waiting.count_abandoned(now) for state in states)
         own = abandoned + _count_started(starts, states, now)
         positions, ranks = _rank_positions(starts, now)
+        capacity = self._estimator.measure(service, now)
+        starts.started = 0
+        starts.checked_at = now
         return _Snapshot(
             now,
-            self._estimator.measure(service, now),
+            capacity,
             self._demand.sum_up(service, now),
             own,
             positions,
             ranks,
             states,
             abandoned,
+            is_quiet=starts.is_reporting
+            and capacity.held < QUIET_SHARE * capacity.limit,
         )
 
-    def _view(self, service: str, now: float) -> _View:
+    def _find_snapshot(self, service: str, now: float) -> _Snapshot:
+        """Return what is known of a service; measure it again if that is due."""
         starts = self._open(service, now)
         snapshot = starts.snapshot
-        if snapshot is None or not 0 <= now - snapshot.at < SNAPSHOT_S:
+        if snapshot is None or not _is_current(starts, snapshot, now):
             snapshot = starts.snapshot = self._take_snapshot(service, starts, now)
-            own = snapshot.own
-        else:
-            own = snapshot.abandoned + _count_started(starts, snapshot.states, now)
+        return snapshot
+
+    def _view(self, service: str, now: float) -> _View:
+        starts = self._open(service, now)
+        snapshot = self._find_snapshot(service, now)
+        own = snapshot.abandoned + _count_started(starts, snapshot.states, now)
         capacity, peers = snapshot.capacity, snapshot.peers
         if capacity.servers and not starts.is_reporting:
             needed = min(MIN_REPORTING, capacity.servers)
@@ -544,6 +578,31 @@
         )
 
 
+def _is_current(starts: _ServiceStarts, snapshot: _Snapshot, now: float) -> bool:
+    """Return whether a service need not be measured again.
+
+    While it is quiet, load reports of its servers and own starts end that early.
+    """
+    age_s = now - snapshot.at
+    if 0 <= age_s < SNAPSHOT_S:
+        return True
+    if not snapshot.is_quiet or not 0 <= age_s < QUIET_SNAPSHOT_S:
+        return False
+    if 0 <= now - starts.checked_at < SNAPSHOT_S:
+        return True
+    starts.checked_at = now
+    most = QUIET_SHARE * snapshot.capacity.limit
+    if snapshot.capacity.held + starts.started >= most:
+        return False
+    return _sum_up_reports(snapshot.states, now) < most
+
+
+def _sum_up_reports(states: Sequence[ServerState], now: float) -> float:
+    """Return what servers hold if all hold as much as those with a recent report."""
+    loads = [state.load.requests for state in states if state.load.has_report(now)]
+    return sum(loads) * len(states) / len(loads) if loads else 0.0
+
+
 def _count_started(
     starts: _ServiceStarts, states: Sequence[ServerState], now: float
 ) -> int:
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -335,7 +335,7 @@
             return None
         if state.server.slots > 0:
             # The slots in a server's entry take precedence over those of its reports.
-            return lambda slots: overload.note_change()
+            return overload.note_load
         return lambda slots: overload.note_report(state.id, slots)
 
     def _note_notice(self, state: ServerState, notice: ServerNotice) -> None:
