Memory budget: fewer searches, one abort per connection; cut HTTP/1.0 answers end with a reset

- Freeing buffered data during an abort no longer enforces the budget again, which aborted and counted a connection twice.
- A new attempt ends the pause of the last one, so that its pauses are measured.
- A malformed request behind a waiting one is not answered in that one's place.
- abort() resets connections whose answer is delimited by the close, also without a budget: a plain close made the truncated answer look complete.

--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -122,6 +122,7 @@
         self._current: CallerRequest | None = None
         self._received_at = self._loop.time()
         self._chunked = False
+        self._until_close = False
         self._answer_started = False
         self.opened_at = self._loop.time()
         self.idle_until: float | None = None
@@ -251,6 +252,7 @@
         self._answer_started = True
         sent = list(headers)
         self._chunked = length is None and not request.http_1_0
+        self._until_close = length is None and not self._chunked
         if length is not None:
             sent.append((b"Content-Length", b"%d" % length))
         elif self._chunked:
@@ -280,6 +282,9 @@
         self.closed = True
         self._current = None
         if self._transport is not None:
+            if self._until_close:
+                # The kernel would otherwise end the connection as a complete answer.
+                reset_on_close(self._transport)
             self._transport.abort()
 
     def close_if_idle(self) -> None:
@@ -349,6 +354,7 @@
             self.memory.start_answer(self._queue[0].headers)
         self._current = self._queue.popleft()
         self._answer_started = False
+        self._until_close = False
         self._responder.accept_request(self._current)
 
     def _start_queued(self) -> None:
@@ -385,7 +391,12 @@
         """Refuse a request that can't be read, and close the connection."""
         if self._transport is None or self.closed:
             return
-        if self._current is None:
+        if self._current is None and self._queue and error.retry_after_s is None:
+            # The answer would be taken for that to the request that waits. A refusal
+            # with Retry-After holds for both: neither has run.
+            self.closed = True
+            self._transport.close()
+        elif self._current is None:
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             if error.retry_after_s is not None:
                 headers.append((b"Retry-After", b"%.2f" % error.retry_after_s))
--- a/src/ramppin/gateway/connection/heldmemory.py
+++ b/src/ramppin/gateway/connection/heldmemory.py
@@ -135,8 +135,10 @@
     def start_sending(self, request: SendingRequest) -> None:
         """Count what the server has not accepted of a request."""
         self._sending = request
-        # A new attempt is not paused, whatever the last one was.
-        self._holding.paused = False
+        if self._holding.paused:
+            # The last attempt was paused; this one is not.
+            self._holding.paused = False
+            self._set_paused(False)
         self._holding.to_server.note(request.count_unsent(), self._loop.time())
         self._update()
 
@@ -152,11 +154,14 @@
 
     def set_buffered(self, size: int) -> None:
         """Record the size of the part of the answer that is not yet forwarded."""
+        has_grown = size > self._holding.buffered_bytes
         if size == self._holding.buffered_bytes:
             return
         self._holding.buffered_bytes = size
         self._update()
-        self._budget.enforce(self._loop.time())
+        if has_grown:
+            # Not while memory is freed, which the budget itself does when it aborts.
+            self._budget.enforce(self._loop.time())
 
     @property
     def is_over_allowance(self) -> bool:
--- a/src/ramppin/gateway/process/memory.py
+++ b/src/ramppin/gateway/process/memory.py
@@ -63,6 +63,10 @@
 """Fraction of the budget down to which connections are aborted. Aborting a few at once
 costs less time than a search for each."""
 
+SEARCH_STEP_SHARE = 0.02
+"""Fraction of the budget by which the memory must grow before connections to abort are
+searched again, if a search found too few. Each write would search all connections."""
+
 CHECKS_PER_SWEEP = 256
 """Connections that one sweep measures, so that it never delays requests for long."""
 
@@ -243,6 +247,7 @@
         self._large: dict[Holding, None] = {}
         self._draining: dict[Holding, None] = {}
         self._was_high = False
+        self._search_above = budget_bytes
 
     # what connections hold
 
@@ -312,6 +317,8 @@
     def enforce(self, now: float) -> None:
         """Abort the connections of the slowest readers if the budget is exceeded."""
         if self.total_bytes <= self.budget_bytes:
+            self._search_above = self.budget_bytes
+        if self.total_bytes <= self._search_above:
             return
         target = self.budget_bytes * RELEASE_SHARE
         candidates = self._list_candidates(now)
@@ -328,6 +335,9 @@
                         heapq.heappush(candidates, again)
                 continue
             self._abort(holding, peer, now)
+        if self.total_bytes > self.budget_bytes:
+            step = int(self.budget_bytes * SEARCH_STEP_SHARE)
+            self._search_above = self.total_bytes + step
 
     def should_trim(self) -> bool:
         """Return whether freed memory should be returned to the system now.
@@ -343,6 +353,7 @@
         for holding in list(self._draining)[:CHECKS_PER_SWEEP]:
             self._draining.pop(holding, None)
             holding.owner.measure_buffers(now)
+        self._search_above = self.budget_bytes
         self.enforce(now)
 
     def _list_candidates(self, now: float) -> list[_Candidate]:
