--- a/features/overload_capacity/capacity.feature
+++ b/features/overload_capacity/capacity.feature
@@ -110,3 +110,19 @@
       | 10      | 5 rejected at once  | 8     |
       | 1       | 5 rejected          | 1     |
       | 10      | 5 needed, 3 slow    | 6.77  |
+
+  Scenario Outline: rank <position> of <ranks> at servers with <cache> cache tokens
+    Then with 45 servers of 24 slots and <cache> cache tokens rank <position> of <ranks> in use leaves <reserve> requests free
+
+    Examples: servers that order their queues by priority: 0.75 of the slots beyond the limit for the most urgent rank, none for the least urgent one or one alone
+      | cache  | position | ranks | reserve |
+      | 437820 | 0        | 3     | -810    |
+      | 437820 | 1        | 3     | -405    |
+      | 437820 | 2        | 3     | 0       |
+      | 437820 | 0        | 2     | -810    |
+      | 437820 | 0        | 1     | 0       |
+      | 0      | 0        | 3     | 0       |
+      | 0      | 2        | 3     | 172.8   |
+
+  Scenario: the learned limit of a service whose servers are all closed
+    Then rejections while all 4 servers are leaving do not set the limit for their return
--- a/features/overload_capacity/starts.feature
+++ b/features/overload_capacity/starts.feature
@@ -97,3 +97,52 @@
 
   Scenario: what is described
     Then the description of a busy service has its limit, held, free, share, source and age
+
+  Scenario Outline: rank <rank> beyond the limit, ranks <used> in use, <waiting> waiting
+    Then at servers that order their queues by priority, with <held> of 120 held, ranks "<used>" in use and "<waiting>" waiting, a request of rank <rank> "<may>" start
+
+    Examples: the room of rank 0 is 72 of 96 slots, that of rank 1 of three ranks 36
+      | held | used        | waiting | rank | may     |
+      | 191  | 0:1 1:1 2:1 | none    | 0    | may     |
+      | 192  | 0:1 1:1 2:1 | none    | 0    | may not |
+      | 155  | 0:1 1:1 2:1 | none    | 1    | may     |
+      | 156  | 0:1 1:1 2:1 | none    | 1    | may not |
+      | 119  | 0:1 1:1 2:1 | none    | 2    | may     |
+      | 120  | 0:1 1:1 2:1 | none    | 2    | may not |
+      | 119  | 0:1         | none    | 0    | may     |
+      | 120  | 0:1         | none    | 0    | may not |
+      | 140  | 0:1 1:1 2:1 | 0:5     | 1    | may     |
+      | 140  | 0:1 1:1 2:1 | 0:20    | 1    | may not |
+      | 140  | 0:1 1:1 2:1 | 2:20    | 1    | may     |
+
+  Scenario Outline: the server of a request of rank <rank> where servers hold <loads>, <cache> cache tokens
+    Then with servers that hold "<loads>" and <cache> cache tokens a request of rank <rank> goes to "<server>"
+
+    Examples: a server may hold 30, with a queue by priority 48 for rank 0; s1 is chosen last otherwise
+      | loads       | cache  | rank | server      |
+      | 30 29 30 30 | 0      | 0    | s1          |
+      | 30 29 30 30 | 0      | 2    | s1          |
+      | 30 29 30 30 | 437820 | 2    | s1          |
+      | 48 47 48 48 | 437820 | 0    | s1          |
+      | 20 20 20 20 | 0      | 0    | s0 s2 s3    |
+      | 30 29 30 30 | 437820 | 0    | s0 s2 s3    |
+      | 30 30 30 30 | 0      | 0    | s0 s2 s3    |
+
+  Scenario Outline: how often a service that holds <held> of 120 is measured
+    Then a service that holds <held> of 120 is measured <count> times for 10 requests in 1 s
+
+    Examples: below half of the limit at most every 0.5 s, after the first reports
+      | held | count |
+      | 0    | 3     |
+      | 59   | 3     |
+      | 61   | 10    |
+
+  Scenario Outline: a service that was measured 0.1 s ago at 40 of 120, then <event>
+    Then a service that holds 40 of 120 is "<state>" 0.1 s after its last measurement when "<event>"
+
+    Examples: load reports and own starts count before the next measurement
+      | event                    | state |
+      | nothing happens          | free  |
+      | servers report 72        | busy  |
+      | 33 requests start        | busy  |
+      | 20 requests start        | free  |
--- a/features/overload_path/rules.feature
+++ b/features/overload_path/rules.feature
@@ -55,6 +55,18 @@
       | stream | none   | 0.3   | inf      |
       | once   | 0.163  | none  | inf      |
 
+  Scenario Outline: until when a <kind> request may start: <limit> s left, answers take <stay>
+    Then a <kind> request with <limit> s left on a route whose answers take "<stay>" s may start within <latest> s
+
+    Examples: a stream that starts later is cut off by its deadline
+      | kind   | limit | stay    | latest |
+      | stream | 9     | none    | 2      |
+      | stream | 9     | 2 2     | 2      |
+      | stream | 3     | none    | 2      |
+      | stream | 3     | 2 2     | 1      |
+      | stream | 3     | 4       | -1     |
+      | once   | 3     | 2 2     | 3      |
+
   Scenario: the ticket holds what the settings and headers state
     Then the ticket of a prompt tells its rank, customer, weight, work, size and times
 
--- a/features/overload_queue/decisions.feature
+++ b/features/overload_queue/decisions.feature
@@ -95,6 +95,12 @@
       | on time                     | 2.0      | 1.0    | starts              |
       | too late for its caller     | 0.05     | 0.01   | is refused as too late |
 
+  Scenario: a request that may start at once does not overtake those that wait
+    Given starts at a rate of 0.2 per second and a queue of 1 requests
+    And 1 may start at once
+    When a request arrives with 2.0 s of patience and a target of 1.0 s
+    Then on arrival it is refused as too late
+
   Scenario: being late for the target alone is no reason for a refusal
     Given starts at a rate of 10 per second and a queue of 8 requests
     When a request arrives with 3 s of patience and a target of 0.2 s
--- a/features/steps/overload_capacity_steps.py
+++ b/features/steps/overload_capacity_steps.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import math
+import random
 import re
 from contextlib import contextmanager
 
@@ -43,6 +44,8 @@
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.hints import DATAGRAMS_PER_S
+from ramppin.gateway.process.routing.nearestselection import NearestSelection
+from ramppin.gateway.process.routing.selection import SelectionRequest
 from ramppin.gateway.process.routing.serverstate import BackendServer
 from ramppin.gateway.process.stalldetector import STALL_S, StallDetector
 from ramppin.gateway.version.routing import ServiceSpec
@@ -609,3 +612,106 @@
     assert is_near(found.free, 120 - found.held), found
     assert is_near(found.share, found.free / 4), found
     assert is_near(found.age_s, 0.05), found
+
+
+# ranks beyond the limit
+
+
+@then(
+    "with {servers:d} servers of {slots:d} slots and {cache:d} cache tokens rank "
+    "{position:d} of {ranks:d} in use leaves {reserve:g} requests free"
+)
+def step_room(context, servers, slots, cache, position, ranks, reserve):
+    estimator = build_estimator(build_servers(servers, slots), cache_tokens=cache)
+    found = estimator.measure(SERVICE, NOW).compute_reserve(position, ranks)
+    assert is_near(found, reserve), found
+
+
+@then(
+    "rejections while all 4 servers are leaving do not set the limit for their return"
+)
+def step_learned_closed(context):
+    # The limit of the whole service began at 1 and grew by single requests.
+    directory = build_servers(4, 0)
+    limiter = build_limiter(directory)
+    for is_leaving in (True, False):
+        for number in range(4):
+            fields = {"draining": is_leaving}
+            entry = BackendServer(f"s{number}", SERVICE, "127.0.0.1", 1, **fields)
+            directory.put(entry)
+        if is_leaving:
+            limiter.note_rejected(SERVICE, NOW)
+    assert limiter.describe(SERVICE, NOW).limit == 32
+
+
+@then(
+    "at servers that order their queues by priority, with {held:d} of 120 held, ranks "
+    '"{used}" in use and "{waiting}" waiting, a request of rank {rank:d} "{may}" start'
+)
+def step_beyond(context, held, used, waiting, rank, may):
+    directory = build_servers(4)
+    report_loads(directory, held, NOW)
+    limiter = build_limiter(directory, 2, cache_tokens=437_820)
+    wait_at_peer(limiter, parse_ranks(used), NOW - 1)
+    wait_at_peer(limiter, parse_ranks(waiting), NOW)
+    found = limiter.may_start(SERVICE, rank, NOW)
+    assert found == (may == "may"), limiter.describe(SERVICE, NOW)
+
+
+@then(
+    'with servers that hold "{loads}" and {cache:d} cache tokens a request of rank '
+    '{rank:d} goes to "{servers}"'
+)
+def step_server(context, loads, cache, rank, servers):
+    directory = build_servers(4)
+    # Without a limit, the server with most of this VM's requests is chosen last.
+    directory.find("s1").in_flight = 5
+    for state, load in zip(directory, loads.split(), strict=True):
+        state.note_load(int(load), 0, NOW)
+    limiter = build_limiter(directory, 2, cache_tokens=cache)
+    wait_at_peer(limiter, parse_ranks("0:1 2:1"), NOW)
+    limit = limiter.find_server_limit(SERVICE, rank, NOW)
+    for seed in range(20):
+        strategy = NearestSelection("", generator=random.Random(seed))
+        request = SelectionRequest(max_load=limit)
+        found = strategy.choose(request, list(directory), NOW).state.id
+        assert found in servers.split(), (found, limit)
+
+
+# how often capacity is measured
+
+
+@then(
+    "a service that holds {held:d} of 120 is measured {count:d} times for 10 requests "
+    "in 1 s"
+)
+def step_measured(context, held, count):
+    limiter = build_busy(held)
+    directory, estimator = limiter._directory, limiter._estimator
+    measure, calls = estimator.measure, []
+    estimator.measure = lambda *args: calls.append(args) or measure(*args)
+    for number in range(10):
+        now = NOW + 0.1 * number
+        report_loads(directory, held, now)
+        limiter.is_busy(SERVICE, now)
+    assert len(calls) == count, len(calls)
+
+
+@then(
+    'a service that holds 40 of 120 is "{state}" 0.1 s after its last measurement when '
+    '"{event}"'
+)
+def step_quiet(context, state, event):
+    limiter = build_busy(40)
+    for now in (NOW, NOW + 0.1):
+        report_loads(limiter._directory, 40, now)
+        limiter.is_busy(SERVICE, now)
+    now = NOW + 0.2
+    number = next(map(int, re.findall(r"\d+", event)), 0)
+    if "report" in event:
+        report_loads(limiter._directory, number, now)
+    elif "start" in event:
+        for _ in range(number):
+            limiter.note_started(SERVICE, 0, now)
+            limiter._directory.find("s0").in_flight += 1
+    assert limiter.is_busy(SERVICE, now) == (state == "busy")
--- a/features/steps/overload_rule_steps.py
+++ b/features/steps/overload_rule_steps.py
@@ -282,6 +282,33 @@
     assert not ticket.returned
 
 
+@then(
+    "a {kind} request with {limit:g} s left on a route whose answers take "
+    '"{stay}" s may start within {latest:g} s'
+)
+def step_latest(context, kind, limit, stay, latest):
+    async def build() -> Queueing:
+        limiter = SimpleNamespace(is_busy=lambda service, now: True)
+        control = OverloadControl(CheckedScheduler(60.0), limiter, ReturnDetector())
+        for text in stay.replace("none", "").split():
+            control.note_route_answered("r", float(text))
+        route = Route("r", HOST, "/", SERVICES, RouteKind(kind), target_s=0.5)
+        admission = Admission(
+            table=None,
+            route=route,
+            customer=None,
+            service="plain",
+            prefix_key=None,
+            fingerprint=8,
+            time_limit_s=limit,
+        )
+        request = CallerRequest(b"POST", b"/", [], b"", arrived=50.0)
+        return Queueing(SimpleNamespace(names=NAMES), control, admission, request, 9.0)
+
+    ticket = run(context, build()).ticket
+    assert abs(ticket.patient_until - 50.0 - latest) < 1e-9, ticket
+
+
 @then(
     "of {count:d} requests while the service is {state} and {waiting:d} wait "
     "{expected:d} are described in full"
--- a/src/ramppin/gateway/process/overload/capacity.py
+++ b/src/ramppin/gateway/process/overload/capacity.py
@@ -227,9 +227,9 @@
         for state in directory.list_service(service):
             # One open server that states its slots suffices for the whole service.
             is_stated = 0 < state.server.slots <= MAX_SLOTS
-            if is_stated or state.id in self._reported_slots:
-                if directory.accepts_new_requests(state):
-                    return None
+            is_stated = is_stated or state.id in self._reported_slots
+            if is_stated and directory.accepts_new_requests(state):
+                return None
         states = directory.list_open(service)
         if not states or any(self._list_slots(states, spec, now)):
             return None
