--- a/features/overload_queue/decisions.feature
+++ b/features/overload_queue/decisions.feature
@@ -95,6 +95,12 @@
       | on time                     | 2.0      | 1.0    | starts              |
       | too late for its caller     | 0.05     | 0.01   | is refused as too late |
 
+  Scenario: free capacity is used although the usual wait for a first byte exceeds the patience
+    Given starts at a rate of 0.2 per second and a queue of 0 requests
+    And 1 may start at once
+    When a request arrives with 0.08 s of patience and a target of 0.01 s
+    Then on arrival it starts
+
   Scenario: a request that may start at once does not overtake those that wait
     Given starts at a rate of 0.2 per second and a queue of 1 requests
     And 1 may start at once
