--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -42,7 +42,7 @@
 
 DISCARD_S = 2.0
 """Seconds for which the rest of a refused body is read and discarded. Closing at once
-would reset the connection, and the caller might lose the answer that tells it that the
+would reset the connection, and the caller might lose the answer that states that the
 request did not run."""
 
 
--- a/src/ramppin/gateway/process/overload/capacity.py
+++ b/src/ramppin/gateway/process/overload/capacity.py
@@ -71,10 +71,10 @@
     """Where the limit of a service and what it holds come from."""
 
     REPORTS = "reports"
-    """Slots are stated, and load reports tell what the servers hold."""
+    """Slots are stated, and load reports state what the servers hold."""
 
     REQUESTS = "requests"
-    """Slots are stated, and VMs tell each other their requests in flight."""
+    """Slots are stated, and VMs broadcast their requests in flight."""
 
     LEARNED = "learned"
     """Servers state no slots, and the limit is learned from answers."""
--- a/src/ramppin/gateway/process/overload/control.py
+++ b/src/ramppin/gateway/process/overload/control.py
@@ -32,8 +32,8 @@
 """First answers of each service that are all recorded, of which the mean consists."""
 
 ANSWERS_PER_SAMPLE = 8
-"""Answers of which one is recorded where a sample suffices. Recording one takes 10 µs
-with 4 servers and 40 µs with 45."""
+"""Answers of which one is recorded where a sample suffices. Recording one takes longer
+the more servers a service has."""
 
 
 REQUESTS_PER_SAMPLE = 8
--- a/src/ramppin/gateway/process/overload/returns.py
+++ b/src/ramppin/gateway/process/overload/returns.py
@@ -22,8 +22,8 @@
 
 EVEN_STEP = 0.618034
 """Step between two points of a sequence that covers [0, 1) evenly at any length (the
-golden ratio's fraction). Random points form clusters: of 100 requests refused at one
-moment, 42 returned within the same half second."""
+golden ratio's fraction). Random points form clusters, in
+which requests refused at one moment would return together again."""
 
 SPREAD_SHARE = 0.5
 """Share of the maximum over which returns are spread that fit no place in the sequence:
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -462,7 +462,7 @@
         if learned is not None:
             learned.note_rejected(now)
 
-    # What VMs tell each other.
+    # Demand messages of VMs.
 
     def find_demand(self, service: str, now: float) -> Demand:
         """Return this VM's demand for a service."""
@@ -480,7 +480,7 @@
         return view.held / view.capacity.limit if view.capacity.limit else 0.0
 
     def needs_demand(self, service: str, now: float) -> bool:
-        """Return whether VMs must tell each other their demand at any load.
+        """Return whether VMs must broadcast their demand at any load.
 
         That is so where servers report no load, while any VM has demand.
         """
--- a/src/ramppin/gateway/process/routing/prefixselection.py
+++ b/src/ramppin/gateway/process/routing/prefixselection.py
@@ -205,7 +205,7 @@
     def _is_interrupted(self, state: ServerState, now: float) -> bool:
         """Return whether a server is known to have started a long prompt just before.
 
-        A prefix that a peer has just placed counts as long: its length is not told.
+        A prefix that a peer has just placed counts as long: its length is not sent.
         """
         if state.long_prompts.has_recent(now):
             return True
--- a/src/ramppin/gateway/request/queueing.py
+++ b/src/ramppin/gateway/request/queueing.py
@@ -45,7 +45,7 @@
         deadline_s: the caller's deadline in seconds; None if it sent none.
 
     Attributes:
-        ticket: the request as the scheduler knows it; below capacity mostly without
+        ticket: the request as submitted to the scheduler; below capacity mostly without
             its work, target and patience, on which nothing depends there.
 
     .. versionadded:: 0.4
