Exchange and attempt: where a request goes and what answers it are parts of their own

A path selects where the next attempt goes and makes it; a destination classifies the answer and records what it shows. Both are abstract, with the direct path and the backend server as the only ones. Two tests follow the moved code (construction of an attempt, name of a logger).

--- a/features/steps/server_speed_pause_steps.py
+++ b/features/steps/server_speed_pause_steps.py
@@ -19,6 +19,7 @@
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin.gateway.process.routing.serverstate import BackendServer, ServerState
 from ramppin.gateway.request.attempt import MAX_BUFFERED_BYTES, Attempt
+from ramppin.gateway.request.destination import ServerDestination
 from ramppin.gateway.version.routingfile import TreeDecoder
 from ramppin.losses import Grouping, LossReport
 from ramppin_platform.records import PlatformDecoder
@@ -85,12 +86,11 @@
             self.names,
             SilentCaller(),
             REQUEST_ID,
-            self.state,
+            ServerDestination(self.names, self.state, note_notice=lambda notice: None),
             previous=self.attempt,
             streams=self.streams,
             resumable=self.resumable,
             may_take_over=lambda: False,
-            note_notice=lambda notice: None,
         )
 
     def build_head(self, status: int = 200, *headers: tuple) -> AnswerHead:
--- a/features/steps/server_speed_steps.py
+++ b/features/steps/server_speed_steps.py
@@ -90,7 +90,7 @@
 def step_rate(context, count, most):
     handler = CountingHandler()
     handler.addFilter(RepeatLimit(clock=lambda: 0.0))
-    logger = logging.getLogger("ramppin.gateway.request.attempt")
+    logger = logging.getLogger("ramppin.gateway.request.destination")
     logger.addHandler(handler)
     stream = SteppedStream(context, streams=True, resumable=False)
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -1,14 +1,14 @@
-"""One attempt to send a request to a backend server.
+"""One attempt to send a request.
 
 Sends the request, forwards a successful answer, and returns how the attempt ended.
-Owns the part of an answer that has not been forwarded; relies on :mod:`~.answerkind` to
-classify answers and on the server's health to detect that it is unresponsive.
+Owns the part of an answer that has not been forwarded; relies on its
+:class:`~.destination.Destination` to classify the answer and to detect that the other
+side is unresponsive.
 """
 
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 from ramppin.errors import BrokenAnswerError, NotSentError, ProtocolError
@@ -16,7 +16,6 @@
 from ramppin.gateway.connection.heldmemory import SendingRequest
 from ramppin.gateway.connection.httpwire import (
     HeaderNames,
-    Headers,
     find_header,
     keep_end_to_end,
 )
@@ -26,15 +25,13 @@
     AnswerReceiver,
     UpstreamConnection,
 )
-from ramppin.gateway.process.load.speed import MAX_PERCENT, MIN_PERCENT, parse_speed
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.memory import FREE_BYTES
-from ramppin.gateway.process.routing.serverstate import ServerState
-from ramppin.gateway.request.answerkind import AnswerKind, judge_answer
+from ramppin.gateway.request.answerkind import AnswerKind
+from ramppin.gateway.request.destination import Destination
 from ramppin.gateway.request.events import EventSplitter
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
-from ramppin.gateway.request.servernotice import NO_NOTICE, ServerNotice, parse_notice
-from ramppin.gateway.request.speedsamples import count_learned_tokens
+from ramppin.gateway.request.servernotice import NO_NOTICE, ServerNotice
 from ramppin.gateway.request.streampauses import StreamPauses
 
 MAX_BUFFERED_BYTES = 262_144
@@ -45,29 +42,22 @@
 """Interval in seconds at which the attempt checks whether the server is unresponsive: a
 quarter of the time after which it counts as such."""
 
-SPEED_INDEX = 3
-"""Position of the speed in a load report."""
-
-LOG = logging.getLogger(__name__)
-
 _LENGTH = frozenset({b"content-length"})
+"""Headers of an answer that the caller's connection sets."""
 
 
 class Attempt(AnswerReceiver, SendingRequest):
-    """Sends a request to one backend server and forwards its answer.
+    """Sends a request to one destination and forwards its answer.
 
     Args:
         names: configured header names.
         caller: the caller's connection.
         request_id: the request ID that the answer must have.
-        state: the backend server.
+        destination: where it is sent.
         previous: the attempt whose stream this one continues, or None.
         streams: whether data is forwarded as it arrives.
         resumable: whether only complete events are forwarded.
         may_take_over: returns whether another server could take over the request.
-        note_notice: called with the server's notice when an answer's head arrives.
-        note_load: called with the slots that a load report states, after the report
-            was recorded; None if nothing follows.
 
     Attributes:
         answer_started: whether part of an answer was sent to the caller, by this
@@ -81,24 +71,20 @@
         names: HeaderNames,
         caller: CallerConnection,
         request_id: bytes,
-        state: ServerState,
+        destination: Destination,
         *,
         previous: Attempt | None,
         streams: bool,
         resumable: bool,
         may_take_over: Callable[[], bool],
-        note_notice: Callable[[ServerNotice], None],
-        note_load: Callable[[int | None], None] | None = None,
     ) -> None:
         self._names = names
         self._caller = caller
         self._memory = caller.memory
         self._request_id = request_id
-        self._state = state
+        self._destination = destination
         self._streams = streams
         self._may_take_over = may_take_over
-        self._apply_notice = note_notice
-        self._note_load_change = note_load
         self._loop = asyncio.get_running_loop()
         self._result: asyncio.Future[AttemptResult] = self._loop.create_future()
         self._connection: UpstreamConnection | None = None
@@ -114,10 +100,6 @@
         self._paused = False
         self._check_timer: asyncio.TimerHandle | None = None
         self.answer_started: bool = previous.answer_started if previous else False
-        self._learned_tokens: int | None = None
-        self._pause_sum_s = 0.0
-        self._pause_count = 0
-        self._has_piece = False
         self._pauses = previous.pauses if previous else StreamPauses()
         self._events: EventSplitter | None = None
         if resumable:
@@ -153,10 +135,7 @@
         self._connection = connection
         self._received_at = self._loop.time()
         self._sent_at = self._received_at
-        self._state.waiting.note_sent(self, self._sent_at)
-        self._learned_tokens = count_learned_tokens(
-            request, self._names, self._state, self._sent_at
-        )
+        self._destination.note_sent(self, request, self._sent_at)
         timer = self._loop.call_at(ends_at, self.cancel, AttemptEnd.TIMED_OUT)
         self._check_unresponsive()
         try:
@@ -173,7 +152,7 @@
         except NotSentError as error:
             return AttemptResult(AttemptEnd.NOT_SENT, message=error.message)
         finally:
-            self._state.note_ended(self, self._loop.time())
+            self._destination.note_ended(self, self._loop.time())
             if self._memory is not None:
                 self._memory.end_sending()
             timer.cancel()
@@ -184,7 +163,7 @@
         """Cancel the attempt and abort the connection to the server."""
         if self._connection is not None:
             self._connection.abort()
-        self._state.health.note_unanswered(self._loop.time())
+        self._destination.note_unanswered(self._loop.time())
         self._note_received(due=False)
         self._finish(end)
 
@@ -197,10 +176,10 @@
         self._paused = paused
         self._note_received(due=not paused)
         if paused:
-            self._state.waiting.note_paused(self)
+            self._destination.note_paused(self)
             self._connection.pause()
         else:
-            self._state.waiting.note_sent(self, self._received_at)
+            self._destination.note_resumed(self, self._received_at)
             self._connection.resume()
 
     # called by the server's connection
@@ -208,19 +187,16 @@
     def accept_head(self, head: AnswerHead) -> bool:
         """Process an answer's head; return whether it belongs to this request."""
         self._note_bytes(due=True)
-        self._note_notice(head)
+        self._notice = self._destination.note_notice(head)
         found = find_header(head.headers, self._names.request_id)
         if found is None and head.status < 300:
             return False
         if found is not None and found != self._request_id:
             return False
-        self._state.times.wait.note(self._received_at - self._sent_at)
         self._head = head
-        self._kind = judge_answer(head, self._names)
-        self._note_load(head.headers)
-        if self._kind is AnswerKind.SUCCESS and self._learned_tokens is not None:
-            wait_s = self._received_at - self._sent_at
-            self._state.speed.note_wait(wait_s, self._learned_tokens, self._received_at)
+        self._kind = self._destination.judge(head)
+        wait_s = self._received_at - self._sent_at
+        self._destination.note_head(head, self._kind, wait_s, self._received_at)
         return True
 
     def accept_body(self, data: bytes) -> None:
@@ -269,10 +245,8 @@
             headers = keep_end_to_end(head.headers, _LENGTH)
             self._free_buffered()
             self._caller.send_answer(head.status, headers, b"".join(self._buffered))
-        if self._pause_count:
-            mean_s = self._pause_sum_s / self._pause_count
-            self._state.speed.note_pauses(mean_s, self._received_at)
-        self._state.health.note_outcome(kind.outcome, self._loop.time())
+        self._destination.note_success(self._received_at)
+        self._destination.note_outcome(kind.outcome, self._loop.time())
         self._finish(kind.end)
 
     def accept_failure(self, error: BrokenAnswerError) -> None:
@@ -326,20 +300,13 @@
     def _note_piece(self) -> None:
         """Record that a piece of the stream was forwarded."""
         now = self._received_at
-        pause_s = self._pauses.note_piece(now)
-        if self._learned_tokens is None:
-            return
-        # The pause before its first piece may be another server's.
-        if pause_s is not None and self._has_piece and self._state.speed.may_learn(now):
-            self._pause_sum_s += pause_s
-            self._pause_count += 1
-        self._has_piece = True
+        self._destination.note_pause(self._pauses.note_piece(now), now)
 
     # end of the attempt
 
     def _end_without_success(self, head: AnswerHead, kind: AnswerKind) -> None:
         """End the attempt after an answer that is not a success."""
-        self._state.health.note_outcome(kind.outcome, self._loop.time())
+        self._destination.note_outcome(kind.outcome, self._loop.time())
         if kind is AnswerKind.UNSIGNED:
             self._finish(kind.end, kind.value)
         else:
@@ -348,7 +315,7 @@
     def _fail(self, message: str) -> None:
         if self._result.done():
             return
-        self._state.health.note_outcome(Outcome.FAILED, self._loop.time())
+        self._destination.note_outcome(Outcome.FAILED, self._loop.time())
         if self._connection is not None:
             self._connection.abort()
         self._finish(AttemptEnd.FAILED, message)
@@ -377,18 +344,17 @@
             )
         )
 
-    # the server's health and load
+    # what arrives
 
     def _check_unresponsive(self) -> None:
-        """Fail the attempt if the server is unresponsive or has restarted.
+        """Fail the attempt if its destination is unresponsive.
 
         Only if another server can take over. Otherwise a lost answer would use up the
         whole time limit of a request that may be repeated.
         """
         if self._result.done():
             return
-        state, now = self._state, self._loop.time()
-        is_stalled = state.restarted or state.health.is_stalled(self._received_at, now)
+        is_stalled = self._destination.is_stalled(self._received_at, self._loop.time())
         if is_stalled and not self._paused and self._may_take_over():
             self._fail("the server went silent")
             return
@@ -403,8 +369,7 @@
             due: whether more data of this answer is expected.
         """
         self._received_at = self._loop.time()
-        awaited = due or self._state.in_flight > 1
-        self._state.health.note_received(self._received_at, awaited=awaited)
+        self._destination.note_received(self._received_at, due=due)
 
     def _note_bytes(self, *, due: bool) -> None:
         """Record that data of the answer arrived.
@@ -413,59 +378,4 @@
             due: whether more data of this answer is expected.
         """
         self._note_received(due=due)
-        self._state.waiting.note_bytes(self, self._received_at)
-
-    def _note_notice(self, head: AnswerHead) -> None:
-        """Record the server's notice, even if the answer is to another request.
-
-        A late answer to an earlier request comes from the same server.
-        """
-        self._notice = parse_notice(head, self._names)
-        self._apply_notice(self._notice)
-        if self._notice.unreadable:
-            LOG.warning(
-                "Retry-After is neither seconds nor a date and is ignored: %.40r",
-                self._notice.unreadable,
-                extra={"peer": self._state.server.name, "step": "answer"},
-            )
-
-    def _note_load(self, headers: Headers) -> None:
-        """Record the load that an answer reports, ``RUNNING,WAITING,SLOTS[,SPEED]``."""
-        report = find_header(headers, self._names.load)
-        if report is None:
-            return
-        numbers = report.split(b",")
-        if len(numbers) >= 2 and numbers[0].isdigit() and numbers[1].isdigit():
-            self._state.note_load(int(numbers[0]), int(numbers[1]), self._received_at)
-            if len(numbers) > SPEED_INDEX:
-                self._note_speed(numbers[SPEED_INDEX])
-            if self._note_load_change is not None:
-                self._note_load_change(_parse_slots(numbers))
-            return
-        LOG.warning(
-            "a load report is not RUNNING,WAITING and is ignored: %.40r",
-            report,
-            extra={"peer": self._state.server.name, "step": "answer"},
-        )
-
-    def _note_speed(self, figure: bytes) -> None:
-        """Record the speed in a load report; ignore a malformed one."""
-        percent = parse_speed(figure)
-        if percent is not None:
-            self._state.speed.note_report(percent, self._received_at)
-            return
-        LOG.warning(
-            "a server's speed is not a number from %d to %d and is ignored: %.40r",
-            MIN_PERCENT,
-            MAX_PERCENT,
-            figure,
-            extra={"peer": self._state.server.name, "step": "answer"},
-        )
-
-
-def _parse_slots(numbers: list[bytes]) -> int | None:
-    """Return the slots of a load report; None if it states none or is malformed."""
-    try:
-        return int(numbers[2]) if len(numbers) > 2 else None
-    except ValueError:
-        return None
+        self._destination.note_bytes(self, self._received_at)
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -1,28 +1,22 @@
 """Processing of one caller request from its arrival to its final answer.
 
 Applies decisions made elsewhere: admission (:mod:`~.admission`), the request's turn
-under overload control (:mod:`~.queueing`), server selection
-(:mod:`ramppin.gateway.process.routing.selection`), retries (:mod:`~.retry`) and the
-final answer (:mod:`~.finalanswer`). Owns the request's progress, but neither the
-caller's connection nor the shared state of the process.
+under overload control (:mod:`~.queueing`), the path of each attempt (:mod:`~.path`),
+retries (:mod:`~.retry`) and the final answer (:mod:`~.finalanswer`). Owns the request's
+progress, but neither the caller's connection nor the shared state of the process.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-from collections.abc import Callable
 
 from ramppin.gateway.connection.callerwire import CallerConnection
 from ramppin.gateway.connection.httpwire import Headers, find_header, keep_end_to_end
 from ramppin.gateway.connection.requestreader import CallerRequest
-from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.context import GatewayContext
-from ramppin.gateway.process.membership.servernotices import NoticeSource
 from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.overload.ticket import Turn
-from ramppin.gateway.process.routing.selection import Selection
-from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.admission import (
     Admission,
     Denial,
@@ -30,9 +24,8 @@
     choose_first_read_wait_s,
     parse_deadline,
 )
-from ramppin.gateway.request.attempt import Attempt
-from ramppin.gateway.request.connecting import connect
 from ramppin.gateway.request.crashwatch import CrashWatch
+from ramppin.gateway.request.directpath import DirectPath
 from ramppin.gateway.request.finalanswer import (
     Ending,
     FinalAnswer,
@@ -42,14 +35,13 @@
     answer_refused,
     answer_stopped,
 )
+from ramppin.gateway.request.path import ServedRequest
 from ramppin.gateway.request.queueing import Queueing
 from ramppin.gateway.request.report import RequestReport
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
-from ramppin.gateway.request.retry import Progress, Verdict
+from ramppin.gateway.request.retry import Progress
 from ramppin.gateway.request.retrying import RetryControl
 from ramppin.gateway.request.serverchoice import ServerChoice
-from ramppin.gateway.request.servernotice import ServerNotice
-from ramppin.gateway.request.upstreamhead import RequestHeadBuilder
 
 _REPLACED = frozenset({b"content-length", b"retry-after"})
 """Headers of a relayed answer that the gateway replaces."""
@@ -76,10 +68,9 @@
         self._connection = connection
         self._request = request
         self._loop = asyncio.get_running_loop()
-        self._attempt: Attempt | None = None
+        self._served: ServedRequest | None = None
         self._queueing: Queueing | None = None
         self._disconnected = False
-        self._last_server = ""
         self._progress = Progress()
         self._ends_at = 0.0
         self._request_id = request.find(context.names.request_id) or b""
@@ -92,13 +83,16 @@
         self._disconnected = True
         if self._queueing is not None:
             self._queueing.cancel()
-        if self._attempt is not None:
-            self._attempt.cancel(AttemptEnd.CALLER_DISCONNECTED)
+        served = self._served
+        if served is not None:
+            served.disconnected = True
+            if served.attempt is not None:
+                served.attempt.cancel(AttemptEnd.CALLER_DISCONNECTED)
 
     def set_paused(self, paused: bool) -> None:
         """Pause or resume reading the server's answer."""
-        if self._attempt is not None:
-            self._attempt.set_paused(paused)
+        if self._served is not None and self._served.attempt is not None:
+            self._served.attempt.set_paused(paused)
 
     # processing the request
 
@@ -131,7 +125,9 @@
             context.in_flight -= 1
             # It refers back to the exchange, and the garbage collector would free its
             # answer and the request's body late.
-            self._attempt = None
+            if self._served is not None:
+                self._served.attempt = None
+            self._served = None
 
     async def _wait_for_first_read(self) -> None:
         """Wait until settings and servers have been read for the first time."""
@@ -197,155 +193,63 @@
             queueing.end()
 
     async def _serve(self, admission: Admission) -> None:
-        builder = RequestHeadBuilder(
-            self._context.names, self._request, admission.route, admission.customer
+        served = self._served = ServedRequest(
+            self._context,
+            self._connection,
+            self._request,
+            self._request_id,
+            admission,
+            self._report,
+            self._progress,
+            self._ends_at,
+            self._queueing,
         )
         # Crashes are recorded beyond the exchange. Otherwise a request that crashes
         # every server that runs it is sent to one server after another, by all VMs.
         watch = CrashWatch(self._context, admission.fingerprint)
         choice = ServerChoice(self._context, admission, watch)
         retries = RetryControl(
-            self._context, admission, self._progress, choice, watch, self._report
+            self._context,
+            admission,
+            self._progress,
+            choice,
+            watch,
+            self._report,
         )
+        path = DirectPath(served, choice, watch, retries)
         last: AttemptResult | None = None
         while not self._disconnected:
             now = self._loop.time()
             verdict = retries.judge_try(self._ends_at - now, now)
-            selection = choice.select(now) if verdict.allows else verdict
-            if isinstance(selection, Verdict):
+            if verdict.allows:
+                verdict = path.select(now)
+            if not verdict.allows:
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
-                final = answer_stopped(self._progress, last, selection, pause_s)
+                final = answer_stopped(self._progress, last, verdict, pause_s)
                 self._end(admission, final, choice.closed)
                 return
+            self._progress.tries += 1
             started = self._loop.time()
-            last = await self._try(admission, selection, builder, choice, retries)
+            last = await path.send()
             now = self._loop.time()
-            watch.note_attempt(selection.state, last, started, now)
+            path.note_result(last, started, now)
             if last.notice.backoff_s > 0:
                 self._progress.backoff_refusals += 1
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
-                self._report.note_attempt(admission, selection, last, now)
+                path.report(last, now)
                 status = 0 if self._disconnected else last.status
                 self._report.count_request(admission.service, status)
                 return
             if last.last_event_id is not None:
-                builder.resume_after(last.last_event_id)
+                served.last_event_id = last.last_event_id
             verdict = retries.judge_retry(last, now)
-            self._report.note_attempt(admission, selection, last, now, verdict)
+            path.report(last, now, verdict)
             if not verdict.allows:
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_failed(self._progress, last, verdict, pause_s)
                 self._end(admission, final, choice.closed)
                 return
 
-    # sending
-
-    async def _try(
-        self,
-        admission: Admission,
-        selection: Selection,
-        builder: RequestHeadBuilder,
-        choice: ServerChoice,
-        retries: RetryControl,
-    ) -> AttemptResult:
-        """Make one attempt at the selected server."""
-        state = selection.state
-        self._progress.tries += 1
-        self._last_server = state.server.name
-        # Counted before connecting, so that other selections include this request.
-        state.in_flight += 1
-        started = self._loop.time()
-        try:
-            connection = await connect(self._context, admission.route, state)
-            if isinstance(connection, AttemptResult):
-                return connection
-            now = self._loop.time()
-            is_late = self._disconnected or self._ends_at <= now
-            obstacle = (
-                "caller disconnected or time limit expired"
-                if is_late
-                else choice.find_obstacle(state, now)
-            )
-            if obstacle:
-                self._context.pool.release_unused(connection)
-                return AttemptResult(AttemptEnd.NOT_SENT, message=obstacle)
-            result = await self._send(
-                admission, selection, builder, retries, connection
-            )
-            took_s = self._loop.time() - started
-            if result.end is AttemptEnd.DELIVERED:
-                state.times.stay.note(took_s)
-            if self._queueing is not None:
-                self._queueing.note_attempt(state.server, result.end, took_s)
-            result.lost = connection.was_lost or state.restarted
-            if connection.was_timed_out:
-                self._context.pool.note_timed_out(connection)
-            share = self._context.share_connections(admission.service)
-            spare = None if share is None else share - state.in_flight
-            self._context.pool.release(connection, spare_connections=spare)
-            return result
-        finally:
-            state.in_flight -= 1
-
-    async def _send(
-        self,
-        admission: Admission,
-        selection: Selection,
-        builder: RequestHeadBuilder,
-        retries: RetryControl,
-        connection: UpstreamConnection,
-    ) -> AttemptResult:
-        """Send the request over a connection and forward its answer."""
-        now, state, route = self._loop.time(), selection.state, admission.route
-        attempt = Attempt(
-            self._context.names,
-            self._connection,
-            self._request_id,
-            state,
-            previous=self._attempt,
-            streams=route.kind.is_stream,
-            resumable=route.resumable,
-            may_take_over=lambda: self._may_take_over(retries),
-            note_notice=lambda notice: self._note_notice(state, notice),
-            note_load=self._choose_load_listener(state),
-        )
-        self._attempt = attempt
-        source = self._context.directory.find_copy_source(selection.copy_from, now)
-        head = builder.build(state.server.name, self._ends_at - now, source)
-        self._progress.runs += 1
-        state.health.note_sent(now)
-        result = await attempt.run(connection, head, self._request, self._ends_at)
-        if result.end is AttemptEnd.REJECTED:
-            self._progress.runs -= 1
-        self._progress.answer_started = attempt.answer_started
-        return result
-
-    def _may_take_over(self, retries: RetryControl) -> bool:
-        """Return whether another server may take over from the current one."""
-        if self._attempt is not None:
-            self._progress.answer_started = self._attempt.answer_started
-        return retries.judge_takeover(self._loop.time()).allows
-
-    def _choose_load_listener(
-        self, state: ServerState
-    ) -> Callable[[int | None], None] | None:
-        """Return what is called after a load report of a server, or None."""
-        overload = self._context.overload
-        if overload is None:
-            return None
-        if state.server.slots > 0:
-            # The slots in a server's entry take precedence over those of its reports.
-            return overload.note_load
-        return lambda slots: overload.note_report(state.id, slots)
-
-    def _note_notice(self, state: ServerState, notice: ServerNotice) -> None:
-        """Record a notice that a server sent in an answer."""
-        notices, now = self._context.directory.notices, self._loop.time()
-        if notice.leaving:
-            notices.note_leaving(state.id, NoticeSource.ANSWER, now)
-        if notice.backoff_s > 0:
-            notices.note_backoff(state.id, notice.backoff_s, now)
-
     # final answer
 
     def _end(
@@ -372,7 +276,7 @@
             admission,
             self._progress,
             final,
-            server=self._last_server,
+            server=self._served.last_server if self._served else "",
             closed=closed,
             time_left_s=self._ends_at - now,
             now=now,
