--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -113,6 +113,8 @@
     Attributes:
         trial: form of the only cut, at 2 s and until the end; empty for harms.
         cut_share: share of the VMs that a trial cuts off.
+        held_s: how long VMs cut off held requests that they did not serve.
+        unserved: what these VMs tell of them.
     """
 
     trial: str = ""
@@ -121,12 +123,15 @@
     broken: list[str] = field(default_factory=list)
     spans: list[CutSpan] = field(default_factory=list)
     held_s: list[float] = field(default_factory=list)
+    unserved: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         super().__post_init__()
         self.servers = RunServers(self.random)
         self.fixture.program = "features.cut_vm"
         self._ids = 0
+        self._cut_until = float("-inf")
+        self._harmed_at: list[float] = []
         self._tries: dict[tuple[float, bool], Tries] = {
             (after_s, cut): Tries()
             for after_s in (RULE_S, TARGET_S)
@@ -187,8 +192,9 @@
         path.with_suffix(".new").replace(path)
 
     async def _cut(self, vms: list[str], cut: Cut, for_s: float) -> None:
-        """Cut VMs off for a while."""
+        """Cut VMs off for a while; one cut at a time, or none might reach a service."""
         begin = time.monotonic()
+        self._cut_until = begin + for_s
         if cut.ports is None:
             self.spans.append(CutSpan(frozenset(vms), begin, begin + for_s))
         else:
@@ -204,10 +210,10 @@
         return FORMS[self.fault_random.choice(list(FORMS))]
 
     async def _cut_share(self, share: float) -> None:
-        if any(span.end > time.monotonic() for span in self.spans):
-            return
+        form, for_s = self._draw_form(), self.fault_random.uniform(2.0, 6.0)
         vms = self.fault_random.sample(list(self.hosts), round(share * self.vms))
-        await self._cut(vms, self._draw_form(), self.fault_random.uniform(2.0, 6.0))
+        if time.monotonic() >= self._cut_until:
+            await self._cut(vms, form, for_s)
 
     async def _cut_some(self) -> None:
         """Cut half of the VMs off from all servers."""
@@ -218,12 +224,10 @@
         await self._cut_share(0.75)
 
     async def _cut_part(self, ports: list[int]) -> None:
-        if any(span.end > time.monotonic() for span in self.spans):
-            return
-        form = self._draw_form()
-        cut = Cut(form.new, form.open, ports)
+        form, for_s = self._draw_form(), self.fault_random.uniform(1.0, 3.0)
         vms = self.fault_random.sample(list(self.hosts), self.vms // 2)
-        await self._cut(vms, cut, self.fault_random.uniform(1.0, 3.0))
+        if time.monotonic() >= self._cut_until:
+            await self._cut(vms, Cut(form.new, form.open, ports), for_s)
 
     async def _cut_domain(self) -> None:
         """Cut VMs off from the servers of one failure domain."""
@@ -237,6 +241,11 @@
         servers = self.servers.servers
         await self._cut_part([s.port for s in servers if s.service == service])
 
+    async def _stop_vm(self) -> None:
+        self._harmed_at.append(time.monotonic())
+        await super()._stop_vm()
+        self._harmed_at.append(time.monotonic())
+
     async def _drain_vm(self) -> None:
         """Stop a VM as planned, and start it again."""
         vm = self.fault_random.choice(list(self.hosts))
@@ -271,18 +280,36 @@
         self.statuses[200 if served else answer.status or "closed"] += 1
         self._check_answer(path, request_id, answer)
         if self.was_calm(vm, now, CALM_S) and vm in self.running:
-            self._note_first_try(vm, sent_at, now, served)
+            is_late = self._note_first_try(vm, sent_at, now, served)
+            if is_late and not served:
+                self.unserved.append(await self._explain(vm, request_id, answer))
+
+    async def _explain(self, vm: str, request_id: str, answer: RawAnswer) -> str:
+        """Return what a VM tells operators of a request that it did not serve."""
+        target = f"/explain/{request_id}"
+        found = await self.fixture.ask_operator(vm, self.hosts[vm], target)
+        tried = " ".join(
+            f"{d.get('through') or d['server']}:{d.get('end', '')}:{d['rule']}"
+            for d in json.loads(found).get("decisions", [])
+        )
+        at = f"{time.monotonic() - self.started_at:.2f}"
+        return f"{request_id} @{at}: {answer.status} {tried}"
 
     def _note_first_try(
         self, vm: str, sent_at: float, now: float, served: bool
-    ) -> None:
+    ) -> bool:
+        """Count a first try; return whether its VM should have served it."""
+        is_due = False
         for span in self.spans:
             for after_s in (RULE_S, TARGET_S):
                 if span.begin + after_s <= sent_at < span.end:
                     self._tries[after_s, vm in span.vms].note(served)
             is_late = span.begin + TARGET_S <= sent_at < span.end
-            if is_late and vm in span.vms and not served:
-                self.held_s.append(now - sent_at)
+            if is_late and vm in span.vms:
+                is_due = True
+                if not served:
+                    self.held_s.append(now - sent_at)
+        return is_due
 
     def _check_answer(self, path: str, request_id: str, answer: RawAnswer) -> None:
         runs = self.servers.runs.get(request_id, 0)
@@ -323,7 +350,13 @@
         if self.servers.runs.get(request_id) and calm and not self._is_cut_at(left_at):
             ended_at = self.servers.ended_at.get(request_id, float("inf"))
             if ended_at > left_at + LEAVE_S:
-                self.broken.append(f"{request_id} worked on after its caller had left")
+                worked_s = ended_at - left_at
+                stops = [f"{at - self.started_at:.2f}" for at in self._harmed_at]
+                told = await self._explain(vm, request_id, RawAnswer())
+                self.broken.append(
+                    f"{request_id} worked on for {worked_s:.2f} s after its caller "
+                    f"left at {left_at - self.started_at:.2f}: {told}; stops: {stops}"
+                )
 
     def _is_cut_at(self, moment: float) -> bool:
         """Return whether a cut began at most a second before; it holds closes up."""
@@ -356,7 +389,7 @@
         return (
             f"cut off {cut.served} of {cut.asked}, others {others.served} of "
             f"{others.asked}; failed ones held {middle} s; answers {statuses}; "
-            f"{' '.join(self.faults)}"
+            f"{' '.join(self.faults)}; unserved: {self.unserved[:4]}"
         )
 
 
@@ -364,7 +397,7 @@
     """Return a run whose harms the seed draws."""
     generator = random.Random(f"form-{seed}")
     harms = generator.sample(HARMS, generator.randint(4, len(HARMS)))
-    return PartitionSoak(seed, seconds, vms, tuple({"cut_some", *harms}))
+    return PartitionSoak(seed, seconds, vms, tuple(sorted({"cut_some", *harms})))
 
 
 def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
--- /dev/null
+++ b/features/partitioned_vms/reachability.feature
@@ -0,0 +1,47 @@
+Feature: a VM tells a fault of its own path from a fault of servers
+
+  Scenario Outline: <case>
+    # f: failed, n: answers a new connection, o: an old one, p: another VM reached it, k: a probe
+    When a VM before servers a1 a2 b1 b2 c1 observes "<events>"
+    Then its path is <status>
+
+    Examples:
+      | case                                                       | events                         | status    |
+      | one server fails                                           | f:a1 f:a1 f:a1                 | working   |
+      | two servers fail                                           | f:a1 f:b1                      | working   |
+      | three servers of two failure domains fail                  | f:a1 f:a2 f:b1                 | suspected |
+      | a failure domain fails                                     | f:a1 f:a2 f:a1                 | working   |
+      | three fail, and one of them answers another VM             | f:a1 f:a2 f:b1 p:b1            | lost      |
+      | three fail, and one that did not fail answers another VM   | f:a1 f:a2 f:b1 p:c1            | suspected |
+      | another VM reached it before it failed                     | p:b1 f:a1 f:a2 f:b1            | suspected |
+      | a new connection is answered in between                    | f:a1 f:a2 n:c1 f:b1            | working   |
+      | an open connection is answered in between                  | f:a1 f:a2 o:c1 f:b1            | suspected |
+      | a new connection is answered after the path was lost       | f:a1 f:a2 f:b1 p:b1 n:c1       | working   |
+      | one probe succeeds                                         | f:a1 f:a2 f:b1 k:a1            | suspected |
+      | two probes succeed in a row                                | f:a1 f:a2 f:b1 k:a1 k:b1       | working   |
+      | two probes succeed, not in a row                           | f:a1 f:a2 f:b1 k:a1 f:b1 k:a1  | suspected |
+      | it is lost again soon, and two probes succeed              | f:a1 f:a2 f:b1 k:a1 k:b1 f:a1 f:a2 f:b1 k:a1 k:b1 | suspected |
+      | it is lost again soon, and four probes succeed             | f:a1 f:a2 f:b1 k:a1 k:b1 f:a1 f:a2 f:b1 k:a1 k:b1 k:a1 k:b1 | working |
+
+  Scenario: failures of long ago do not add up
+    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2"
+    And 4 s later it observes "f:b1"
+    Then its path is working
+
+  Scenario: a server whose failures were the path's is used at once when the path is back
+    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 k:a1 k:b1"
+    Then none of its servers is suspect
+
+  Scenario: a server that failed alone stays ejected when others answer
+    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 n:b1"
+    Then its server a1 is suspect
+
+  Scenario: another service is avoided too while it has no answer
+    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 p:b1"
+    Then it avoids the service "other" until a server of it answers
+
+  Scenario: crashes, lost failure domains and slow servers are no fault of the path
+    Then in 10000 random runs without a cut the path is never lost
+
+  Scenario: a cut is known within a second of the first failure at one request a second
+    Then in 200 random runs with a cut the path is avoided within 1 s
--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -105,6 +105,9 @@
         state: shared by the listener's connections.
         build_responder: returns the responder for a connection.
 
+    Attributes:
+        answer_headers: further headers of the answers.
+
     .. versionadded:: 0.2
     """
 
@@ -129,6 +132,13 @@
         self.head_due: float | None = None
         self.closed = False
         self.memory: HeldMemory | None = None
+        self.answer_headers: Headers = []
+
+    @property
+    def peer_host(self) -> str:
+        """IP address of the other side; empty once it is unknown."""
+        found = self._transport and self._transport.get_extra_info("peername")
+        return str(found[0]) if found else ""
 
     @property
     def idle(self) -> bool:
@@ -366,8 +376,8 @@
         if self._state.draining:
             request.keep_alive = False
         if request.keep_alive:
-            return []
-        return [(b"Connection", b"close")]
+            return self.answer_headers
+        return [*self.answer_headers, (b"Connection", b"close")]
 
     def _finish(self, request: CallerRequest) -> None:
         self._current = None
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -149,6 +149,8 @@
         leaving: servers that announced in answers that they are leaving.
         backoffs: servers that asked the sender for a back-off.
         demands: the sender's demand for services; left out of the encoding if empty.
+        unreachable: services whose backend servers the sender does not reach; left out
+            of the encoding if empty.
     """
 
     vm: str
@@ -163,6 +165,7 @@
     leaving: list[LeavingHint] = []
     backoffs: list[BackoffHint] = []
     demands: list[DemandHint] = []
+    unreachable: list[str] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -173,8 +176,8 @@
     """Return the datagram of hints.
 
     Values that few VMs need are left out at the end, so that the bytes are the same as
-    those of versions without them: the usual speed of a server, and the demands, which
-    only VMs with overload control send.
+    those of versions without them: the usual speed of a server, the demands, which only
+    VMs with overload control send, and services that the sender does not reach.
     """
     if hints.loads:
         loads = [
@@ -185,7 +188,9 @@
         ]
         hints = msgspec.structs.replace(hints, loads=cast(list[LoadHint], loads))
     fields = msgspec.structs.astuple(hints)
-    return _ENCODER.encode(fields if hints.demands else fields[:-1])
+    if hints.unreachable:
+        return _ENCODER.encode(fields)
+    return _ENCODER.encode(fields[:-1] if hints.demands else fields[:-2])
 
 
 class DatagramLink(asyncio.DatagramProtocol):
--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -56,10 +56,15 @@
         backup_to: the backend server to which that memory is copied as it grows.
         resume_from: a copy of a run's memory from which the request is resumed.
         weights_version: the only version of the weights that may serve it.
+        forwarded: version of the protocol between VMs, in requests that one VM passes
+            to another.
+        forward_refused: why a VM did not pass such a request on; it has not run.
+        served_by: the backend server that answered such a request.
         never_from_caller: headers that only ramppin may send to a server. A caller
             could use them to claim a server's memory or a place in its queue; an
             instruction that no server recognizes is refused by each in turn.
         always_from_caller: headers forwarded even if ``Connection`` lists them.
+        between_vms: headers that only VMs send to each other.
 
     .. versionadded:: 0.2
     """
@@ -85,13 +90,18 @@
     backup_to: bytes = b"ramppin-backup-to"
     resume_from: bytes = b"ramppin-resume-from"
     weights_version: bytes = b"ramppin-weights-version"
+    forwarded: bytes = b"ramppin-forwarded"
+    forward_refused: bytes = b"ramppin-forward-refused"
+    served_by: bytes = b"ramppin-served-by"
 
     never_from_caller: frozenset[bytes] = field(init=False)
     always_from_caller: frozenset[bytes] = field(init=False)
+    between_vms: frozenset[bytes] = field(init=False)
 
     def __post_init__(self) -> None:
-        """Derive the two sets from the names."""
-        never = {
+        """Derive the sets from the names."""
+        between = {self.forwarded, self.forward_refused, self.served_by}
+        never = between | {
             self.api_key,
             self.customer,
             self.server,
@@ -113,6 +123,7 @@
         }
         object.__setattr__(self, "never_from_caller", frozenset(never))
         object.__setattr__(self, "always_from_caller", frozenset(always))
+        object.__setattr__(self, "between_vms", frozenset(between))
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/src/ramppin/gateway/connection/pool.py
+++ b/src/ramppin/gateway/connection/pool.py
@@ -33,7 +33,14 @@
         self.opened = 0
 
     async def acquire(
-        self, peer: str, host: str, port: int, *, repeatable: bool
+        self,
+        peer: str,
+        host: str,
+        port: int,
+        *,
+        repeatable: bool,
+        source_host: str | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> UpstreamConnection:
         """Return an idle connection, or open a new one.
 
@@ -42,6 +49,8 @@
             host: its address.
             port: its port.
             repeatable: whether the request may be sent again if it fails.
+            source_host: local address of a new connection; None for any.
+            timeout_s: seconds to establish it.
 
         Raises:
             NotSentError: no connection could be established.
@@ -54,21 +63,35 @@
             if _is_usable(connection, now, limit_s):
                 return connection
             connection.abort()
-        return await self.open(peer, host, port)
-
-    async def open(self, peer: str, host: str, port: int) -> UpstreamConnection:
+        return await self.open(
+            peer, host, port, source_host=source_host, timeout_s=timeout_s
+        )
+
+    async def open(
+        self,
+        peer: str,
+        host: str,
+        port: int,
+        *,
+        source_host: str | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> UpstreamConnection:
         """Open a new connection.
 
         Args:
             peer: the backend server's id.
             host: its address.
             port: its port.
+            source_host: its local address; None for any.
+            timeout_s: seconds to establish it.
 
         Raises:
             NotSentError: the connection could not be established.
         """
         self.opened += 1
-        return await open_connection(host, port, peer, timeout_s=CONNECT_TIMEOUT_S)
+        return await open_connection(
+            host, port, peer, timeout_s=timeout_s, source_host=source_host
+        )
 
     def note_timed_out(self, connection: UpstreamConnection) -> int:
         """Close the idle connections to the peer of a connection that timed out.
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -23,6 +23,9 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 """Statuses of answers without a body (RFC 9112, section 6.3)."""
 
+CONTINUE_STATUS = 100
+"""Status that asks for the body of a request with ``Expect: 100-continue``."""
+
 PIECE_BYTES = 65_536
 """Size of the pieces in which a body is sent if it is sent in pieces. A body that is
 written at once is copied into the write buffer if the server does not read it."""
@@ -54,6 +57,9 @@
     def accept_head(self, head: AnswerHead) -> bool:
         """Handle the head; return False if it answers another request."""
 
+    def accept_continue(self) -> None:  # noqa: B027
+        """Handle ``100 Continue``, which only requests that expect it get."""
+
     @abstractmethod
     def accept_body(self, data: bytes) -> None:
         """Handle part of the body."""
@@ -75,6 +81,7 @@
 
     Attributes:
         peer: as given.
+        opened_at: event-loop time at which the connection was established.
         idle_since: event-loop time at which the connection became idle.
         keep_alive_s: idle time-out announced by the server in ``Keep-Alive``, or
             None.
@@ -86,6 +93,7 @@
 
     def __init__(self, peer: str) -> None:
         self.peer = peer
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.was_timed_out = False
@@ -124,6 +132,7 @@
         """Store the transport and set its time-outs."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.opened_at = self._loop.time()
         set_tcp_timeouts(transport, UPSTREAM_TIMEOUTS)
 
     def data_received(self, data: bytes) -> None:
@@ -201,6 +210,15 @@
             return
         self._transport.write(head + body if body else head)
 
+    def send_body(self, data: bytes) -> None:
+        """Send the body of a request whose head was sent alone."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        transport.set_write_buffer_limits(high=0)
+        self._rest = memoryview(data)
+        self._send_rest()
+
     def pause(self) -> None:
         """Stop reading, to apply backpressure to the server."""
         if self._transport and not self._transport.is_closing():
@@ -238,6 +256,8 @@
             return
         status = parser.get_status_code()
         if status < 200:
+            if status == CONTINUE_STATUS:
+                receiver.accept_continue()
             return
         length = _read_length(self._headers)
         chunked = find_header(self._headers, b"transfer-encoding") is not None
@@ -336,10 +356,22 @@
 
 
 async def open_connection(
-    host: str, port: int, peer: str, *, timeout_s: float
+    host: str,
+    port: int,
+    peer: str,
+    *,
+    timeout_s: float,
+    source_host: str | None = None,
 ) -> UpstreamConnection:
     """Open a connection to a backend server.
 
+    Args:
+        host: its IP address.
+        port: its port.
+        peer: its name, for error messages.
+        timeout_s: seconds to establish the connection.
+        source_host: local address of the connection; None for any.
+
     Raises:
         NotSentError: it could not be established in time.
     """
@@ -347,7 +379,10 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(peer), host, port
+                lambda: UpstreamConnection(peer),
+                host,
+                port,
+                local_addr=(source_host, 0) if source_host else None,
             )
     except TimeoutError as error:
         raise NotSentError(
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -30,9 +30,11 @@
     find_failing_servers,
     share_connections,
 )
+from ramppin.gateway.process.routing.forwarders import Forwarders
 from ramppin.gateway.process.routing.gate import ServerGate
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
+from ramppin.gateway.process.routing.reachability import Reachability
 from ramppin.gateway.process.routing.selection import SelectionStrategy
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.version.routing import RoutingTable, ServiceSpec
@@ -75,6 +77,11 @@
         overload: gives requests their turns; None while overload control is disabled.
         note_table: called after routing settings have taken effect.
         find_home: returns the server that has cached a prefix, by its key, or None.
+        reachability: whether this VM's own paths to the servers work.
+        forwarders: the VMs through which requests take the other path; None while
+            the gateway is not connected to other VMs.
+        forward_host: this VM's address for connections to other VMs.
+        forward_port: port at which each VM accepts requests of other VMs.
     """
 
     names: HeaderNames
@@ -103,10 +110,17 @@
     overload: OverloadControl | None = None
     note_table: Callable[[RoutingTable], None] = lambda table: None
     find_home: Callable[[int], str | None] = lambda key: None
+    reachability: Reachability = field(init=False)
+    forwarders: Forwarders | None = None
+    forward_host: str = ""
+    forward_port: int = 0
 
     def __post_init__(self) -> None:
         self.gate = ServerGate(self.directory, self.cold_quota, self.find_cold_rate)
-        self.server_checks = ServerChecks(self.pool, self.quarantine)
+        self.reachability = Reachability(self.directory)
+        self.server_checks = ServerChecks(
+            self.pool, self.quarantine, self.reachability.is_at_fault
+        )
 
     @property
     def version(self) -> int:
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -32,6 +32,7 @@
 from ramppin.gateway.process.limits.readiness import ReadinessResponder
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
 from ramppin.gateway.process.load.gossip import LoadGossip
+from ramppin.gateway.process.membership.pathprobe import PathProbe
 from ramppin.gateway.process.memory import (
     AbortedConnection,
     MemoryBudget,
@@ -49,12 +50,14 @@
 from ramppin.gateway.process.reporting.quarantinelines import note_quarantine
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.failuregossip import FailureGossip
+from ramppin.gateway.process.routing.forwarders import Forwarders
 from ramppin.gateway.process.routing.hints import HintExchange
 from ramppin.gateway.process.routing.homes import PrefixHomes
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.noticegossip import NoticeGossip
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
 from ramppin.gateway.process.stalldetector import STALL_S, StallDetector
+from ramppin.gateway.request.forwardresponder import ForwardResponder
 from ramppin.gateway.request.responder import ExchangeResponder
 from ramppin.gateway.version.routing import RoutingTable
 
@@ -68,6 +71,9 @@
 LISTEN_BACKLOG = 1024
 """Maximum connections that the kernel queues until they are accepted."""
 
+MAX_LISTED_SERVERS = 8
+"""Maximum servers listed in a line about a path."""
+
 MAX_LOGGED_BYTES = 100
 """Maximum logged bytes of a refused request's target."""
 
@@ -196,8 +202,14 @@
                 self.context.directory.list_services,
                 lambda: self.context.overload is not None,
             ),
+            self.context.reachability,
+        )
+        await self._listen_for_vms(link.port)
+        probe = PathProbe(
+            self.context.reachability, self.context.pool, self.context.generator
         )
-        for work in (*self.tables.list_work(), self._hints.run(), self._sweep()):
+        work_items = (*self.tables.list_work(), self._hints.run(), self._sweep())
+        for work in (*work_items, probe.run()):
             task = asyncio.create_task(work)
             task.add_done_callback(_log_failure)
             self._background.append(task)
@@ -260,7 +272,8 @@
     async def _listen(
         self, name: str, address: Address, build: ResponderBuilder
     ) -> None:
-        state = self.context.listener if name == "callers" else self._inner_listener
+        serves_requests = name in ("callers", "forwards")
+        state = self.context.listener if serves_requests else self._inner_listener
         self._servers[name] = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(state, build),
             address.host,
@@ -289,12 +302,36 @@
         except OSError as error:
             self.context.decisions.note("operations_unavailable", reason=str(error))
 
+    async def _listen_for_vms(self, port: int) -> None:
+        """Accept requests of other VMs; on failure the gateway serves without it.
+
+        Args:
+            port: the number of the port for datagrams, which is the same on every VM.
+        """
+        context, config = self.context, self.config
+        try:
+            await self._listen(
+                "forwards", Address(config.peers.host, port), self._build_forwards
+            )
+        except OSError as error:
+            context.decisions.note("forwards_unavailable", reason=str(error))
+        context.forward_host, context.forward_port = config.peers.host, port
+        context.forwarders = Forwarders(
+            self.tables.members,
+            config.failure_domain,
+            self._stall_detector,
+            context.generator,
+        )
+
     def _find_port(self, name: str) -> int:
         return int(self._servers[name].sockets[0].getsockname()[1])
 
     def _build_exchanges(self, connection: CallerConnection) -> Responder:
         return ExchangeResponder(self.context, connection)
 
+    def _build_forwards(self, connection: CallerConnection) -> Responder:
+        return ForwardResponder(self.context, connection, self.tables.members.is_member)
+
     def _build_readiness(self, connection: CallerConnection) -> Responder:
         return ReadinessResponder(
             connection, self.config.ready_path, lambda: self.ready
@@ -396,6 +433,7 @@
             context.quarantine.evict_expired(now)
             note_quarantine(context, now)
             notices.note(now)
+            self._note_paths()
             context.live_vms = 1 + len(self.tables.members.list_live(now))
             context.retry_budget.set_live_vms(context.live_vms)
             if now - refilled_at >= REFILL_S:
@@ -403,6 +441,18 @@
                 context.decisions.refill()
             context.decisions.flush()
 
+    def _note_paths(self) -> None:
+        """Write a line for each change of this VM's path to a service's servers."""
+        for change in self.context.reachability.pop_changes():
+            self.context.decisions.note(
+                "path_changed",
+                service=change.service,
+                status=change.status.value,
+                failed=list(change.failed[:MAX_LISTED_SERVERS]),
+                lasted_s=round(change.lasted_s, 2),
+                version=self.context.version,
+            )
+
     def _list_sharing_vms(self, now: float) -> list[str]:
         return self.tables.list_sharing_vms(now)
 
--- a/src/ramppin/gateway/process/membership/health.py
+++ b/src/ramppin/gateway/process/membership/health.py
@@ -106,6 +106,13 @@
             self._eject(now)
             self.failure_rate = RETURN_FAILURE_RATE
 
+    def pardon(self) -> None:
+        """Forget failures that were not the server's: this VM's path had failed."""
+        self.failure_rate = 0.0
+        self.ejected_until = float("-inf")
+        self._ejection_s = FIRST_EJECTION_S
+        self._pending_failures = 0
+
     def is_unresponsive(self, now: float) -> bool:
         """Return whether answers are due and no connection has received a byte.
 
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -66,6 +67,7 @@
             behalf of others.
         tried_at: event-loop time of the last message sent to it.
         log_up: whether it reports that the shared log served its last calls.
+        unreachable: services whose backend servers it reports not to reach.
     """
 
     vm: str
@@ -75,6 +77,7 @@
     capacity_weight: float = 1.0
     tried_at: float = float("-inf")
     log_up: bool = True
+    unreachable: frozenset[str] = frozenset()
 
 
 class FleetMembers:
@@ -116,7 +119,13 @@
         return True
 
     def note_received(
-        self, vm: str, host: str, now: float, *, log_up: bool = True
+        self,
+        vm: str,
+        host: str,
+        now: float,
+        *,
+        log_up: bool = True,
+        unreachable: Collection[str] = (),
     ) -> bool:
         """Record a message; return whether the sender is a known VM.
 
@@ -125,14 +134,20 @@
             host: source address of the message.
             now: event-loop time.
             log_up: whether the log serves the sender.
+            unreachable: services whose backend servers the sender does not reach.
         """
         member = self._members.get(vm)
         if member is None or member.host != host:
             return False
         member.last_seen_at = now
         member.log_up = log_up
+        member.unreachable = frozenset(unreachable)
         return True
 
+    def is_member(self, host: str) -> bool:
+        """Return whether an address is that of another VM of the fleet."""
+        return any(member.host == host for member in self._members.values())
+
     def note_stall(self, late_s: float, now: float) -> None:
         """Record a stall of this VM: messages sent meanwhile have not been read yet.
 
--- /dev/null
+++ b/src/ramppin/gateway/process/membership/pathprobe.py
@@ -0,0 +1,104 @@
+"""Probes the servers that this VM does not reach, until its path works again.
+
+A probe opens a connection, sends nothing, and keeps the connection for use if it is not
+reset at once. Two servers of a service are probed at a time, at intervals that grow and
+differ from VM to VM, so that VMs whose path returns at the same moment do not connect
+together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from ramppin.errors import NotSentError
+from ramppin.gateway.connection.pool import ConnectionPool
+from ramppin.gateway.process.routing.reachability import Reachability
+from ramppin.gateway.process.routing.serverstate import ServerState
+
+CHECK_S = 0.05
+"""Interval in seconds of checks for servers to probe."""
+
+FIRST_INTERVAL_S = 0.25
+MAX_INTERVAL_S = 1.0
+"""Mean seconds from one round of probes to the next; doubled up to the maximum."""
+
+JITTER_SHARE = 0.3
+"""Part of the interval by which it varies either way."""
+
+SERVERS_PER_ROUND = 2
+"""Servers of a service that are probed at a time."""
+
+SURVIVAL_S = 0.1
+"""Seconds for which a new connection must last: some paths reset connections only once
+they are established."""
+
+
+class PathProbe:
+    """Runs the probes of one VM.
+
+    Args:
+        reachability: names the servers to probe, and is told the results.
+        pool: opens and keeps the connections.
+        generator: source of randomness.
+
+    .. versionadded:: 0.5
+    """
+
+    def __init__(
+        self,
+        reachability: Reachability,
+        pool: ConnectionPool,
+        generator: random.Random,
+    ) -> None:
+        self._reachability = reachability
+        self._pool = pool
+        self._generator = generator
+        self._intervals: dict[str, float] = {}
+        self._due_at: dict[str, float] = {}
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probe servers until cancelled."""
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                await asyncio.sleep(CHECK_S)
+                for state in self._choose(loop.time()):
+                    task = loop.create_task(self._probe(state))
+                    self._running.add(task)
+                    task.add_done_callback(self._running.discard)
+        finally:
+            for task in self._running:
+                task.cancel()
+
+    def _choose(self, now: float) -> list[ServerState]:
+        """Return the servers to probe now."""
+        found = self._reachability.list_to_probe(now)
+        for service in self._due_at.keys() - found.keys():
+            del self._due_at[service], self._intervals[service]
+        chosen = []
+        for service, states in found.items():
+            if now >= self._due_at.get(service, now):
+                self._due_at[service] = now + self._choose_interval_s(service)
+                chosen += states[:SERVERS_PER_ROUND]
+        return chosen
+
+    def _choose_interval_s(self, service: str) -> float:
+        interval_s = self._intervals.get(service, FIRST_INTERVAL_S)
+        self._intervals[service] = min(MAX_INTERVAL_S, 2 * interval_s)
+        return interval_s * self._generator.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
+
+    async def _probe(self, state: ServerState) -> None:
+        server, loop = state.server, asyncio.get_running_loop()
+        try:
+            connection = await self._pool.open(state.id, server.host, server.port)
+        except NotSentError:
+            self._reachability.note_failed(state, loop.time())
+            return
+        await asyncio.sleep(SURVIVAL_S)
+        if not connection.alive:
+            self._reachability.note_failed(state, loop.time())
+            return
+        self._pool.release_unused(connection)
+        self._reachability.note_probe(state, loop.time())
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -93,6 +93,14 @@
             ],
             "quarantine": self._list_suspects(now),
             "overload": self._describe_overload(now),
+            "paths": [
+                {
+                    "service": service,
+                    "status": context.reachability.find_status(service).value,
+                    "failed": sorted(context.reachability.list_failed(service)),
+                }
+                for service in context.directory.list_services()
+            ],
             "peers": self._list_peers(),
             "prefix_homes": self._count_homes(),
             "connections_opened": context.pool.opened,
@@ -195,6 +203,8 @@
             suspect = sum(state.health.is_suspect(now) for state in states)
             metrics.open_servers.set(len(states), service)
             metrics.suspect_servers.set(suspect, service)
+            is_avoided = context.reachability.avoids(service)
+            metrics.unreachable_services.set(is_avoided, service)
             cold = sum(state.coldness.is_cold(now) for state in states)
             metrics.cold_servers.set(cold, service)
         self._update_overload(metrics, now)
--- a/src/ramppin/gateway/process/quarantine/servercheck.py
+++ b/src/ramppin/gateway/process/quarantine/servercheck.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ramppin.errors import NotSentError
 from ramppin.gateway.connection.pool import ConnectionPool
@@ -22,13 +23,21 @@
     Args:
         pool: opens and keeps connections.
         quarantine: is notified of terminated servers.
+        is_path_at_fault: returns whether failures to connect to the servers of a
+            service are likely to be this VM's.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, pool: ConnectionPool, quarantine: Quarantine) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        quarantine: Quarantine,
+        is_path_at_fault: Callable[[str], bool] = lambda service: False,
+    ) -> None:
         self._pool = pool
         self._quarantine = quarantine
+        self._is_path_at_fault = is_path_at_fault
         self._running: dict[str, asyncio.Task[None]] = {}
 
     def start(self, state: ServerState) -> None:
@@ -44,7 +53,7 @@
         try:
             connection = await self._pool.open(server.id, server.host, server.port)
         except NotSentError as error:
-            if error.is_refused:
+            if error.is_refused and not self._is_path_at_fault(server.service):
                 self._quarantine.note_server_ended(state.id)
             return
         self._pool.release_unused(connection)
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -162,6 +162,7 @@
         self._measure_tables()
         self._measure_servers()
         self._measure_overload()
+        self._measure_paths()
         self._measure_memory()
 
     def list_tallies(self) -> list[Tally]:
@@ -318,6 +319,18 @@
             "Time for which servers held the requests of a customer.",
         )
 
+    def _measure_paths(self) -> None:
+        self.forwarded = CounterTally(
+            "ramppin_gateway_forwarded_total",
+            "Attempts through another VM by service and end.",
+            ("service", "end"),
+        )
+        self.unreachable_services = GaugeTally(
+            "ramppin_gateway_path_lost",
+            "Whether requests to a service take the path through another VM.",
+            ("service",),
+        )
+
     def _measure_memory(self) -> None:
         self.memory_budget = GaugeTally(
             "ramppin_gateway_memory_budget_bytes",
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -30,6 +30,7 @@
 from ramppin.gateway.process.routing.failuregossip import FailureGossip
 from ramppin.gateway.process.routing.homes import HomeAnnouncement, PrefixHomes
 from ramppin.gateway.process.routing.noticegossip import NoticeGossip
+from ramppin.gateway.process.routing.reachability import Reachability
 
 MIN_PERIOD_S = 0.08
 """Minimum period in seconds of the messages to all VMs."""
@@ -67,6 +68,8 @@
         suspects: gossip on requests that may crash servers.
         notices: gossip on notices of servers.
         demands: gossip on demand for services; None if overload control is not used.
+        reachability: services that this VM does not reach, and what shows that others
+            do; None to exchange neither.
 
     .. versionadded:: 0.2
     """
@@ -84,6 +87,7 @@
         suspects: QuarantineGossip | None = None,
         notices: NoticeGossip | None = None,
         demands: DemandGossip | None = None,
+        reachability: Reachability | None = None,
     ) -> None:
         self._vm = vm
         self._link = link
@@ -96,6 +100,8 @@
         self._suspects = suspects or QuarantineGossip(Quarantine())
         self._notices = notices or NoticeGossip(ServerDirectory())
         self._demands = demands
+        self._reachability = reachability
+        self._sent_unreachable: list[str] = []
         self._sent_log_up = True
         self._woken = asyncio.Event()
         self._suspects.watch(self._woken.set)
@@ -134,9 +140,15 @@
             host: address of the sender.
             now: event-loop time.
         """
-        known = self._members.note_received(hints.vm, host, now, log_up=hints.log_up)
+        known = self._members.note_received(
+            hints.vm, host, now, log_up=hints.log_up, unreachable=hints.unreachable
+        )
         if not known:
             return
+        if self._reachability is not None:
+            for load in hints.loads:
+                at = now - load.age_ms / 1000
+                self._reachability.note_peer_reached(load.server, at, now)
         for hint in hints.homes:
             announcement = HomeAnnouncement(hint.key, hint.server, hint.age_ms / 1000)
             self._homes.apply_announcement(announcement, now)
@@ -174,6 +186,7 @@
             self._homes.has_pending_placement
             or self._suspects.is_urgent
             or self._notices.is_urgent
+            or self._list_unreachable() != self._sent_unreachable
         )
         return is_urgent and self._may_broadcast()
 
@@ -214,7 +227,9 @@
             bool(announcements or failures or loads.waits or hot or suspects)
             or self._notices.has_pending
             or log_up != self._sent_log_up
+            or self._list_unreachable() != self._sent_unreachable
         )
+        self._sent_unreachable = self._list_unreachable()
         leaving = self._notices.collect(now)
         backoffs = self._notices.collect_backoffs(now)
         self._sent_log_up = log_up
@@ -237,6 +252,7 @@
                 leaving or self._notices.collect_rebroadcast(now, near=near),
                 backoffs,
                 demands,
+                self._sent_unreachable,
             )
             self._send_to(hints, near, now)
 
@@ -269,8 +285,12 @@
             waits,
             quarantine_digest=self._suspects.digest,
             demands=list(demands),
+            unreachable=self._sent_unreachable,
         )
 
+    def _list_unreachable(self) -> list[str]:
+        return self._reachability.list_avoided() if self._reachability else []
+
     def _collect_demands(self, now: float, *, near: bool) -> list[DemandHint]:
         if self._demands is None:
             return []
@@ -289,6 +309,7 @@
                 self._sent_log_up,
                 suspects=suspects,
                 quarantine_digest=self._suspects.digest,
+                unreachable=self._sent_unreachable,
             )
             self._link.send(hints, [host], self._port)
 
--- a/src/ramppin/gateway/request/answerkind.py
+++ b/src/ramppin/gateway/request/answerkind.py
@@ -29,6 +29,8 @@
     MISDIRECTED = "the server is not the one addressed"
     CLIENT_ERROR = "the request is invalid"
     SERVER_ERROR = "the server failed"
+    FORWARD_REFUSED = "another VM did not forward the request"
+    RELAYED = "another VM gave the final answer"
 
     @property
     def end(self) -> AttemptEnd:
@@ -48,6 +50,8 @@
     AnswerKind.MISDIRECTED: AttemptEnd.REJECTED,
     AnswerKind.CLIENT_ERROR: AttemptEnd.FAILED,
     AnswerKind.SERVER_ERROR: AttemptEnd.FAILED,
+    AnswerKind.FORWARD_REFUSED: AttemptEnd.NOT_SENT,
+    AnswerKind.RELAYED: AttemptEnd.RELAYED,
 }
 
 _OUTCOMES = {
@@ -57,9 +61,25 @@
     AnswerKind.MISDIRECTED: Outcome.UNREACHABLE,
     AnswerKind.CLIENT_ERROR: Outcome.ANSWERED,
     AnswerKind.SERVER_ERROR: Outcome.FAILED,
+    AnswerKind.FORWARD_REFUSED: Outcome.REJECTED,
+    AnswerKind.RELAYED: Outcome.ANSWERED,
 }
 
 
+def judge_forwarded_answer(head: AnswerHead, names: HeaderNames) -> AnswerKind:
+    """Return the class of another VM's answer to a forwarded request.
+
+    Args:
+        head: status and headers.
+        names: configured header names.
+    """
+    if find_header(head.headers, names.forward_refused) is not None:
+        return AnswerKind.FORWARD_REFUSED
+    if 200 <= head.status < 300:
+        return judge_answer(head, names)
+    return AnswerKind.RELAYED
+
+
 def judge_answer(head: AnswerHead, names: HeaderNames) -> AnswerKind:
     """Return the class of an answer.
 
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -139,13 +139,7 @@
         timer = self._loop.call_at(ends_at, self.cancel, AttemptEnd.TIMED_OUT)
         self._check_unresponsive()
         try:
-            connection.send(
-                head,
-                request.body,
-                self,
-                head_request=request.method == b"HEAD",
-                counted=self._memory is not None,
-            )
+            self._send(connection, head, request)
             if self._memory is not None:
                 self._memory.start_sending(self)
             return await self._result
@@ -159,6 +153,22 @@
             if self._check_timer is not None:
                 self._check_timer.cancel()
 
+    def _send(
+        self, connection: UpstreamConnection, head: bytes, request: CallerRequest
+    ) -> None:
+        """Send the request.
+
+        Raises:
+            NotSentError: the connection is closed; no byte was sent.
+        """
+        connection.send(
+            head,
+            request.body,
+            self,
+            head_request=request.method == b"HEAD",
+            counted=self._memory is not None,
+        )
+
     def cancel(self, end: AttemptEnd) -> None:
         """Cancel the attempt and abort the connection to the server."""
         if self._connection is not None:
@@ -242,7 +252,7 @@
             self._caller.end_stream()
         else:
             self._first_byte_at = self._loop.time()
-            headers = keep_end_to_end(head.headers, _LENGTH)
+            headers = keep_end_to_end(head.headers, _LENGTH | self._names.between_vms)
             self._free_buffered()
             self._caller.send_answer(head.status, headers, b"".join(self._buffered))
         self._destination.note_success(self._received_at)
@@ -277,7 +287,7 @@
         if not self.answer_started:
             self.answer_started = True
             self._first_byte_at = self._loop.time()
-            headers = keep_end_to_end(head.headers, _LENGTH)
+            headers = keep_end_to_end(head.headers, _LENGTH | self._names.between_vms)
             length = None if self._events is not None else head.length
             self._caller.start_stream(head.status, headers, length)
         buffered, self._buffered = self._buffered, []
--- a/src/ramppin/gateway/request/connecting.py
+++ b/src/ramppin/gateway/request/connecting.py
@@ -42,7 +42,9 @@
     established in time.
     """
     now = asyncio.get_running_loop().time()
-    if is_refused:
+    if not is_refused and context.directory.stall_detector.is_behind(now):
+        return
+    context.reachability.note_failed(state, now)
+    if is_refused and not context.reachability.is_at_fault(state.server.service):
         context.quarantine.note_server_ended(state.id)
-    if is_refused or not context.directory.stall_detector.is_behind(now):
-        state.health.note_outcome(Outcome.UNREACHABLE, now)
+    state.health.note_outcome(Outcome.UNREACHABLE, now)
--- a/src/ramppin/gateway/request/destination.py
+++ b/src/ramppin/gateway/request/destination.py
@@ -132,6 +132,7 @@
         note_notice: called with the server's notice when an answer's head arrives.
         note_load: called with the slots that a load report states, after the report
             was recorded; None if nothing follows.
+        note_answered: called when an answer's head arrives.
 
     .. versionadded:: 0.5
     """
@@ -143,11 +144,13 @@
         *,
         note_notice: Callable[[ServerNotice], None],
         note_load: Callable[[int | None], None] | None = None,
+        note_answered: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(names)
         self._state = state
         self._apply_notice = note_notice
         self._note_load_change = note_load
+        self._note_answered = note_answered
         self._learned_tokens: int | None = None
         self._pause_sum_s = 0.0
         self._pause_count = 0
@@ -210,6 +213,7 @@
         self, head: AnswerHead, kind: AnswerKind, wait_s: float, now: float
     ) -> None:
         """Learn the server's load and speed."""
+        self._note_answered()
         self._state.times.wait.note(wait_s)
         self._note_load(head.headers, now)
         if kind is AnswerKind.SUCCESS and self._learned_tokens is not None:
--- a/src/ramppin/gateway/request/directpath.py
+++ b/src/ramppin/gateway/request/directpath.py
@@ -55,7 +55,11 @@
 
     def select(self, now: float) -> Verdict:
         """Select a backend server."""
-        selection = self._choice.select(now)
+        service = self._served.admission.service
+        failed = self._context.reachability.list_failed(service)
+        if not failed or not self._context.reachability.avoids(service):
+            failed = frozenset()
+        selection = self._choice.select(now, failed)
         if isinstance(selection, Verdict):
             return selection
         self._selection = selection
@@ -117,6 +121,9 @@
             state,
             note_notice=lambda notice: self._note_notice(state, notice),
             note_load=self._choose_load_listener(state),
+            note_answered=lambda: self._context.reachability.note_answered(
+                state, connection.opened_at, self._loop.time()
+            ),
         )
         attempt = Attempt(
             self._context.names,
@@ -130,6 +137,10 @@
         )
         served.attempt = attempt
         source = self._context.directory.find_copy_source(selection.copy_from, now)
+        if served.is_forwarded:
+            served.connection.answer_headers = [
+                (self._context.names.served_by, state.id.encode())
+            ]
         if served.last_event_id is not None:
             self._builder.resume_after(served.last_event_id)
         head = self._builder.build(state.server.name, served.ends_at - now, source)
@@ -155,6 +166,10 @@
         if served.queueing is not None:
             served.queueing.note_attempt(state.server, result.end, took_s)
         result.lost = connection.was_lost or state.restarted
+        # A server that is silent while its kernel acknowledges is reached.
+        is_cut = connection.was_lost or connection.was_timed_out
+        if is_cut and result.end is AttemptEnd.FAILED and result.status == 0:
+            context.reachability.note_failed(state, self._loop.time())
         if connection.was_timed_out:
             context.pool.note_timed_out(connection)
         share = context.share_connections(served.admission.service)
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -34,8 +34,10 @@
     answer_left,
     answer_refused,
     answer_stopped,
+    answer_unreachable,
 )
-from ramppin.gateway.request.path import ServedRequest
+from ramppin.gateway.request.forwardedpath import ForwardedPath
+from ramppin.gateway.request.path import Path, ServedRequest
 from ramppin.gateway.request.queueing import Queueing
 from ramppin.gateway.request.report import RequestReport
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
@@ -43,6 +45,10 @@
 from ramppin.gateway.request.retrying import RetryControl
 from ramppin.gateway.request.serverchoice import ServerChoice
 
+MAX_UNREACHED = 2
+"""Attempts of a request that may find no connection before it takes the path through
+another VM, if its VM has found none to several servers in a row."""
+
 _REPLACED = frozenset({b"content-length", b"retry-after"})
 """Headers of a relayed answer that the gateway replaces."""
 
@@ -54,6 +60,7 @@
         context: state shared by all exchanges of the process.
         connection: the caller's connection.
         request: the complete request.
+        is_forwarded: whether another VM passed it on; it is not passed on again.
 
     .. versionadded:: 0.2
     """
@@ -63,10 +70,15 @@
         context: GatewayContext,
         connection: CallerConnection,
         request: CallerRequest,
+        *,
+        is_forwarded: bool = False,
     ) -> None:
         self._context = context
         self._connection = connection
         self._request = request
+        self._is_forwarded = is_forwarded
+        if is_forwarded:
+            connection.answer_headers = []
         self._loop = asyncio.get_running_loop()
         self._served: ServedRequest | None = None
         self._queueing: Queueing | None = None
@@ -109,11 +121,18 @@
             admitted = self._admit()
             if isinstance(admitted, Denial):
                 self._report.note_denied(admitted)
-                self._answer(answer_denied(admitted, self._measure_time_left_s()))
+                final = answer_denied(admitted, self._measure_time_left_s())
+                self._answer(final, may_forward_elsewhere=final.status == 503)
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
-            context.retry_budget.note_request(admitted.service, self._loop.time())
-            if context.overload is None:
+            is_avoided = context.reachability.avoids(admitted.service)
+            if is_avoided and self._is_forwarded:
+                self._end(admitted, answer_unreachable())
+                return
+            if not is_avoided:
+                # Otherwise the VM that serves it counts it.
+                context.retry_budget.note_request(admitted.service, self._loop.time())
+            if context.overload is None or is_avoided:
                 await self._serve(admitted)
             else:
                 await self._serve_in_turn(admitted, context.overload)
@@ -203,6 +222,7 @@
             self._progress,
             self._ends_at,
             self._queueing,
+            is_forwarded=self._is_forwarded,
         )
         # Crashes are recorded beyond the exchange. Otherwise a request that crashes
         # every server that runs it is sent to one server after another, by all VMs.
@@ -215,23 +235,29 @@
             choice,
             watch,
             self._report,
+            lambda now: self._has_other_path(admission.service, now),
         )
-        path = DirectPath(served, choice, watch, retries)
+        direct = DirectPath(served, choice, watch, retries)
+        forwarded = ForwardedPath(served, retries)
         last: AttemptResult | None = None
         while not self._disconnected:
             now = self._loop.time()
+            path = self._choose_path(served, direct, forwarded, now)
             verdict = retries.judge_try(self._ends_at - now, now)
             if verdict.allows:
                 verdict = path.select(now)
+                if forwarded.is_exhausted and path is forwarded:
+                    continue
             if not verdict.allows:
                 pause_s = choice.choose_retry_after_s(self._loop.time(), self._ends_at)
                 final = answer_stopped(self._progress, last, verdict, pause_s)
                 self._end(admission, final, choice.closed)
                 return
-            self._progress.tries += 1
+            self._progress.tries += path is direct
             started = self._loop.time()
             last = await path.send()
             now = self._loop.time()
+            served.unreached += path is direct and last.end is AttemptEnd.NOT_SENT
             path.note_result(last, started, now)
             if last.notice.backoff_s > 0:
                 self._progress.backoff_refusals += 1
@@ -250,6 +276,32 @@
                 self._end(admission, final, choice.closed)
                 return
 
+    def _choose_path(
+        self,
+        served: ServedRequest,
+        direct: DirectPath,
+        forwarded: ForwardedPath,
+        now: float,
+    ) -> Path:
+        """Return the path of the next attempt."""
+        if self._is_forwarded or forwarded.is_exhausted:
+            return direct
+        service, reachability = served.admission.service, self._context.reachability
+        has_failed = served.unreached >= MAX_UNREACHED
+        if reachability.avoids(service):
+            return forwarded
+        if has_failed and reachability.is_at_fault(service):
+            return forwarded
+        return direct
+
+    def _has_other_path(self, service: str, now: float) -> bool:
+        """Return whether another VM can serve the request."""
+        forwarders = self._context.forwarders
+        if self._is_forwarded or forwarders is None:
+            return False
+        is_avoided = self._context.reachability.avoids(service)
+        return is_avoided and forwarders.is_available(service, now)
+
     # final answer
 
     def _end(
@@ -263,7 +315,8 @@
             return
         self._note_given_up(admission, final, closed)
         self._report.count_request(admission.service, final.status)
-        self._answer(final)
+        is_unreached = self._context.reachability.avoids(admission.service)
+        self._answer(final, may_forward_elsewhere=is_unreached)
 
     def _note_given_up(
         self,
@@ -282,8 +335,16 @@
             now=now,
         )
 
-    def _answer(self, final: FinalAnswer) -> None:
-        """Send the final answer to the caller, or abort its connection."""
+    def _answer(
+        self, final: FinalAnswer, *, may_forward_elsewhere: bool = False
+    ) -> None:
+        """Send the final answer to the caller, or abort its connection.
+
+        Args:
+            final: the answer.
+            may_forward_elsewhere: whether another VM may serve a request that was
+                passed on and has not run.
+        """
         if final.ending is Ending.CUT:
             self._connection.abort()
             return
@@ -291,10 +352,13 @@
         body = b""
         if final.server_answer is not None:
             head, body = final.server_answer
-            headers = keep_end_to_end(head.headers, _REPLACED)
+            dropped = _REPLACED | self._context.names.between_vms
+            headers = keep_end_to_end(head.headers, dropped)
         if final.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.2f" % final.retry_after_s))
         names = self._context.names
+        if self._is_forwarded and may_forward_elsewhere and final.status == 503:
+            headers.append((names.forward_refused, final.reason.name.encode()))
         if self._request_id and find_header(headers, names.request_id) is None:
             headers = [(names.request_id, self._request_id), *headers]
         self._connection.send_answer(final.status, headers, body)
--- a/src/ramppin/gateway/request/finalanswer.py
+++ b/src/ramppin/gateway/request/finalanswer.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ramppin.gateway.connection.httpwire import find_header
 from ramppin.gateway.connection.upstream import AnswerHead
 from ramppin.gateway.process.overload.ticket import RefusalRule, TurnDecision
 from ramppin.gateway.request.admission import Denial
@@ -91,6 +92,12 @@
     )
 
 
+def answer_unreachable() -> FinalAnswer:
+    """Return the answer to a forwarded request whose servers are out of reach."""
+    reason = Verdict.UNREACHABLE
+    return FinalAnswer(Ending.REFUSE, NOT_RUN_STATUS, reason, STOP_PAUSE_S)
+
+
 def answer_left() -> FinalAnswer:
     """Return the end of a request whose caller disconnected while it waited."""
     return FinalAnswer(Ending.CUT, 0, Verdict.CALLER_LEFT)
@@ -119,6 +126,15 @@
     return FinalAnswer(Ending.REFUSE, MAY_HAVE_RUN_STATUS, reason)
 
 
+def read_retry_after_s(head: AnswerHead) -> float | None:
+    """Return the seconds in another VM's ``Retry-After``, or None."""
+    value = find_header(head.headers, b"retry-after")
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
 def answer_failed(
     progress: Progress, last: AttemptResult, reason: Verdict, retry_after_s: float
 ) -> FinalAnswer:
@@ -130,6 +146,10 @@
         reason: the rule that forbids a retry.
         retry_after_s: value of ``Retry-After`` in seconds if no server ran the request.
     """
+    is_relayed = last.end is AttemptEnd.RELAYED and not progress.answer_started
+    if is_relayed and last.answer is not None:
+        pause_s = read_retry_after_s(last.answer[0])
+        return FinalAnswer(Ending.RELAY, last.status, reason, pause_s, last.answer)
     has_answer = last.answer is not None and last.end is AttemptEnd.FAILED
     if has_answer and not progress.answer_started:
         # The server's Retry-After applies to this VM; other servers may be open.
--- a/src/ramppin/gateway/request/path.py
+++ b/src/ramppin/gateway/request/path.py
@@ -38,6 +38,8 @@
         disconnected: whether the caller has disconnected.
         last_server: name of the last server or VM tried, or empty.
         last_event_id: id of the last event sent to the caller, or None.
+        is_forwarded: whether another VM passed it on.
+        unreached: attempts over the direct path that sent no byte.
     """
 
     context: GatewayContext
@@ -53,6 +55,8 @@
     disconnected: bool = False
     last_server: str = ""
     last_event_id: bytes | None = None
+    is_forwarded: bool = False
+    unreached: int = 0
 
 
 class Path(ABC):
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -85,13 +85,7 @@
             verdict: the rule that allowed or forbade a retry; None if the answer was
                 delivered or the caller disconnected.
         """
-        fields: dict[str, object] = {
-            "request_id": self._request_id,
-            "fingerprint": format_fingerprint(admission.fingerprint),
-            "route": admission.route.name,
-            "version": admission.table.version,
-            "server": selection.state.server.name,
-            "prefix": _format_prefix(admission.prefix_key),
+        chosen = {
             "copy_from": selection.copy_from or "",
             "rank": selection.rank,
             "shared_by": selection.shared_by,
@@ -102,6 +96,50 @@
             "in_flight": selection.in_flight,
             "closed": selection.closed,
             "report_age_s": round(min(selection.report_age_s, MAX_REPORT_AGE_S), 2),
+        }
+        server = selection.state.server.name
+        self._note_attempt(admission, server, "", chosen, result, now, verdict)
+
+    def note_forwarded(
+        self,
+        admission: Admission,
+        vm: str,
+        result: AttemptResult,
+        now: float,
+        verdict: Verdict | None = None,
+    ) -> None:
+        """Log and count the result of an attempt through another VM.
+
+        Args:
+            admission: result of the request's admission.
+            vm: name of the other VM, whose lines tell how it chose the server.
+            result: result of the attempt.
+            now: current event-loop time.
+            verdict: as for :meth:`note_attempt`.
+        """
+        self._context.metrics.forwarded.inc(admission.service, result.end.value)
+        server = result.served_by.partition("@")[0]
+        self._note_attempt(admission, server, vm, {}, result, now, verdict)
+
+    def _note_attempt(
+        self,
+        admission: Admission,
+        server: str,
+        through: str,
+        chosen: dict[str, object],
+        result: AttemptResult,
+        now: float,
+        verdict: Verdict | None,
+    ) -> None:
+        fields: dict[str, object] = {
+            "request_id": self._request_id,
+            "fingerprint": format_fingerprint(admission.fingerprint),
+            "route": admission.route.name,
+            "version": admission.table.version,
+            "server": server,
+            "through": through,
+            "prefix": _format_prefix(admission.prefix_key),
+            **chosen,
             "end": result.end.value,
             "status": result.status,
             "leaving": result.notice.leaving,
--- a/src/ramppin/gateway/request/responder.py
+++ b/src/ramppin/gateway/request/responder.py
@@ -20,18 +20,31 @@
     Args:
         context: state shared by all exchanges of the process.
         connection: the caller's connection.
+        is_forwarded: whether other VMs pass the requests on.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, context: GatewayContext, connection: CallerConnection) -> None:
+    def __init__(
+        self,
+        context: GatewayContext,
+        connection: CallerConnection,
+        *,
+        is_forwarded: bool = False,
+    ) -> None:
         self._context = context
         self._connection = connection
+        self._is_forwarded = is_forwarded
         self._exchange: Exchange | None = None
 
     def accept_request(self, request: CallerRequest) -> None:
         """Start an exchange for the request."""
-        exchange = Exchange(self._context, self._connection, request)
+        exchange = Exchange(
+            self._context,
+            self._connection,
+            request,
+            is_forwarded=self._is_forwarded,
+        )
         self._exchange = exchange
         task = asyncio.get_running_loop().create_task(exchange.run())
         self._context.tasks.add(task)
--- a/src/ramppin/gateway/request/result.py
+++ b/src/ramppin/gateway/request/result.py
@@ -21,6 +21,9 @@
     FAILED = "failed"
     """The server answered with an error, or its answer was incomplete."""
 
+    RELAYED = "relayed"
+    """Another VM gave the final answer, which is relayed."""
+
     NOT_SENT = "not sent"
     """No byte of the request was sent to the server."""
 
@@ -47,6 +50,7 @@
         lost: whether the connection was lost before the answer was complete, or the
             server is known to have terminated.
         notice: the server's notice about itself.
+        served_by: the server that answered a forwarded request, or empty.
     """
 
     end: AttemptEnd
@@ -58,3 +62,4 @@
     longest_pause_s: float | None = None
     lost: bool = False
     notice: ServerNotice = NO_NOTICE
+    served_by: str = ""
--- a/src/ramppin/gateway/request/retry.py
+++ b/src/ramppin/gateway/request/retry.py
@@ -67,6 +67,8 @@
     ATTEMPTS_SPENT = "the request may have run as often as its route allows"
     ANSWER_STARTED = "part of an answer was sent and can't be resumed"
     BUDGET_SPENT = "the retry budget is exhausted"
+    UNREACHABLE = "neither this VM nor another one reaches the servers"
+    RELAYED = "another VM gave the final answer"
     CALLER_LEFT = "the caller disconnected while the request waited for its turn"
 
     @property
@@ -141,6 +143,8 @@
     """
     if end is AttemptEnd.NOT_SENT:
         return Verdict.SEND
+    if end is AttemptEnd.RELAYED:
+        return Verdict.RELAYED
     if end is AttemptEnd.TIMED_OUT:
         return Verdict.TIMED_OUT
     if crashes_servers:
--- a/src/ramppin/gateway/request/retrying.py
+++ b/src/ramppin/gateway/request/retrying.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.request.admission import Admission
 from ramppin.gateway.request.crashwatch import CrashWatch
@@ -31,6 +33,7 @@
         choice: selects the servers of the request.
         watch: records whether servers crash while running the request.
         report: counts retries that the budget did not allow.
+        has_other_path: returns whether the request may take another path now.
 
     .. versionadded:: 0.3
     """
@@ -43,6 +46,7 @@
         choice: ServerChoice,
         watch: CrashWatch,
         report: RequestReport,
+        has_other_path: Callable[[float], bool] = lambda now: False,
     ) -> None:
         self._budget = context.retry_budget
         self._admission = admission
@@ -50,6 +54,7 @@
         self._choice = choice
         self._watch = watch
         self._report = report
+        self._has_other_path = has_other_path
 
     def judge_try(self, time_left_s: float, now: float) -> Verdict:
         """Return whether the request may be sent to one more server.
@@ -87,6 +92,8 @@
         return judge_takeover(
             self._admission.route,
             self._progress,
-            has_other_server=self._choice.has_other_server(now),
+            has_other_server=(
+                self._has_other_path(now) or self._choice.has_other_server(now)
+            ),
             has_budget=self._budget.allows_retry(self._admission.service, now),
         )
--- a/src/ramppin/gateway/request/serverchoice.py
+++ b/src/ramppin/gateway/request/serverchoice.py
@@ -48,15 +48,22 @@
         self._tried: set[str] = set()
         self.closed: tuple[str, ...] = ()
 
-    def select(self, now: float) -> Selection | Verdict:
-        """Return the server for the next attempt, or the verdict if there is none."""
+    def select(
+        self, now: float, unreachable: frozenset[str] = frozenset()
+    ) -> Selection | Verdict:
+        """Return the server for the next attempt, or the verdict if there is none.
+
+        Args:
+            now: current event-loop time.
+            unreachable: servers that this VM is known not to reach.
+        """
         context, service = self._context, self._admission.service
         survey = context.gate.survey(service, now)
         self.closed = survey.list_closure_labels()
         prefix_key = self._admission.prefix_key
         request = SelectionRequest(
             prefix_key,
-            frozenset(survey.closed) | self._tried,
+            frozenset(survey.closed) | self._tried | unreachable,
             context.share_connections(service),
             context.find_failing_servers(service, survey.states, now),
             self._admission.fingerprint if self._watch.is_suspect() else None,
@@ -65,6 +72,8 @@
         )
         strategy = context.choose_strategy(prefix_key is not None)
         selection = strategy.choose(request, survey.states, now)
+        if selection is None and unreachable:
+            return Verdict.UNREACHABLE
         if selection is None:
             return judge_no_server(survey.list_reasons(self._tried))
         self._tried.add(selection.state.id)
