Brittle servers get overload control while they say that they are brittle

Cause: nothing read the header, and each VM sent until it was rejected.

Change: the statement is read from each answer, kept by service for 5 s, sent to the other VMs at once and each second, and enables overload control for that service alone. A brittle server that rejects a request gets nothing of that VM for a second. Routing settings that disable overload control disable this too; the memory budget stays as configured; servers that say nothing are served as before.

--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -131,7 +131,7 @@
         self.fixture.program = "features.cut_vm"
         self._ids = 0
         self._cut_until = float("-inf")
-        self._harmed_at: list[float] = []
+        self._stops: list[tuple[str, float, float]] = []
         self._tries: dict[tuple[float, bool], Tries] = {
             (after_s, cut): Tries()
             for after_s in (RULE_S, TARGET_S)
@@ -242,9 +242,15 @@
         await self._cut_part([s.port for s in servers if s.service == service])
 
     async def _stop_vm(self) -> None:
-        self._harmed_at.append(time.monotonic())
+        # The draw is repeated there.
+        state = self.fault_random.getstate()
+        vm = self.fault_random.choice(list(self.hosts))
+        self.fault_random.setstate(state)
+        began = time.monotonic()
+        self._stops.append((vm, began, float("inf")))
         await super()._stop_vm()
-        self._harmed_at.append(time.monotonic())
+        self._stops.remove((vm, began, float("inf")))
+        self._stops.append((vm, began, time.monotonic()))
 
     async def _drain_vm(self) -> None:
         """Stop a VM as planned, and start it again."""
@@ -351,13 +357,23 @@
             ended_at = self.servers.ended_at.get(request_id, float("inf"))
             if ended_at > left_at + LEAVE_S:
                 worked_s = ended_at - left_at
-                stops = [f"{at - self.started_at:.2f}" for at in self._harmed_at]
+                # A stopped VM notices nothing, nor does its server.
+                stops = self._list_stopped(left_at)
+                if vm in stops:
+                    return
                 told = await self._explain(vm, request_id, RawAnswer())
+                if any(stopped in told for stopped in stops):
+                    return
                 self.broken.append(
                     f"{request_id} worked on for {worked_s:.2f} s after its caller "
                     f"left at {left_at - self.started_at:.2f}: {told}; stops: {stops}"
                 )
 
+    def _list_stopped(self, left_at: float) -> list[str]:
+        """Return the VMs that were stopped while the work should have ended."""
+        until = left_at + LEAVE_S
+        return [vm for vm, begin, end in self._stops if begin < until and end > left_at]
+
     def _is_cut_at(self, moment: float) -> bool:
         """Return whether a cut began at most a second before; it holds closes up."""
         return any(
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -25,6 +25,7 @@
 from ramppin.cli import app
 from ramppin.gateway.connection.datagrams import (
     BackoffHint,
+    BrittleHint,
     DemandHint,
     EndHint,
     FailureHint,
@@ -295,6 +296,12 @@
         "hints": encode_hints(PeerHints("vm-1", [HomeHint(99, "s1", 40)])),
         "full hints": encode_hints(FULL_HINTS),
         "hints with demands": encode_hints(DEMAND_HINTS),
+        "hints with services out of reach": encode_hints(
+            PeerHints("vm-1", [], unreachable=["model"])
+        ),
+        "hints with brittle servers": encode_hints(
+            PeerHints("vm-1", [], brittle=[BrittleHint("model", 4, 250)])
+        ),
         "hints with a speed": encode_hints(
             PeerHints("vm-1", [], loads=[LoadHint("s1", 3, 50, 250)])
         ),
--- a/features/suite.py
+++ b/features/suite.py
@@ -26,6 +26,7 @@
 
 ALONE = frozenset(
     {
+        "brittle_servers",
         "cold_and_emptied",
         "leaving",
         "load_limit",
--- a/src/ramppin/gateway/connection/datagrams.py
+++ b/src/ramppin/gateway/connection/datagrams.py
@@ -17,6 +17,9 @@
 LOG = logging.getLogger(__name__)
 
 
+REQUIRED_FIELDS = 11
+"""Fields of a message that are always encoded; the others are left out while empty."""
+
 USUAL_SPEED = 100
 """Speed figure of a server at its usual speed, in percent."""
 
@@ -131,6 +134,20 @@
     waiting: list[int]
 
 
+class BrittleHint(msgspec.Struct, array_like=True, frozen=True):
+    """A service whose servers state that they are brittle.
+
+    Attributes:
+        service: the service's name.
+        tolerance: rejections a second that one of its servers tolerates.
+        age_ms: time since the statement.
+    """
+
+    service: str
+    tolerance: int
+    age_ms: int
+
+
 class PeerHints(msgspec.Struct, array_like=True, frozen=True):
     """The content of one datagram.
 
@@ -151,6 +168,7 @@
         demands: the sender's demand for services; left out of the encoding if empty.
         unreachable: services whose backend servers the sender does not reach; left out
             of the encoding if empty.
+        brittle: services whose servers are brittle; left out if empty.
     """
 
     vm: str
@@ -166,6 +184,7 @@
     backoffs: list[BackoffHint] = []
     demands: list[DemandHint] = []
     unreachable: list[str] = []
+    brittle: list[BrittleHint] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -177,7 +196,8 @@
 
     Values that few VMs need are left out at the end, so that the bytes are the same as
     those of versions without them: the usual speed of a server, the demands, which only
-    VMs with overload control send, and services that the sender does not reach.
+    VMs with overload control send, services that the sender does not reach, and brittle
+    ones.
     """
     if hints.loads:
         loads = [
@@ -188,9 +208,10 @@
         ]
         hints = msgspec.structs.replace(hints, loads=cast(list[LoadHint], loads))
     fields = msgspec.structs.astuple(hints)
-    if hints.unreachable:
-        return _ENCODER.encode(fields)
-    return _ENCODER.encode(fields[:-1] if hints.demands else fields[:-2])
+    end = len(fields)
+    while end > REQUIRED_FIELDS and not fields[end - 1]:
+        end -= 1
+    return _ENCODER.encode(fields[:end])
 
 
 class DatagramLink(asyncio.DatagramProtocol):
--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -44,6 +44,7 @@
         signature: proves that an answer comes from a backend server.
         load: a backend server's running requests, waiting requests and slots.
         leaving: ``1`` in answers of a backend server that accepts no new requests.
+        brittle: rejections a second beyond which a backend server falls over.
         prompt_parts: the parts of a prompt, ``ID:TOKENS`` joined by commas.
         priority: queueing priority, 0 (first) to 9.
         last_event_id: the event after which a stream is to be resumed.
@@ -78,6 +79,7 @@
     signature: bytes = b"ramppin-signature"
     load: bytes = b"ramppin-load"
     leaving: bytes = b"ramppin-leaving"
+    brittle: bytes = b"ramppin-brittle"
     prompt_parts: bytes = b"ramppin-prompt-parts"
     priority: bytes = b"ramppin-priority"
     last_event_id: bytes = b"last-event-id"
--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -50,6 +50,8 @@
         drain_times: time limits of a planned stop.
         overload: rules of overload control, unless the routing settings contain some;
             None if it is disabled.
+        brittle_overload: rules of overload control for services with brittle servers,
+            unless the other rules enable it.
         memory_limit_bytes: memory that the process may use; None if unknown.
         seed: seed of the random number generator.
     """
@@ -74,5 +76,8 @@
     cold_rules: ColdRules = field(default_factory=ColdRules)
     drain_times: DrainTimes = field(default_factory=DrainTimes)
     overload: OverloadRules | None = None
+    brittle_overload: OverloadRules = field(
+        default_factory=lambda: OverloadRules(enabled=True)
+    )
     memory_limit_bytes: int | None = None
     seed: int | None = None
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -19,6 +19,7 @@
 from ramppin.gateway.process.limits.coldquota import ColdQuota
 from ramppin.gateway.process.limits.drain import Drain
 from ramppin.gateway.process.limits.retrybudget import RetryBudget
+from ramppin.gateway.process.overload.brittleness import BrittleServices
 from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
 from ramppin.gateway.process.quarantine.servercheck import ServerChecks
@@ -75,6 +76,10 @@
         first_read: set once settings and servers have been read, or could not be.
         tasks: tasks of the running exchanges.
         overload: gives requests their turns; None while overload control is disabled.
+        brittle: services whose backend servers are brittle.
+        note_brittle: called when the servers of a service state that they are brittle.
+        is_overload_general: whether overload control applies to all services, not
+            only to those with brittle servers.
         note_table: called after routing settings have taken effect.
         find_home: returns the server that has cached a prefix, by its key, or None.
         reachability: whether this VM's own paths to the servers work.
@@ -108,6 +113,9 @@
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     overload: OverloadControl | None = None
+    brittle: BrittleServices = field(default_factory=BrittleServices)
+    note_brittle: Callable[[], None] = lambda: None
+    is_overload_general: bool = False
     note_table: Callable[[RoutingTable], None] = lambda table: None
     find_home: Callable[[int], str | None] = lambda key: None
     reachability: Reachability = field(init=False)
@@ -157,9 +165,16 @@
 
     def find_max_load(self, service: str, rank: int, now: float) -> float:
         """Return the load below which a server gets a request of a rank."""
-        if self.overload is None:
+        overload = self.find_overload(service, now)
+        if overload is None:
             return math.inf
-        return self.overload.limiter.find_server_limit(service, rank, now)
+        return overload.limiter.find_server_limit(service, rank, now)
+
+    def find_overload(self, service: str, now: float) -> OverloadControl | None:
+        """Return overload control if it applies to a service now, or None."""
+        if self.overload is None or self.is_overload_general:
+            return self.overload
+        return self.overload if self.brittle.is_brittle(service, now) else None
 
     def find_cold_rate(self, service: str) -> float:
         """Return the requests a second that a cold server accepts; 0 for no limit."""
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -137,9 +137,14 @@
             config.failure_domain,
         )
         self.overload = OverloadActivation(
-            self.context, config.overload, self.start_limiter, generator
+            self.context,
+            config.overload,
+            self.start_limiter,
+            generator,
+            config.brittle_overload,
         )
         self.context.note_table = self._apply_table
+        self.context.note_brittle = self._note_brittle
         self._memory = self._build_memory_budget()
         self._apply_memory_budget()
         self.context.find_home = self.homes.find
@@ -203,6 +208,8 @@
                 lambda: self.context.overload is not None,
             ),
             self.context.reachability,
+            self.context.brittle,
+            self._note_brittle,
         )
         await self._listen_for_vms(link.port)
         probe = PathProbe(
@@ -374,7 +381,7 @@
         process's configuration enables it: the budget protects the process.
         """
         configured = self.config.overload
-        is_enabled = self.context.overload is not None or (
+        is_enabled = self.context.is_overload_general or (
             configured is not None and configured.enabled
         )
         self.context.listener.memory = self._memory if is_enabled else None
@@ -434,6 +441,7 @@
             note_quarantine(context, now)
             notices.note(now)
             self._note_paths()
+            self._note_brittle()
             context.live_vms = 1 + len(self.tables.members.list_live(now))
             context.retry_budget.set_live_vms(context.live_vms)
             if now - refilled_at >= REFILL_S:
@@ -441,6 +449,21 @@
                 context.decisions.refill()
             context.decisions.flush()
 
+    def _note_brittle(self) -> None:
+        """Apply and log that servers of a service became brittle, or are no more."""
+        context = self.context
+        now = asyncio.get_running_loop().time()
+        changes = context.brittle.pop_changes(now)
+        for change in changes:
+            context.decisions.note(
+                "service_brittle",
+                service=change.service,
+                tolerated_per_s=change.tolerance,
+                version=context.version,
+            )
+        if changes:
+            self.overload.update()
+
     def _note_paths(self) -> None:
         """Write a line for each change of this VM's path to a service's servers."""
         for change in self.context.reachability.pop_changes():
--- a/src/ramppin/gateway/process/operations.py
+++ b/src/ramppin/gateway/process/operations.py
@@ -93,6 +93,10 @@
             ],
             "quarantine": self._list_suspects(now),
             "overload": self._describe_overload(now),
+            "brittle": [
+                {"service": service, "tolerated_per_s": tolerance}
+                for service, tolerance in context.brittle.list_brittle(now).items()
+            ],
             "paths": [
                 {
                     "service": service,
--- a/src/ramppin/gateway/process/overload/activation.py
+++ b/src/ramppin/gateway/process/overload/activation.py
@@ -2,13 +2,15 @@
 
 The rules of the routing settings take precedence over those of the process's
 configuration. Without either, or with ``enabled`` set to false, requests are served as
-if this package did not exist.
+if this package did not exist, except those to services with brittle servers.
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
+from ramppin.clock import read_clock
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.overload.control import OverloadControl
 from ramppin.gateway.process.overload.returns import ReturnDetector
@@ -26,6 +28,8 @@
         configured: rules of the process's configuration; None for none.
         limiter: what this VM may start now.
         generator: random number generator.
+        brittle_rules: rules for services with brittle servers.
+        read_clock: returns the event-loop time.
 
     Attributes:
         configured: as above; takes effect with :meth:`apply`.
@@ -39,8 +43,13 @@
         configured: OverloadRules | None,
         limiter: FleetStartLimiter,
         generator: random.Random,
+        brittle_rules: OverloadRules | None = None,
+        read_clock: Callable[[], float] = read_clock,
     ) -> None:
         self._context = context
+        self._brittle_rules = brittle_rules
+        self._read_clock = read_clock
+        self._table: RoutingTable | None = None
         self.configured = configured
         self._limiter = limiter
         self._generator = generator
@@ -48,10 +57,8 @@
 
     def apply(self, table: RoutingTable | None) -> None:
         """Put the rules in force that apply with these routing settings."""
-        rules = table.overload if table is not None else None
-        rules = rules or self.configured
-        if rules is not None and not rules.enabled:
-            rules = None
+        self._table = table
+        rules = self._find_rules()
         if rules == self._rules:
             return
         self._rules = rules
@@ -70,6 +77,28 @@
             if context.drain is not None:
                 context.overload.note_drain(context.drain)
 
+    def update(self) -> None:
+        """Enable or disable overload control as services become brittle, or no more."""
+        self.apply(self._table)
+
+    def _find_rules(self) -> OverloadRules | None:
+        """Return the rules to put in force; None to disable overload control.
+
+        Routing settings that disable it do so for brittle servers too; a process's
+        configuration without it does not.
+        """
+        context = self._context
+        stated = self._table.overload if self._table is not None else None
+        rules = stated or self.configured
+        context.is_overload_general = rules is not None and rules.enabled
+        if context.is_overload_general:
+            return rules
+        if stated is not None or self._brittle_rules is None:
+            return None
+        if not context.brittle.list_brittle(self._read_clock()):
+            return None
+        return self._brittle_rules
+
     def _build_scheduler(self, rules: OverloadRules) -> Scheduler:
         directory = self._context.directory
         return Scheduler(
--- a/src/ramppin/gateway/process/routing/hints.py
+++ b/src/ramppin/gateway/process/routing/hints.py
@@ -23,6 +23,7 @@
 )
 from ramppin.gateway.process.load.gossip import LoadGossip
 from ramppin.gateway.process.membership.members import FleetMembers
+from ramppin.gateway.process.overload.brittleness import BrittleServices
 from ramppin.gateway.process.overload.demandgossip import DemandGossip
 from ramppin.gateway.process.quarantine.gossip import QuarantineGossip
 from ramppin.gateway.process.quarantine.quarantine import Quarantine
@@ -70,6 +71,8 @@
         demands: gossip on demand for services; None if overload control is not used.
         reachability: services that this VM does not reach, and what shows that others
             do; None to exchange neither.
+        brittle: services with brittle servers; None to exchange none.
+        note_brittle: called when another VM sent some.
 
     .. versionadded:: 0.2
     """
@@ -88,6 +91,8 @@
         notices: NoticeGossip | None = None,
         demands: DemandGossip | None = None,
         reachability: Reachability | None = None,
+        brittle: BrittleServices | None = None,
+        note_brittle: Callable[[], None] = lambda: None,
     ) -> None:
         self._vm = vm
         self._link = link
@@ -101,6 +106,8 @@
         self._notices = notices or NoticeGossip(ServerDirectory())
         self._demands = demands
         self._reachability = reachability
+        self._brittle = brittle or BrittleServices()
+        self._note_brittle = note_brittle
         self._sent_unreachable: list[str] = []
         self._sent_log_up = True
         self._woken = asyncio.Event()
@@ -152,6 +159,9 @@
         for hint in hints.homes:
             announcement = HomeAnnouncement(hint.key, hint.server, hint.age_ms / 1000)
             self._homes.apply_announcement(announcement, now)
+        if hints.brittle:
+            self._brittle.apply(hints.brittle, now)
+            self._note_brittle()
         self._homes.hot.apply(hints.hot, now)
         self._loads.apply(hints, now)
         self._notices.apply(hints.leaving, now)
@@ -187,6 +197,7 @@
             or self._suspects.is_urgent
             or self._notices.is_urgent
             or self._list_unreachable() != self._sent_unreachable
+            or self._brittle.has_unsent()
         )
         return is_urgent and self._may_broadcast()
 
@@ -230,6 +241,8 @@
             or self._list_unreachable() != self._sent_unreachable
         )
         self._sent_unreachable = self._list_unreachable()
+        brittle = self._brittle.collect(now)
+        has_updates = has_updates or bool(brittle)
         leaving = self._notices.collect(now)
         backoffs = self._notices.collect_backoffs(now)
         self._sent_log_up = log_up
@@ -253,6 +266,7 @@
                 backoffs,
                 demands,
                 self._sent_unreachable,
+                brittle,
             )
             self._send_to(hints, near, now)
 
--- a/src/ramppin/gateway/request/directpath.py
+++ b/src/ramppin/gateway/request/directpath.py
@@ -7,6 +7,7 @@
 
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.overload.brittleness import REJECTION_BACKOFF_S
 from ramppin.gateway.process.routing.selection import Selection
 from ramppin.gateway.process.routing.serverstate import ServerState
 from ramppin.gateway.request.attempt import Attempt
@@ -163,6 +164,10 @@
         served, context = self._served, self._context
         if result.end is AttemptEnd.DELIVERED:
             state.times.stay.note(took_s)
+        if result.end is AttemptEnd.REJECTED and result.notice.brittle:
+            context.directory.notices.note_backoff(
+                state.id, REJECTION_BACKOFF_S, self._loop.time()
+            )
         if served.queueing is not None:
             served.queueing.note_attempt(state.server, result.end, took_s)
         result.lost = connection.was_lost or state.restarted
@@ -187,7 +192,8 @@
         self, state: ServerState
     ) -> Callable[[int | None], None] | None:
         """Return what is called after a load report of a server, or None."""
-        overload = self._context.overload
+        service, now = state.server.service, self._loop.time()
+        overload = self._context.find_overload(service, now)
         if overload is None:
             return None
         if state.server.slots > 0:
@@ -202,3 +208,6 @@
             notices.note_leaving(state.id, NoticeSource.ANSWER, now)
         if notice.backoff_s > 0:
             notices.note_backoff(state.id, notice.backoff_s, now)
+        if notice.brittle:
+            self._context.brittle.note(state.server.service, notice.brittle, now)
+            self._context.note_brittle()
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -132,10 +132,11 @@
             if not is_avoided:
                 # Otherwise the VM that serves it counts it.
                 context.retry_budget.note_request(admitted.service, self._loop.time())
-            if context.overload is None or is_avoided:
+            control = context.find_overload(admitted.service, self._loop.time())
+            if control is None or is_avoided:
                 await self._serve(admitted)
             else:
-                await self._serve_in_turn(admitted, context.overload)
+                await self._serve_in_turn(admitted, control)
         except Exception:
             # After an unexpected error the caller must not wait for an answer.
             self._connection.abort()
--- a/src/ramppin/gateway/request/servernotice.py
+++ b/src/ramppin/gateway/request/servernotice.py
@@ -15,6 +15,7 @@
 
 from ramppin.gateway.connection.httpwire import HeaderNames, Headers, find_header
 from ramppin.gateway.connection.upstream import AnswerHead
+from ramppin.gateway.process.overload.brittleness import parse_tolerance
 
 MISDIRECTED = 421
 """HTTP status of a server other than the one addressed (RFC 9110, section 15.5.20)."""
@@ -35,6 +36,8 @@
 
     Attributes:
         leaving: whether the server is leaving and accepts no new requests.
+        brittle: rejections a second beyond which the server falls over; 0 if it states
+            none.
         backoff_s: seconds for which this VM must send nothing; 0 for no back-off.
         unreadable: a ``Retry-After`` value that can't be parsed, or empty.
 
@@ -44,6 +47,7 @@
     leaving: bool = False
     backoff_s: float = 0.0
     unreadable: bytes = b""
+    brittle: int = 0
 
 
 NO_NOTICE = ServerNotice()
@@ -63,15 +67,18 @@
         # Another server has taken over the address; its headers describe itself.
         return NO_NOTICE
     leaving = find_header(head.headers, names.leaving) == b"1"
+    brittle = parse_tolerance(find_header(head.headers, names.brittle))
     if head.status not in BACKOFF_STATUSES:
-        return ServerNotice(leaving) if leaving else NO_NOTICE
+        is_plain = not (leaving or brittle)
+        return NO_NOTICE if is_plain else ServerNotice(leaving, brittle=brittle)
     values = [v.strip() for n, v in head.headers if n.lower() == b"retry-after"]
     backoffs = [_parse_backoff_s(value, head.headers, wall_clock) for value in values]
     readable = [backoff_s for backoff_s in backoffs if backoff_s is not None]
     unreadable = [v for v, s in zip(values, backoffs, strict=True) if s is None]
     # The longest value applies: each value forbids requests for its whole duration.
     backoff_s = min(MAX_BACKOFF_S, max(readable, default=0.0))
-    return ServerNotice(leaving, backoff_s, unreadable[0] if unreadable else b"")
+    bad_value = unreadable[0] if unreadable else b""
+    return ServerNotice(leaving, backoff_s, bad_value, brittle)
 
 
 def _parse_backoff_s(
