Path through another VM: a server's own 503 is never taken for a refusal to forward; probes ignore time-outs of a stalled process

Found by reading, neither seen in a run: a 503 that a server gave without stating that it did not run would have been marked as not forwarded, and the request sent to another VM; a probe that timed out because this process had stalled would have counted against the path.

--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -22,6 +22,7 @@
 import json
 import random
 import signal
+import statistics
 import sys
 import time
 from collections import Counter
@@ -113,6 +114,8 @@
     Attributes:
         trial: form of the only cut, at 2 s and until the end; empty for harms.
         cut_share: share of the VMs that a trial cuts off.
+        plain_s: how long plain requests took that were served, by whether their VM was
+            cut off.
         held_s: how long VMs cut off held requests that they did not serve.
         unserved: what these VMs tell of them.
     """
@@ -123,6 +126,9 @@
     broken: list[str] = field(default_factory=list)
     spans: list[CutSpan] = field(default_factory=list)
     held_s: list[float] = field(default_factory=list)
+    plain_s: dict[bool, list[float]] = field(
+        default_factory=lambda: {True: [], False: []}
+    )
     unserved: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -287,6 +293,8 @@
         self._check_answer(path, request_id, answer)
         if self.was_calm(vm, now, CALM_S) and vm in self.running:
             is_late = self._note_first_try(vm, sent_at, now, served)
+            if served and path.startswith("/a/"):
+                self.plain_s[is_late].append(now - sent_at)
             if is_late and not served:
                 self.unserved.append(await self._explain(vm, request_id, answer))
 
@@ -402,7 +410,12 @@
         statuses = " ".join(f"{s}:{n}" for s, n in self.statuses.most_common())
         held = sorted(self.held_s)
         middle = f"{held[len(held) // 2]:.3f}" if held else "none"
+        medians = [
+            statistics.median(self.plain_s[is_cut] or [0.0]) * 1000
+            for is_cut in (True, False)
+        ]
         return (
+            f"median {medians[0]:.0f} ms cut off, {medians[1]:.0f} ms else; "
             f"cut off {cut.served} of {cut.asked}, others {others.served} of "
             f"{others.asked}; failed ones held {middle} s; answers {statuses}; "
             f"{' '.join(self.faults)}; unserved: {self.unserved[:4]}"
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -213,7 +213,10 @@
         )
         await self._listen_for_vms(link.port)
         probe = PathProbe(
-            self.context.reachability, self.context.pool, self.context.generator
+            self.context.reachability,
+            self.context.pool,
+            self.context.generator,
+            self._stall_detector.is_behind,
         )
         work_items = (*self.tables.list_work(), self._hints.run(), self._sweep())
         for work in (*work_items, probe.run()):
--- a/src/ramppin/gateway/process/membership/pathprobe.py
+++ b/src/ramppin/gateway/process/membership/pathprobe.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from ramppin.errors import NotSentError
 from ramppin.gateway.connection.pool import ConnectionPool
@@ -41,6 +42,8 @@
         reachability: names the servers to probe, and is told the results.
         pool: opens and keeps the connections.
         generator: source of randomness.
+        is_behind: returns whether this process has stalled and not caught up, so that
+            a time-out may be its own.
 
     .. versionadded:: 0.5
     """
@@ -50,10 +53,12 @@
         reachability: Reachability,
         pool: ConnectionPool,
         generator: random.Random,
+        is_behind: Callable[[float], bool],
     ) -> None:
         self._reachability = reachability
         self._pool = pool
         self._generator = generator
+        self._is_behind = is_behind
         self._intervals: dict[str, float] = {}
         self._due_at: dict[str, float] = {}
         self._running: set[asyncio.Task[None]] = set()
@@ -93,8 +98,10 @@
         server, loop = state.server, asyncio.get_running_loop()
         try:
             connection = await self._pool.open(state.id, server.host, server.port)
-        except NotSentError:
-            self._reachability.note_failed(state, loop.time())
+        except NotSentError as error:
+            now = loop.time()
+            if error.is_refused or not self._is_behind(now):
+                self._reachability.note_failed(state, now)
             return
         await asyncio.sleep(SURVIVAL_S)
         if not connection.alive:
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -27,6 +27,7 @@
 from ramppin.gateway.request.crashwatch import CrashWatch
 from ramppin.gateway.request.directpath import DirectPath
 from ramppin.gateway.request.finalanswer import (
+    NOT_RUN_STATUS,
     Ending,
     FinalAnswer,
     answer_denied,
@@ -122,7 +123,7 @@
             if isinstance(admitted, Denial):
                 self._report.note_denied(admitted)
                 final = answer_denied(admitted, self._measure_time_left_s())
-                self._answer(final, may_forward_elsewhere=final.status == 503)
+                self._answer(final, may_forward_elsewhere=True)
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
             is_avoided = context.reachability.avoids(admitted.service)
@@ -358,7 +359,8 @@
         if final.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.2f" % final.retry_after_s))
         names = self._context.names
-        if self._is_forwarded and may_forward_elsewhere and final.status == 503:
+        is_own = final.ending is Ending.REFUSE and final.status == NOT_RUN_STATUS
+        if self._is_forwarded and may_forward_elsewhere and is_own:
             headers.append((names.forward_refused, final.reason.name.encode()))
         if self._request_id and find_header(headers, names.request_id) is None:
             headers = [(names.request_id, self._request_id), *headers]
