Servers out of reach stay ejected when another one answers

The test failed before (reachability: servers out of reach were tried again each time that another one answered). Cause: the end of a series of failures forgot those of all its servers, whoever showed that the path works; a VM that reaches only some servers tried the others again each time. Now they are forgotten only if one of them is reached.

The head for another VM is built when it is needed, not for each request, and another VM's Retry-After no longer counts as a server's back-off.

--- a/features/partitioned_vms/reachability.feature
+++ b/features/partitioned_vms/reachability.feature
@@ -32,6 +32,11 @@
     When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 k:a1 k:b1"
     Then none of its servers is suspect
 
+  Scenario: servers out of reach were tried again each time that another one answered
+    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 n:c1"
+    Then its path is working
+    And its server a1 is suspect
+
   Scenario: a server that failed alone stays ejected when others answer
     When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 n:b1"
     Then its server a1 is suspect
--- a/src/ramppin/gateway/process/routing/reachability.py
+++ b/src/ramppin/gateway/process/routing/reachability.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -76,7 +76,7 @@
         since: event-loop time of the first one.
         failed_at: time of the newest one by server id.
         confirmed: whether another VM reached one of the servers since.
-        successful_probes: probes in a row that succeeded.
+        probed: ids of the servers of the probes in a row that succeeded.
         required_probes: probes in a row that must succeed.
         reported: status in the last reported change.
     """
@@ -85,7 +85,7 @@
     required_probes: int
     failed_at: dict[str, float] = field(default_factory=dict)
     confirmed: bool = False
-    successful_probes: int = 0
+    probed: list[str] = field(default_factory=list)
     reported: PathStatus = PathStatus.WORKING
 
 
@@ -118,7 +118,7 @@
         elif self._find_status(service, series) is PathStatus.WORKING:
             _drop_old(series, now)
         series.failed_at[state.id] = now
-        series.successful_probes = 0
+        series.probed.clear()
         self._note_status(service, series, now)
 
     def note_answered(self, state: ServerState, opened_at: float, now: float) -> None:
@@ -136,7 +136,7 @@
         self._answered_at[service] = now
         series = self._series.get(service)
         if series is not None and opened_at >= series.since:
-            self._end(service, series, now)
+            self._end(service, series, [state.id], now)
 
     def note_probe(self, state: ServerState, now: float) -> None:
         """Record that a probe established a connection to a server."""
@@ -144,9 +144,9 @@
         series = self._series.get(service)
         if series is None:
             return
-        series.successful_probes += 1
-        if series.successful_probes >= series.required_probes:
-            self._end(service, series, now)
+        series.probed.append(state.id)
+        if len(series.probed) >= series.required_probes:
+            self._end(service, series, series.probed, now)
 
     def note_peer_reached(self, server_id: str, at: float, now: float) -> None:
         """Record that another VM got an answer of a server.
@@ -268,16 +268,27 @@
         required = 2 * self._required_probes.get(service, RETURN_PROBES)
         return min(MAX_RETURN_PROBES, required)
 
-    def _end(self, service: str, series: _Series, now: float) -> None:
-        """End a series: the path works."""
+    def _end(
+        self, service: str, series: _Series, reached: Collection[str], now: float
+    ) -> None:
+        """End a series: the path works, at least to some servers.
+
+        Args:
+            service: the service.
+            series: its series.
+            reached: ids of the servers that show it.
+            now: event-loop time.
+        """
         del self._series[service]
         if self._find_status(service, series) is PathStatus.WORKING:
             return
         self._returned_at[service] = now
         self._required_probes[service] = series.required_probes
-        for state in self._directory.list_service(service):
-            if state.id in series.failed_at:
-                state.health.pardon()
+        if not series.failed_at.keys().isdisjoint(reached):
+            # Otherwise the others may still be out of reach.
+            for state in self._directory.list_service(service):
+                if state.id in series.failed_at:
+                    state.health.pardon()
         self._add_change(service, PathStatus.WORKING, series, now)
 
     def _note_status(self, service: str, series: _Series, now: float) -> None:
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -261,7 +261,7 @@
             now = self._loop.time()
             served.unreached += path is direct and last.end is AttemptEnd.NOT_SENT
             path.note_result(last, started, now)
-            if last.notice.backoff_s > 0:
+            if path is direct and last.notice.backoff_s > 0:
                 self._progress.backoff_refusals += 1
             if last.end is AttemptEnd.DELIVERED or self._disconnected:
                 path.report(last, now)
--- a/src/ramppin/gateway/request/forwardedpath.py
+++ b/src/ramppin/gateway/request/forwardedpath.py
@@ -46,7 +46,7 @@
         self._context = served.context
         self._retries = retries
         self._loop = asyncio.get_running_loop()
-        self._builder = ForwardedHeadBuilder(served.context.names, served.request)
+        self._builder: ForwardedHeadBuilder | None = None
         self._tried: set[str] = set()
         self._forwarder: Forwarder | None = None
         self.is_exhausted = False
@@ -120,6 +120,8 @@
         self, connection: UpstreamConnection, forwarder: Forwarder
     ) -> AttemptResult:
         served, context = self._served, self._context
+        if self._builder is None:
+            self._builder = ForwardedHeadBuilder(context.names, served.request)
         destination = VmDestination(context.names, forwarder, served.admission.service)
         attempt = ForwardedAttempt(
             served, destination, self._builder.build_rest(), self._may_take_over
