Tests of the path through another VM: six rules whose removal no scenario noticed

Of nine mutants in a scratch copy six survived partitioned_vms/exchanges and reachability: the failure domains of a series, the age of a peer's report, one hop, the refusal by a VM that is cut off, headers of callers, and the list of services out of reach.

--- a/features/partitioned_vms/exchanges.feature
+++ b/features/partitioned_vms/exchanges.feature
@@ -63,6 +63,18 @@
     When callers of "vm-1" send 6 requests to "/once/"
     Then each is served within 0.5 s, and ran once
 
+  Scenario: a VM that says that it is cut off is not asked
+    Given "vm-1 vm-2" is cut off from all servers
+    And "vm-1" has heard that "vm-2" is cut off
+    When callers of "vm-1" send 6 requests to "/once/"
+    Then each is served within 0.5 s, and ran once
+    And "vm-2" has no line on them
+
+  Scenario: the other VM finds that it is cut off too, and does not pass the request on again
+    Given "vm-2" finds no connection to any server, and does not know it yet
+    When "vm-1" sends "vm-2" a request to forward of version "1"
+    Then it is refused with 503 and the reason "ramppin-forward-refused"
+
   Scenario: the path is back
     Given "vm-1" is cut off from all servers
     When a caller of "vm-1" sends a request to "/once/"
--- a/features/partitioned_vms/reachability.feature
+++ b/features/partitioned_vms/reachability.feature
@@ -1,8 +1,9 @@
 Feature: a VM tells a fault of its own path from a fault of servers
 
   Scenario Outline: <case>
-    # f: failed, n: answers a new connection, o: an old one, p: another VM reached it, k: a probe
-    When a VM before servers a1 a2 b1 b2 c1 observes "<events>"
+    # f: failed, n: answers a new connection, o: an old one, k: a probe
+    # p: another VM reached it now, q: 2 s ago
+    When a VM before servers a1 a2 a3 b1 c1 observes "<events>"
     Then its path is <status>
 
     Examples:
@@ -10,10 +11,11 @@
       | one server fails                                           | f:a1 f:a1 f:a1                 | working   |
       | two servers fail                                           | f:a1 f:b1                      | working   |
       | three servers of two failure domains fail                  | f:a1 f:a2 f:b1                 | suspected |
-      | a failure domain fails                                     | f:a1 f:a2 f:a1                 | working   |
+      | a failure domain fails                                     | f:a1 f:a2 f:a3                 | working   |
       | three fail, and one of them answers another VM             | f:a1 f:a2 f:b1 p:b1            | lost      |
       | three fail, and one that did not fail answers another VM   | f:a1 f:a2 f:b1 p:c1            | suspected |
       | another VM reached it before it failed                     | p:b1 f:a1 f:a2 f:b1            | suspected |
+      | it is told late that another VM reached one before         | f:a1 f:a2 f:b1 q:b1            | suspected |
       | a new connection is answered in between                    | f:a1 f:a2 n:c1 f:b1            | working   |
       | an open connection is answered in between                  | f:a1 f:a2 o:c1 f:b1            | suspected |
       | a new connection is answered after the path was lost       | f:a1 f:a2 f:b1 p:b1 n:c1       | working   |
@@ -24,25 +26,25 @@
       | it is lost again soon, and four probes succeed             | f:a1 f:a2 f:b1 k:a1 k:b1 f:a1 f:a2 f:b1 k:a1 k:b1 k:a1 k:b1 | working |
 
   Scenario: failures of long ago do not add up
-    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2"
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2"
     And 4 s later it observes "f:b1"
     Then its path is working
 
   Scenario: a server whose failures were the path's is used at once when the path is back
-    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 k:a1 k:b1"
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2 f:b1 k:a1 k:b1"
     Then none of its servers is suspect
 
   Scenario: servers out of reach were tried again each time that another one answered
-    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 n:c1"
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2 f:b1 n:c1"
     Then its path is working
     And its server a1 is suspect
 
   Scenario: a server that failed alone stays ejected when others answer
-    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 n:b1"
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 n:b1"
     Then its server a1 is suspect
 
   Scenario: another service is avoided too while it has no answer
-    When a VM before servers a1 a2 b1 b2 c1 observes "f:a1 f:a2 f:b1 p:b1"
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2 f:b1 p:b1"
     Then it avoids the service "other" until a server of it answers
 
   Scenario: crashes, lost failure domains and slow servers are no fault of the path
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -98,8 +98,15 @@
 
     def cut(self, vm: str) -> None:
         """Let a VM find no connection to backend servers, and know it."""
+        self.break_links(vm)
         context = self.vms[vm].gateway.context
-        pool, reachability = context.pool, context.reachability
+        now = asyncio.get_running_loop().time()
+        for state in context.directory:
+            context.reachability.note_failed(state, now)
+
+    def break_links(self, vm: str) -> None:
+        """Let a VM find no connection to backend servers."""
+        pool = self.vms[vm].gateway.context.pool
         open_call = self.open_calls[vm] = pool.open
 
         async def open_unless_cut(peer, host, port, **options):
@@ -110,9 +117,6 @@
             )
 
         pool.open = open_unless_cut
-        now = asyncio.get_running_loop().time()
-        for state in context.directory:
-            reachability.note_failed(state, now)
 
     def heal(self, vm: str) -> None:
         self.vms[vm].gateway.context.pool.open = self.open_calls[vm]
@@ -161,6 +165,28 @@
     run(context, cut())
 
 
+@given('"{vm}" finds no connection to any server, and does not know it yet')
+def step_break_links(context, vm):
+    context.fleet.break_links(vm)
+
+
+@given('"{vm}" has heard that "{other}" is cut off')
+def step_heard(context, vm, other):
+    members = context.fleet.vms[vm].gateway.tables.members
+
+    def is_told() -> bool:
+        [member] = [m for m in members.list_last_seen_first() if m.vm == other]
+        return "plain" in member.unreachable
+
+    run(context, wait_for(is_told, "the other VM says so"))
+
+
+@then('"{vm}" has no line on them')
+def step_no_lines(context, vm):
+    lines = [x for x in context.fleet.list_lines(vm) if "request_id" in x]
+    assert not lines, lines
+
+
 @given("all servers ask for a rest of {rest:d} s")
 def step_rest(context, rest):
     async def refuse(reply) -> None:
@@ -203,7 +229,7 @@
 
 @when('a caller of "{vm}" sends a request to "{path}" with a forwarding header')
 def step_ask_forged(context, vm, path):
-    headers = {"Ramppin-Forwarded": "1", "Ramppin-Served-By": "p0"}
+    headers = {"Ramppin-Forwarded": "7", "Ramppin-Served-By": "p0"}
     run(context, context.fleet.ask(vm, path, headers=headers))
 
 
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -15,6 +15,9 @@
 OLD = -10.0
 """When connections were opened that outlive a cut."""
 
+LATE_S = 2.0
+"""Age of a report that arrives late."""
+
 SERVICE, OTHER = "model", "other"
 SERVERS = 9
 DOMAINS = "abc"
@@ -44,8 +47,9 @@
         if kind == "f":
             state.health.note_outcome(Outcome.UNREACHABLE, now)
             reachability.note_failed(state, now)
-        elif kind == "p":
-            reachability.note_peer_reached(state.id, now, now)
+        elif kind in "pq":
+            at = now if kind == "p" else now - LATE_S
+            reachability.note_peer_reached(state.id, at, now)
         elif kind == "k":
             reachability.note_probe(state, now)
         else:
