--- a/src/ramppin/gateway/process/membership/pathprobe.py
+++ b/src/ramppin/gateway/process/membership/pathprobe.py
@@ -39,7 +39,7 @@
     """Runs the probes of one VM.
 
     Args:
-        reachability: names the servers to probe, and is told the results.
+        reachability: names the servers to probe, and receives the results.
         pool: opens and keeps the connections.
         generator: source of randomness.
         is_behind: returns whether this process has stalled and not caught up, so that
