Memory budget: enabled by overload control of the routing settings as before

Cause: the mark that overload control applies to all services had to be set beside it; code that enables overload control without the mark, as the scenario does, got no budget.

--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -61,7 +61,7 @@
 def step_applies(context, settings, state, services):
     process = SimpleNamespace(
         overload=None,
-        is_overload_general=False,
+        is_overload_limited=False,
         brittle=BrittleServices(),
         drain=None,
         directory=ServerDirectory(),
@@ -79,8 +79,8 @@
     is_stated = settings == "routing settings without"
     table = SimpleNamespace(overload=OverloadRules() if is_stated else None)
     activation.apply(table)
-    found = "none" if process.overload is None else "brittle"
-    found = "all" if process.is_overload_general else found
+    found = "brittle" if process.is_overload_limited else "all"
+    found = "none" if process.overload is None else found
     assert found == services, found
 
 
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -78,8 +78,8 @@
         overload: gives requests their turns; None while overload control is disabled.
         brittle: services whose backend servers are brittle.
         note_brittle: called when the servers of a service state that they are brittle.
-        is_overload_general: whether overload control applies to all services, not
-            only to those with brittle servers.
+        is_overload_limited: whether overload control applies only to services with
+            brittle servers.
         note_table: called after routing settings have taken effect.
         find_home: returns the server that has cached a prefix, by its key, or None.
         reachability: whether this VM's own paths to the servers work.
@@ -115,7 +115,7 @@
     overload: OverloadControl | None = None
     brittle: BrittleServices = field(default_factory=BrittleServices)
     note_brittle: Callable[[], None] = lambda: None
-    is_overload_general: bool = False
+    is_overload_limited: bool = False
     note_table: Callable[[RoutingTable], None] = lambda table: None
     find_home: Callable[[int], str | None] = lambda key: None
     reachability: Reachability = field(init=False)
@@ -172,7 +172,7 @@
 
     def find_overload(self, service: str, now: float) -> OverloadControl | None:
         """Return overload control if it applies to a service now, or None."""
-        if self.overload is None or self.is_overload_general:
+        if self.overload is None or not self.is_overload_limited:
             return self.overload
         return self.overload if self.brittle.is_brittle(service, now) else None
 
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -383,10 +383,9 @@
         Routing settings that disable overload control leave the budget enabled if the
         process's configuration enables it: the budget protects the process.
         """
-        configured = self.config.overload
-        is_enabled = self.context.is_overload_general or (
-            configured is not None and configured.enabled
-        )
+        configured, context = self.config.overload, self.context
+        is_general = context.overload is not None and not context.is_overload_limited
+        is_enabled = is_general or (configured is not None and configured.enabled)
         self.context.listener.memory = self._memory if is_enabled else None
 
     def _note_memory_abort(self, aborted: AbortedConnection) -> None:
--- a/src/ramppin/gateway/process/overload/activation.py
+++ b/src/ramppin/gateway/process/overload/activation.py
@@ -90,8 +90,8 @@
         context = self._context
         stated = self._table.overload if self._table is not None else None
         rules = stated or self.configured
-        context.is_overload_general = rules is not None and rules.enabled
-        if context.is_overload_general:
+        context.is_overload_limited = rules is None or not rules.enabled
+        if not context.is_overload_limited:
             return rules
         if stated is not None or self._brittle_rules is None:
             return None
