Servers that do not read their requests are not out of reach

Cause: a connection that timed out counted as evidence against the path, also where the server's window was closed; three such servers put the path in doubt, and with no other VM everything was refused. Connections that time out no longer count; cut paths are found by connections that are not established or are reset.

--- a/src/ramppin/gateway/request/directpath.py
+++ b/src/ramppin/gateway/request/directpath.py
@@ -171,9 +171,9 @@
         if served.queueing is not None:
             served.queueing.note_attempt(state.server, result.end, took_s)
         result.lost = connection.was_lost or state.restarted
-        # A server that is silent while its kernel acknowledges is reached.
-        is_cut = connection.was_lost or connection.was_timed_out
-        if is_cut and result.end is AttemptEnd.FAILED and result.status == 0:
+        # Not if it timed out: a server that does not read its requests is reached.
+        is_cut = connection.was_lost and result.end is AttemptEnd.FAILED
+        if is_cut and result.status == 0:
             context.reachability.note_failed(state, self._loop.time())
         if connection.was_timed_out:
             context.pool.note_timed_out(connection)
