Brittle servers: rejections of all VMs count, and blind VMs keep to their part

A server counts the rejections of all VMs, but a VM stopped after its own alone, so six VMs may be rejected once each where 4 are tolerated; at 72 VMs one each is 18 times too many. There were many since, without load reports, a VM bounded a server's load by what it sent itself, 1.5 times its own mean and 1.5: six VMs may put four each where twelve fit. And each server got a fourth of its slots beyond these, whatever room it had left.

Change: a brittle server that rejected two VMs (one, if it tolerates fewer than 4) gets nothing of any VM for the second over which it counts, by the back-offs that VMs send to each other at once anyway; meanwhile it counts as full, so that requests wait rather than move on. Each known rejection reduces what servers get beyond their slots. Without load reports a VM sends one server no more than its own part of that server's limit. All three act only while a service states that it is brittle.

Why it works: the fleet stops at two or three rejections, before a fifth, however many VMs there are; and rejections become rare.

--- a/features/brittle_soak.py
+++ b/features/brittle_soak.py
@@ -42,6 +42,7 @@
 TOLERANCE = 4
 SHORT_QUEUE = 4
 FALL_S = 3.0
+PORT_RETRY_S = 0.05
 
 MAX_FALLS = 2 + SERVERS / 10
 MIN_SERVED_SHARE = 0.85
@@ -56,11 +57,13 @@
         said_from: when their answers begin to say so.
         shrunk_from: when they let fewer wait.
         falls: when servers fell over, by the harness's clock.
+        rejected: requests that servers turned away since they let fewer wait.
     """
 
     said_from: float = math.inf
     shrunk_from: float = math.inf
     falls: list[float] = field(default_factory=list)
+    rejected: int = 0
 
 
 class BrittleServer(OverloadServer):
@@ -83,8 +86,9 @@
 class BrittleServers(OverloadServers):
     """Servers that fall over if they turn too many requests away."""
 
-    def __init__(self, generator, reports: int) -> None:
+    def __init__(self, generator, reports: int, short_queue: int) -> None:
         super().__init__(generator, reports)
+        self._short_queue = short_queue
         self.brittleness = Brittleness()
         self._rejected: dict[str, deque[float]] = {}
         self._falling: set[asyncio.Task[None]] = set()
@@ -100,7 +104,7 @@
     async def _serve(self, server: OverloadServer, reply: Reply) -> None:
         now = time.monotonic()
         is_shrunk = now >= self.brittleness.shrunk_from
-        room = SLOTS + (SHORT_QUEUE if is_shrunk else QUEUE)
+        room = SLOTS + (self._short_queue if is_shrunk else QUEUE)
         if server.held < room:
             await super()._serve(server, reply)
             return
@@ -112,6 +116,7 @@
     def _note_rejected(self, server: OverloadServer, now: float) -> None:
         if now < self.brittleness.shrunk_from:
             return
+        self.brittleness.rejected += 1
         rejected = self._rejected.setdefault(server.id, deque())
         rejected.append(now)
         while rejected[0] < now - 1.0:
@@ -127,7 +132,16 @@
     async def _fall(self, server: OverloadServer) -> None:
         await server.stop()
         await asyncio.sleep(FALL_S)
-        await server.start(server.port)
+        while not await self._start_again(server):
+            await asyncio.sleep(PORT_RETRY_S)
+
+    async def _start_again(self, server: OverloadServer) -> bool:
+        """Start a server at its port; return whether the port was free."""
+        try:
+            await server.start(server.port)
+        except OSError:
+            return False
+        return True
 
 
 @dataclass
@@ -136,15 +150,17 @@
 
     Attributes:
         killed_vms: VMs that are killed for good after 7 s.
+        short_queue: requests that a server lets wait from 6 s on.
     """
 
     load: float = 1.5
     contracts: str = ""
     killed_vms: int = 0
+    short_queue: int = SHORT_QUEUE
 
     def __post_init__(self) -> None:
         super().__post_init__()
-        self.servers = BrittleServers(self.random, self.reports)
+        self.servers = BrittleServers(self.random, self.reports, self.short_queue)
 
     async def _start(self) -> None:
         await self.fixture.store.start()
@@ -202,7 +218,8 @@
             for number in PRIORITIES
         ]
         return (
-            f"{len(falls)} falls ({at}); {self.served_share:.2f} of what servers bear; "
+            f"{len(falls)} falls ({at}), {self.servers.brittleness.rejected} rejected; "
+            f"{self.served_share:.2f} of what servers bear; "
             f"served by priority {' '.join(shares)}; {super().show()}"
         )
 
@@ -217,6 +234,7 @@
         contracts=options.contracts,
         killed_vms=options.killed,
         load=options.load,
+        short_queue=options.queue,
     )
     return soak.run_and_show()
 
@@ -227,6 +245,7 @@
     parser.add_argument("--reports", type=int, default=4, help="0, 3 or 4 figures")
     parser.add_argument("--contracts", default="", help="pressure, or empty")
     parser.add_argument("--killed", type=int, default=0, help="VMs killed after 7 s")
+    parser.add_argument("--queue", type=int, default=SHORT_QUEUE, help="places left")
     parser.add_argument("--load", type=float, default=1.5, help="of what servers bear")
     return run_seeds(parser.parse_args(), run_seed)
 
--- a/features/steps/server_word_exchange_steps.py
+++ b/features/steps/server_word_exchange_steps.py
@@ -259,7 +259,7 @@
     directory, now = context.fixture.gateway.context.directory, context.loop.time()
     for name in read_names(names):
         for vm in ("vm-2", "vm-3"):
-            directory.find(name).shedding.note_peer_backoff(vm, now + rest)
+            directory.find(name).shedding.note_peer_backoff(vm, now + rest, now)
 
 
 @when('a request to "{path}" is sent while "{names}" turn all away')
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -124,7 +124,12 @@
     forward_port: int = 0
 
     def __post_init__(self) -> None:
-        self.gate = ServerGate(self.directory, self.cold_quota, self.find_cold_rate)
+        self.gate = ServerGate(
+            self.directory,
+            self.cold_quota,
+            self.find_cold_rate,
+            self.brittle.find_closed_until,
+        )
         self.reachability = Reachability(self.directory)
         self.server_checks = ServerChecks(
             self.pool, self.quarantine, self.reachability.is_at_fault
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -135,6 +135,7 @@
             self._list_sharing_vms,
             self.tables.members.find_failure_domain,
             config.failure_domain,
+            self.context.brittle,
         )
         self.overload = OverloadActivation(
             self.context,
@@ -201,7 +202,7 @@
             LoadGossip(self.context.directory),
             self.tables.monitor.is_up,
             self._suspects,
-            NoticeGossip(self.context.directory),
+            NoticeGossip(self.context.directory, self.context.brittle),
             DemandGossip(
                 self.start_limiter,
                 self.context.directory.list_services,
--- a/src/ramppin/gateway/process/overload/capacity.py
+++ b/src/ramppin/gateway/process/overload/capacity.py
@@ -17,6 +17,7 @@
 from ramppin.gateway.process.load.estimate import NEVER
 from ramppin.gateway.process.load.times import MovingMean
 from ramppin.gateway.process.load.view import measure_loads
+from ramppin.gateway.process.overload.brittleness import BrittleServices
 from ramppin.gateway.process.overload.learnedlimit import (
     INITIAL_PER_SERVER,
     LearnedLimit,
@@ -150,6 +151,7 @@
     Args:
         directory: the backend servers.
         find_service: returns the settings of a service, or None.
+        brittle: services with brittle servers; None for none.
 
     .. versionadded:: 0.3
     """
@@ -158,7 +160,9 @@
         self,
         directory: ServerDirectory,
         find_service: Callable[[str], ServiceSpec | None],
+        brittle: BrittleServices | None = None,
     ) -> None:
+        self._brittle = brittle or BrittleServices()
         self._directory = directory
         self._find_service = find_service
         self._reported_slots: dict[str, int] = {}
@@ -238,9 +242,9 @@
     def measure(self, service: str, now: float) -> ServiceCapacity:
         """Return the capacity of a service.
 
-        A server that is ejected or unresponsive counts with what it holds, and has no
-        free capacity. The free capacity of a cold server is what it accepts within a
-        report's delay.
+        A server that is ejected or unresponsive, or is brittle and rejects requests,
+        counts with what it holds, and has no free capacity. The free capacity of a cold
+        server is what it accepts within a report's delay.
 
         Args:
             service: the service's name.
@@ -252,12 +256,15 @@
         spec = self._find_service(service) or ServiceSpec(service)
         slots = self._list_slots(states, spec, now)
         loads = measure_loads(states, now).loads
+        margin_share = self._brittle.find_margin_share(service, now)
         servers = [
-            self._measure_server(state, server_slots, len(states), spec)
+            self._measure_server(state, server_slots, len(states), spec, margin_share)
             for state, server_slots in zip(states, slots, strict=True)
         ]
         limits = [
-            _limit_now(state, server.limit, loads[state.id], spec.cold_per_s, now)
+            loads[state.id]
+            if self._brittle.find_closed_until(state, now) is not None
+            else _limit_now(state, server.limit, loads[state.id], spec.cold_per_s, now)
             for state, server in zip(states, servers, strict=True)
         ]
         stay = self._stays.get(service, states[0].times.stay)
@@ -283,7 +290,12 @@
         )
 
     def _measure_server(
-        self, state: ServerState, slots: int, servers: int, spec: ServiceSpec
+        self,
+        state: ServerState,
+        slots: int,
+        servers: int,
+        spec: ServiceSpec,
+        margin_share: float,
     ) -> _ServerCapacity:
         """Return slots and limit of one server.
 
@@ -300,7 +312,8 @@
         tokens = self._mean_tokens.get(state.server.service)
         if tokens and spec.cache_tokens > 0:
             running = max(1.0, min(running, spec.cache_tokens / tokens))
-        return _ServerCapacity(running, running + _compute_margin(running))
+        margin = margin_share * _compute_margin(running)
+        return _ServerCapacity(running, running + margin)
 
     def _list_slots(
         self, states: Sequence[ServerState], spec: ServiceSpec, now: float
--- a/src/ramppin/gateway/process/overload/startlimiter.py
+++ b/src/ramppin/gateway/process/overload/startlimiter.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from ramppin.gateway.process.overload.brittleness import BrittleServices
 from ramppin.gateway.process.overload.capacity import (
     REPORT_DELAY_S,
     CapacityEstimator,
@@ -308,6 +309,7 @@
             empty while the fleet is unknown.
         find_failure_domain: returns the failure domain of a VM.
         failure_domain: the failure domain of this VM.
+        brittle: services with brittle servers; None for none.
 
     .. versionadded:: 0.3
     """
@@ -319,9 +321,11 @@
         list_vms: Callable[[float], Sequence[str]],
         find_failure_domain: Callable[[str], str] = lambda vm: "",
         failure_domain: str = "",
+        brittle: BrittleServices | None = None,
     ) -> None:
         self._directory = directory
-        self._estimator = CapacityEstimator(directory, find_service)
+        self._brittle = brittle or BrittleServices()
+        self._estimator = CapacityEstimator(directory, find_service, self._brittle)
         self._demand = FleetDemand(
             list_vms, find_failure_domain, failure_domain, directory.stall_detector
         )
@@ -390,9 +394,17 @@
         return max(rate, share / REPORT_DELAY_S)
 
     def find_server_limit(self, service: str, rank: int, now: float) -> float:
-        """Return how many requests one server may hold for one more of a rank."""
+        """Return how many requests one server may hold for one more of a rank.
+
+        Of a brittle server without load reports only what this VM sent is known, and
+        its limit is this VM's part.
+        """
         snapshot = self._find_snapshot(service, now)
         capacity = snapshot.capacity
+        if capacity.servers and self._brittle.is_brittle(service, now):
+            view = self._view(service, now)
+            if not view.has_reports:
+                return max(1.0, math.ceil(view.compute_cap(rank) / capacity.servers))
         if not capacity.priority_room:
             return capacity.server_limit
         reserve = capacity.compute_reserve(snapshot.positions[rank], snapshot.ranks)
--- a/src/ramppin/gateway/process/routing/gate.py
+++ b/src/ramppin/gateway/process/routing/gate.py
@@ -70,6 +70,8 @@
         cold_quota: requests that this VM may send to cold servers.
         find_cold_rate: returns how many requests per second a cold server of a
             service accepts; 0 for no limit.
+        find_rejecting_end: returns when a brittle server that rejects requests may get
+            one, or None.
 
     .. versionadded:: 0.3
     """
@@ -79,10 +81,14 @@
         directory: ServerDirectory,
         cold_quota: ColdQuota,
         find_cold_rate: Callable[[str], float],
+        find_rejecting_end: Callable[[ServerState, float], float | None] = (
+            lambda state, now: None
+        ),
     ) -> None:
         self._directory = directory
         self._cold_quota = cold_quota
         self._find_cold_rate = find_cold_rate
+        self._find_rejecting_end = find_rejecting_end
 
     def survey(self, service: str, now: float) -> ServiceSurvey:
         """Return the servers of a service, and which of them are closed.
@@ -111,7 +117,12 @@
             now: event-loop time.
         """
         lasting = find_lasting_closure(state, self._directory.evacuations)
-        return _find_backoff(state, now) if lasting is None else Closure(lasting)
+        if lasting is not None:
+            return Closure(lasting)
+        until = state.notices.find_backoff_end(now)
+        if until is None:
+            until = self._find_rejecting_end(state, now)
+        return None if until is None else Closure(ClosureReason.RESTING, until)
 
     def _find_cold_closure(
         self, state: ServerState, per_s: float, now: float
@@ -123,9 +134,3 @@
             return None
         wait_s = self._cold_quota.measure_wait_s(per_s)
         return Closure(ClosureReason.COLD, now + wait_s)
-
-
-def _find_backoff(state: ServerState, now: float) -> Closure | None:
-    """Return the closure of a server that requested a back-off from this VM."""
-    until = state.notices.find_backoff_end(now)
-    return None if until is None else Closure(ClosureReason.RESTING, until)
--- a/src/ramppin/gateway/process/routing/noticegossip.py
+++ b/src/ramppin/gateway/process/routing/noticegossip.py
@@ -15,6 +15,7 @@
 
 from ramppin.gateway.connection.datagrams import BackoffHint, LeavingHint
 from ramppin.gateway.process.membership.servernotices import NoticeSource
+from ramppin.gateway.process.overload.brittleness import BrittleServices
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.noticeregistry import MS_PER_S
 
@@ -36,12 +37,17 @@
 
     Args:
         directory: the backend servers and their notices.
+        brittle: services with brittle servers, which also learn from peers' back-offs;
+            None for none.
 
     .. versionadded:: 0.3
     """
 
-    def __init__(self, directory: ServerDirectory) -> None:
+    def __init__(
+        self, directory: ServerDirectory, brittle: BrittleServices | None = None
+    ) -> None:
         self._directory = directory
+        self._brittle = brittle or BrittleServices()
         self._broadcasts_left: dict[str, int] = {}
         self._rebroadcast_at = dict.fromkeys((True, False), float("-inf"))
 
@@ -116,7 +122,9 @@
         for hint in hints:
             state = self._directory.find(hint.server)
             if state is not None:
-                state.shedding.note_peer_backoff(vm, now + hint.remaining_ms / MS_PER_S)
+                until = now + hint.remaining_ms / MS_PER_S
+                state.shedding.note_peer_backoff(vm, until, now)
+                self._brittle.note_rejected(state.server.service, now)
 
     def apply(self, hints: Sequence[LeavingHint], now: float) -> None:
         """Apply leaving notices reported by a peer.
--- a/src/ramppin/gateway/request/directpath.py
+++ b/src/ramppin/gateway/request/directpath.py
@@ -165,9 +165,9 @@
         if result.end is AttemptEnd.DELIVERED:
             state.times.stay.note(took_s)
         if result.end is AttemptEnd.REJECTED and result.notice.brittle:
-            context.directory.notices.note_backoff(
-                state.id, REJECTION_BACKOFF_S, self._loop.time()
-            )
+            now = self._loop.time()
+            context.directory.notices.note_backoff(state.id, REJECTION_BACKOFF_S, now)
+            context.brittle.note_rejected(state.server.service, now)
         if served.queueing is not None:
             served.queueing.note_attempt(state.server, result.end, took_s)
         result.lost = connection.was_lost or state.restarted
