--- a/features/partition_servers.py
+++ b/features/partition_servers.py
@@ -31,12 +31,14 @@
         service: its service.
         domain: its failure domain.
         held: requests that it runs.
+        running: cleared while it is silent.
     """
 
     id: str = ""
     service: str = PLAIN
     domain: str = ""
     held: int = 0
+    running: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass
@@ -60,6 +62,7 @@
         server = RunServer(
             names=HEADER_NAMES, id=server_id, service=service, domain=domain
         )
+        server.running.set()
         await server.start()
 
         async def serve(reply: Reply) -> None:
@@ -86,15 +89,18 @@
     async def _run(self, server: RunServer, reply: Reply) -> None:
         if server.service == PLAIN:
             await asyncio.sleep(self.generator.uniform(*PLAIN_WORK_S))
+            await server.running.wait()
             await reply.answer(body=reply.request_id)
             return
         load = b"%b: %d,0,8\r\n" % (HEADER_NAMES.load, server.held)
         head = reply.head(200, b"Content-Type: text/event-stream\r\n" + load)
+        await server.running.wait()
         await reply.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
         last = int(reply.request.headers.get(HEADER_NAMES.last_event_id, b"0"))
         is_long = reply.request.line.split(b" ")[1] == LONG_TARGET
         for number in range(last + 1, EVENTS + 1):
             gap_s = self.generator.uniform(*EVENT_GAP_S)
             await asyncio.sleep(LONG_WORK_S / EVENTS if is_long else gap_s)
+            await server.running.wait()
             await reply.send_chunk(b"id: %d\ndata: %b\n\n" % (number, reply.request_id))
         await reply.send_chunk(b"")
--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -11,6 +11,7 @@
 
     python -m features.partition_soak --seconds 14 --seeds 1-50
     python -m features.partition_soak --trial hang --seeds 1-3
+    python -m features.partition_soak --silence 1.3 --seeds 1-3
 
 Other trials are refused, live, reset and one_way.
 """
@@ -52,6 +53,9 @@
 }
 """What becomes of new and of open connections."""
 
+SILENCE_GAP_S = 0.7
+"""Seconds between two silences."""
+
 RULE_S, RULE_SHARE = 3.0, 2 / 3
 """Seconds after a cut began, and the share of the others' rate, by the users' rule."""
 
@@ -114,6 +118,8 @@
     Attributes:
         trial: form of the only cut, at 2 s and until the end; empty for harms.
         cut_share: share of the VMs that a trial cuts off.
+        silence_s: seconds for which one server after the other is silent, in a run
+            without other harms; 0 for none.
         plain_s: how long plain requests took that were served, by whether their VM was
             cut off.
         held_s: how long VMs cut off held requests that they did not serve.
@@ -122,6 +128,7 @@
 
     trial: str = ""
     cut_share: float = 0.5
+    silence_s: float = 0.0
     statuses: Counter = field(default_factory=Counter)
     broken: list[str] = field(default_factory=list)
     spans: list[CutSpan] = field(default_factory=list)
@@ -138,6 +145,7 @@
         self._ids = 0
         self._cut_until = float("-inf")
         self._stops: list[tuple[str, float, float]] = []
+        self.excused: list[str] = []
         self._tries: dict[tuple[float, bool], Tries] = {
             (after_s, cut): Tries()
             for after_s in (RULE_S, TARGET_S)
@@ -179,6 +187,9 @@
         await super()._begin(vm)
 
     async def _harm_until(self, until: float) -> None:
+        if self.silence_s:
+            await self._silence_servers(until)
+            return
         if not self.trial:
             await super()._harm_until(until)
             return
@@ -247,6 +258,15 @@
         servers = self.servers.servers
         await self._cut_part([s.port for s in servers if s.service == service])
 
+    async def _silence_servers(self, until: float) -> None:
+        """Let one sound server after the other be silent for a while."""
+        while time.monotonic() < until - self.silence_s - SILENCE_GAP_S:
+            await asyncio.sleep(SILENCE_GAP_S)
+            server = self.fault_random.choice(self.servers.servers)
+            server.running.clear()
+            await asyncio.sleep(self.silence_s)
+            server.running.set()
+
     async def _stop_vm(self) -> None:
         # The draw is repeated there.
         state = self.fault_random.getstate()
@@ -368,9 +388,12 @@
                 # A stopped VM notices nothing, nor does its server.
                 stops = self._list_stopped(left_at)
                 if vm in stops:
+                    self.excused.append(f"{request_id} at {vm}")
                     return
                 told = await self._explain(vm, request_id, RawAnswer())
-                if any(stopped in told for stopped in stops):
+                through = [stopped for stopped in stops if stopped in told]
+                if through:
+                    self.excused.append(f"{request_id} through {through[0]}")
                     return
                 self.broken.append(
                     f"{request_id} worked on for {worked_s:.2f} s after its caller "
@@ -408,6 +431,7 @@
         """Return what was done and what callers got."""
         cut, others = self._tries[TARGET_S, True], self._tries[TARGET_S, False]
         statuses = " ".join(f"{s}:{n}" for s, n in self.statuses.most_common())
+        repeated = sum(runs > 1 for runs in self.servers.runs.values())
         held = sorted(self.held_s)
         middle = f"{held[len(held) // 2]:.3f}" if held else "none"
         medians = [
@@ -418,7 +442,9 @@
             f"median {medians[0]:.0f} ms cut off, {medians[1]:.0f} ms else; "
             f"cut off {cut.served} of {cut.asked}, others {others.served} of "
             f"{others.asked}; failed ones held {middle} s; answers {statuses}; "
-            f"{' '.join(self.faults)}; unserved: {self.unserved[:4]}"
+            f"{repeated} ran again; "
+            f"{' '.join(self.faults)}; worked on for a stopped VM: {self.excused}; "
+            f"unserved: {self.unserved[:4]}"
         )
 
 
@@ -439,6 +465,10 @@
             trial=options.trial,
             cut_share=options.share,
         )
+    elif options.silence:
+        soak = PartitionSoak(
+            seed, options.seconds, options.vms, silence_s=options.silence
+        )
     elif options.harms:
         harms = tuple(options.harms.split(","))
         soak = PartitionSoak(seed, options.seconds, options.vms, harms)
@@ -452,6 +482,7 @@
     parser = build_parser(__doc__, seconds=14.0, vms=8)
     parser.add_argument("--harms", default="", help="kinds of harm, by commas")
     parser.add_argument("--trial", default="", choices=["", *FORMS])
+    parser.add_argument("--silence", type=float, default=0.0, help="seconds")
     parser.add_argument("--share", type=float, default=0.5, help="of VMs cut off")
     return run_seeds(parser.parse_args(), run_seed)
 
--- a/features/partitioned_vms/processes.feature
+++ b/features/partitioned_vms/processes.feature
@@ -7,3 +7,7 @@
     And a partition trial of 8 processes, 7 seconds and seed 1 in the form "live" breaks no promise
     And a partition trial of 8 processes, 7 seconds and seed 1 in the form "reset" breaks no promise
     And a partition trial of 8 processes, 7 seconds and seed 1 in the form "one_way" breaks no promise
+
+  Scenario: VMs are partitioned while VMs are killed, stopped and drained and the store refuses
+    Then a partition soak of 8 processes, 14 seconds and seed 7 breaks no promise
+    And a partition soak of 8 processes, 14 seconds and seed 101 breaks no promise
