Test that a VM that has just started cut off does not forward requests; it fails

All six got 502, which the VM that forwarded them had answered.

Evidence: the soak now prints when VMs start and which are cut, and how. vm-2 and vm-6 were cut from 2.92 s on, vm-2 was killed at 4.8 s and started at 5.67 s, and the requests of vm-6 went through vm-2 at 5.88 to 6.00 s. A VM that has just started has met no failure, so that it does not say that it is cut off.

--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -146,6 +146,7 @@
         self._cut_until = float("-inf")
         self._stops: list[tuple[str, float, float]] = []
         self.excused: list[str] = []
+        self.events: list[str] = []
         self._tries: dict[tuple[float, bool], Tries] = {
             (after_s, cut): Tries()
             for after_s in (RULE_S, TARGET_S)
@@ -185,6 +186,7 @@
             "RAMPPIN_TEST_STORE_PORT": str(self.fixture.store.port),
         }
         await super()._begin(vm)
+        self._note_event(f"{vm} started")
 
     async def _harm_until(self, until: float) -> None:
         if self.silence_s:
@@ -211,6 +213,7 @@
     async def _cut(self, vms: list[str], cut: Cut, for_s: float) -> None:
         """Cut VMs off for a while; one cut at a time, or none might reach a service."""
         begin = time.monotonic()
+        self._note_event(f"{cut.new}/{cut.open} {' '.join(sorted(vms))}")
         self._cut_until = begin + for_s
         if cut.ports is None:
             self.spans.append(CutSpan(frozenset(vms), begin, begin + for_s))
@@ -223,6 +226,9 @@
         for vm in vms:
             self._write_cut(vm, Cut())
 
+    def _note_event(self, what: str) -> None:
+        self.events.append(f"{what} @{time.monotonic() - self.started_at:.2f}")
+
     def _draw_form(self) -> Cut:
         return FORMS[self.fault_random.choice(list(FORMS))]
 
@@ -443,7 +449,8 @@
             f"cut off {cut.served} of {cut.asked}, others {others.served} of "
             f"{others.asked}; failed ones held {middle} s; answers {statuses}; "
             f"{repeated} ran again; "
-            f"{' '.join(self.faults)}; worked on for a stopped VM: {self.excused}; "
+            f"{' '.join(self.faults)}; {', '.join(self.events)}; "
+            f"worked on for a stopped VM: {self.excused}; "
             f"unserved: {self.unserved[:4]}"
         )
 
--- a/features/partitioned_vms/exchanges.feature
+++ b/features/partitioned_vms/exchanges.feature
@@ -63,6 +63,13 @@
     When callers of "vm-1" send 6 requests to "/once/"
     Then each is served within 0.5 s, and ran once
 
+  Scenario: callers got 502 through a VM that had just started and was cut off too
+    # It had no answer of a server yet, and its connections were reset once established.
+    Given "vm-1" is cut off from all servers
+    And connections of "vm-2" to servers are reset, and it does not know it yet
+    When callers of "vm-1" send 6 requests to "/once/"
+    Then each is served within 0.5 s, and ran once
+
   Scenario: a VM that says that it is cut off is not asked
     Given "vm-1 vm-2" is cut off from all servers
     And "vm-1" has heard that "vm-2" is cut off
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -45,6 +45,7 @@
         self.answers: list[RawAnswer] = []
         self.took_s: list[float] = []
         self.gap_s = EVENT_GAP_S
+        self.resetter: asyncio.Server | None = None
 
     @property
     def first(self) -> GatewayFixture:
@@ -83,6 +84,8 @@
     async def stop(self) -> None:
         for fixture in self.vms.values():
             await fixture.stop()
+        if self.resetter is not None:
+            self.resetter.close()
 
     async def _answer(self, reply) -> None:
         await asyncio.sleep(self.gap_s)
@@ -118,6 +121,24 @@
 
         pool.open = open_unless_cut
 
+    async def reset_links(self, vm: str) -> None:
+        """Let a VM's connections to backend servers be reset once established."""
+        pool = self.vms[vm].gateway.context.pool
+        open_call = self.open_calls[vm] = pool.open
+
+        async def reset(reader, writer) -> None:
+            await reader.read(1)
+            writer.transport.abort()
+
+        self.resetter = await asyncio.start_server(reset, HOSTS[vm], 0)
+        away = self.resetter.sockets[0].getsockname()
+
+        async def open_to_be_reset(peer, host, port, **options):
+            host, port = (host, port) if peer.startswith("vm:") else away
+            return await open_call(peer, host, port, **options)
+
+        pool.open = open_to_be_reset
+
     def heal(self, vm: str) -> None:
         self.vms[vm].gateway.context.pool.open = self.open_calls[vm]
 
@@ -170,6 +191,11 @@
     context.fleet.break_links(vm)
 
 
+@given('connections of "{vm}" to servers are reset, and it does not know it yet')
+def step_reset_links(context, vm):
+    run(context, context.fleet.reset_links(vm))
+
+
 @given('"{vm}" has heard that "{other}" is cut off')
 def step_heard(context, vm, other):
     members = context.fleet.vms[vm].gateway.tables.members
