A VM that has just started probes its path before it forwards requests

Cause: a VM announces and refuses what it has failed to reach. One that started while it is cut off has met no failure, so that others forward through it, and with connections that are reset once established each such request may have run.

A VM with any answer since its start does as before, and one that is never asked opens nothing.

Weighed: refusing for some seconds after a start without a probe, which would refuse in a fleet that has just started and has no traffic yet.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -127,7 +127,6 @@
         open_call = self.open_calls[vm] = pool.open
 
         async def reset(reader, writer) -> None:
-            await reader.read(1)
             writer.transport.abort()
 
         self.resetter = await asyncio.start_server(reset, HOSTS[vm], 0)
--- a/src/ramppin/gateway/process/context.py
+++ b/src/ramppin/gateway/process/context.py
@@ -10,7 +10,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 
 from ramppin.gateway.connection.callerwire import ListenerState
@@ -83,6 +83,8 @@
         note_table: called after routing settings have taken effect.
         find_home: returns the server that has cached a prefix, by its key, or None.
         reachability: whether this VM's own paths to the servers work.
+        prove_path: returns whether this VM has reached any server, after probes of a
+            service's servers if need be.
         forwarders: the VMs through which requests take the other path; None while
             the gateway is not connected to other VMs.
         forward_host: this VM's address for connections to other VMs.
@@ -119,6 +121,7 @@
     note_table: Callable[[RoutingTable], None] = lambda table: None
     find_home: Callable[[int], str | None] = lambda key: None
     reachability: Reachability = field(init=False)
+    prove_path: Callable[[str], Awaitable[bool]] | None = None
     forwarders: Forwarders | None = None
     forward_host: str = ""
     forward_port: int = 0
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -219,6 +219,7 @@
             self.context.generator,
             self._stall_detector.is_behind,
         )
+        self.context.prove_path = probe.prove
         work_items = (*self.tables.list_work(), self._hints.run(), self._sweep())
         for work in (*work_items, probe.run()):
             task = asyncio.create_task(work)
--- a/src/ramppin/gateway/process/membership/pathprobe.py
+++ b/src/ramppin/gateway/process/membership/pathprobe.py
@@ -1,5 +1,8 @@
 """Probes the servers that this VM does not reach, until its path works again.
 
+A VM that has just started has met neither answers nor failures. Before it serves
+requests of other VMs, it probes its path too.
+
 A probe opens a connection, sends nothing, and keeps the connection for use if it is not
 reset at once. Two servers of a service are probed at a time, at intervals that grow and
 differ from VM to VM, so that VMs whose path returns at the same moment do not connect
@@ -62,6 +65,22 @@
         self._intervals: dict[str, float] = {}
         self._due_at: dict[str, float] = {}
         self._running: set[asyncio.Task[None]] = set()
+        self._proof: asyncio.Task[None] | None = None
+
+    async def prove(self, service: str) -> bool:
+        """Return whether this VM has reached any server, by probes if need be.
+
+        Requests that ask at the same time share the probes.
+
+        Args:
+            service: the service whose servers are probed.
+        """
+        if self._reachability.is_proven:
+            return True
+        if self._proof is None or self._proof.done():
+            self._proof = asyncio.create_task(self._probe_some(service))
+        await asyncio.shield(self._proof)
+        return self._reachability.is_proven
 
     async def run(self) -> None:
         """Probe servers until cancelled."""
@@ -76,6 +95,8 @@
         finally:
             for task in self._running:
                 task.cancel()
+            if self._proof is not None:
+                self._proof.cancel()
 
     def _choose(self, now: float) -> list[ServerState]:
         """Return the servers to probe now."""
@@ -94,6 +115,13 @@
         self._intervals[service] = min(MAX_INTERVAL_S, 2 * interval_s)
         return interval_s * self._generator.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
 
+    async def _probe_some(self, service: str) -> None:
+        """Probe as many servers of a service as in a round."""
+        states = self._reachability.list_for_proof(service)
+        count = min(SERVERS_PER_ROUND, len(states))
+        chosen = self._generator.sample(states, count)
+        await asyncio.gather(*map(self._probe, chosen))
+
     async def _probe(self, state: ServerState) -> None:
         server, loop = state.server, asyncio.get_running_loop()
         try:
--- a/src/ramppin/gateway/process/routing/reachability.py
+++ b/src/ramppin/gateway/process/routing/reachability.py
@@ -95,11 +95,16 @@
     Args:
         directory: the backend servers.
 
+    Attributes:
+        is_proven: whether any server was reached since this process started. Until
+            then it may have no path, and have met no failure yet.
+
     .. versionadded:: 0.5
     """
 
     def __init__(self, directory: ServerDirectory) -> None:
         self._directory = directory
+        self.is_proven = False
         self._series: dict[str, _Series] = {}
         self._answered_at: dict[str, float] = {}
         self._returned_at: dict[str, float] = {}
@@ -133,6 +138,7 @@
             now: event-loop time.
         """
         service = state.server.service
+        self.is_proven = True
         self._answered_at[service] = now
         series = self._series.get(service)
         if series is not None and opened_at >= series.since:
@@ -141,6 +147,7 @@
     def note_probe(self, state: ServerState, now: float) -> None:
         """Record that a probe established a connection to a server."""
         service = state.server.service
+        self.is_proven = True
         series = self._series.get(service)
         if series is None:
             return
@@ -225,6 +232,10 @@
                 found[service] = self._order_for_probes(service, series)
         return found
 
+    def list_for_proof(self, service: str) -> list[ServerState]:
+        """Return the servers of a service of which one shows that the path works."""
+        return list(self._directory.list_open(service))
+
     def pop_changes(self) -> list[PathChange]:
         """Return and clear the changes since the last call."""
         changes, self._changes = self._changes, []
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -126,10 +126,10 @@
                 self._answer(final, may_forward_elsewhere=True)
                 return
             self._ends_at = self._request.arrived + admitted.time_limit_s
-            is_avoided = context.reachability.avoids(admitted.service)
-            if is_avoided and self._is_forwarded:
-                self._end(admitted, answer_unreachable())
+            if self._is_forwarded and not await self._has_path(admitted.service):
+                self._end(admitted, answer_unreachable(), may_forward_elsewhere=True)
                 return
+            is_avoided = context.reachability.avoids(admitted.service)
             if not is_avoided:
                 # Otherwise the VM that serves it counts it.
                 context.retry_budget.note_request(admitted.service, self._loop.time())
@@ -296,6 +296,13 @@
             return forwarded
         return direct
 
+    async def _has_path(self, service: str) -> bool:
+        """Return whether this VM may serve another VM's request."""
+        context = self._context
+        if context.reachability.avoids(service):
+            return False
+        return context.prove_path is None or await context.prove_path(service)
+
     def _has_other_path(self, service: str, now: float) -> bool:
         """Return whether another VM can serve the request."""
         forwarders = self._context.forwarders
@@ -311,6 +318,8 @@
         admission: Admission,
         final: FinalAnswer,
         closed: tuple[str, ...] = (),
+        *,
+        may_forward_elsewhere: bool = False,
     ) -> None:
         """End a request for which no attempt delivered an answer."""
         if self._disconnected:
@@ -318,7 +327,7 @@
         self._note_given_up(admission, final, closed)
         self._report.count_request(admission.service, final.status)
         is_unreached = self._context.reachability.avoids(admission.service)
-        self._answer(final, may_forward_elsewhere=is_unreached)
+        self._answer(final, may_forward_elsewhere=may_forward_elsewhere or is_unreached)
 
     def _note_given_up(
         self,
