Stand-in for servers: a reset ends its work as an end of the connection does

Cause, in the stand-in: it waited for the end of the stream, which a reset does not set, so that it noticed one at its next write, 0.5 s apart in these requests. A VM resets a connection that it aborts with unread bytes, as all of that form have.

The bound of 0.5 s is as it was, and now measures the VMs alone.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -156,7 +156,8 @@
 
 
 async def _wait_for_leave(reader: asyncio.StreamReader) -> None:
-    while not reader.at_eof():
+    # A reset sets an exception, and no end.
+    while not reader.at_eof() and reader.exception() is None:
         await asyncio.sleep(0.005)
 
 
