--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -280,7 +280,9 @@
         self.fault_random.setstate(state)
         began = time.monotonic()
         self._stops.append((vm, began, float("inf")))
+        self._note_event(f"{vm} stopped")
         await super()._stop_vm()
+        self._note_event(f"{vm} goes on")
         self._stops.remove((vm, began, float("inf")))
         self._stops.append((vm, began, time.monotonic()))
 
