--- a/features/partitioned_vms/processes.feature
+++ b/features/partitioned_vms/processes.feature
@@ -11,3 +11,6 @@
   Scenario: VMs are partitioned while VMs are killed, stopped and drained and the store refuses
     Then a partition soak of 8 processes, 14 seconds and seed 7 breaks no promise
     And a partition soak of 8 processes, 14 seconds and seed 101 breaks no promise
+
+  Scenario: requests were refused after three VMs that were stopped or cut off had not taken them
+    Then a partition soak of 8 processes, 14 seconds and seed 163 breaks no promise
