--- a/features/suite.py
+++ b/features/suite.py
@@ -125,7 +125,8 @@
         for element in feature.get("elements", []):
             if element["type"] == "background":
                 continue
-            name = f"{outcome.folder}: {element['name']}"
+            # A row of an unnamed table ends with a blank.
+            name = f"{outcome.folder}: {element['name']}".rstrip()
             passed = element.get("status") == "passed"
             (outcome.passed if passed else outcome.failed).append(name)
             if not passed:
