--- a/src/ramppin/cli.py
+++ b/src/ramppin/cli.py
@@ -160,7 +160,7 @@
     key: Key = "",
     as_json: Json = False,
 ) -> None:
-    """Publish a change of the settings; a conflict is told, never overwritten."""
+    """Publish a change of the settings; a conflict is reported, never overwritten."""
     document = read_document(file)
     if not patch:
         checked = document.bind(
--- a/src/ramppin/gateway/process/overload/brittleness.py
+++ b/src/ramppin/gateway/process/overload/brittleness.py
@@ -1,8 +1,8 @@
 """Services whose backend servers state that they are brittle.
 
 Such a server falls over if it has to reject more than a stated number of requests
-within a second. So while any server of a service says so, overload control applies to
-the service: its servers get no more than they run at once, and the rest waits at the
+within a second. So while any server of a service states this, overload control applies
+to the service: its servers get no more than they run at once, and the rest waits at the
 VMs. The statement stands in every answer of every server of the service; it is in
 effect for a while after the last one, and VMs send it to each other. A server that
 rejected requests of several VMs gets none of any VM for a while. No I/O.
@@ -173,7 +173,7 @@
         return max((end for end in (own, others) if end is not None), default=None)
 
     def pop_changes(self, now: float) -> list[BrittleChange]:
-        """Return the changes since the last call, and forget what is over."""
+        """Return the changes since the last call, and drop statements that expired."""
         changes = []
         for service, statement in list(self._statements.items()):
             if now - statement.stated_at >= LIFETIME_S:
--- a/src/ramppin/gateway/process/overload/forecast.py
+++ b/src/ramppin/gateway/process/overload/forecast.py
@@ -19,8 +19,8 @@
 """Minimum start rate per second, which keeps the forecast finite."""
 
 MIN_RATE_SHARE = 0.02
-"""Minimum share of the start rate that is left for a request, whatever goes first: the
-measured rates vary by about that much."""
+"""Minimum share of the start rate that is left for a request, whatever goes first: a
+smaller rest is within the error of the rates."""
 
 STARTS_DECAY_S = 4.0
 """Time constant in seconds of the measured rates of starts."""
--- a/src/ramppin/gateway/process/routing/reachability.py
+++ b/src/ramppin/gateway/process/routing/reachability.py
@@ -217,7 +217,7 @@
         ]
 
     def list_to_probe(self, now: float) -> dict[str, list[ServerState]]:
-        """Return the servers to probe by service, the most telling ones first.
+        """Return the servers to probe by service, the most informative ones first.
 
         Args:
             now: event-loop time.
@@ -254,7 +254,7 @@
         return PathStatus.LOST if series.confirmed else PathStatus.SUSPECTED
 
     def _order_for_probes(self, service: str, series: _Series) -> list[ServerState]:
-        """Return the servers of a service, those first that tell most.
+        """Return the servers of a service, the most informative ones first.
 
         These are servers that have not failed, in failure domains in which none has,
         and then those that failed longest ago.
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -112,7 +112,7 @@
 
         Args:
             admission: result of the request's admission.
-            vm: name of the other VM, whose lines tell how it chose the server.
+            vm: name of the other VM, whose lines show how it chose the server.
             result: result of the attempt.
             now: current event-loop time.
             verdict: as for :meth:`note_attempt`.
--- a/src/ramppin/losses.py
+++ b/src/ramppin/losses.py
@@ -36,7 +36,7 @@
     """It got a failure, or half an answer."""
 
     REFUSED = "refused"
-    """It was told that nothing ran."""
+    """It received an answer that guarantees that nothing ran."""
 
     LATE = "late"
     """The first byte came after its route's target, or a pause was longer than it."""
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LossLine:
-    """A line that tells a loss.
+    """A decision line that reports a loss.
 
     Attributes:
         loss: what was lost.
@@ -185,7 +185,7 @@
 
 
 def read_loss(line: dict[str, object]) -> LossLine | None:
-    """Return the loss that a decision line tells, or None.
+    """Return the loss that a decision line reports, or None.
 
     Raises:
         ValueError: a field is missing or has the wrong type.
--- a/src/ramppin/router/process/recovery/publishing.py
+++ b/src/ramppin/router/process/recovery/publishing.py
@@ -42,7 +42,7 @@
     Args:
         vm: this VM.
         client: the log's client.
-        on_version: told each newly accepted version.
+        on_version: called with each newly accepted version.
         wait_s: longest wait of one read of the log.
         poll_min_s: shortest time between two reads.
         seed: of the random pauses between snapshots of two VMs.
--- a/src/ramppin/router/process/recovery/tails.py
+++ b/src/ramppin/router/process/recovery/tails.py
@@ -18,13 +18,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TailEvents:
-    """What is told about a stream.
+    """Callbacks for the events of a stream.
 
     Attributes:
-        on_record: gets each record with its offset, in order.
-        on_trimmed: told the first record kept when older ones were missed.
-        on_state: told whether the log could be read, at each attempt.
-        on_batch: told when all records of a read were passed on.
+        on_record: called with each record with its offset, in order.
+        on_trimmed: called with the first kept record when older ones were missed.
+        on_state: called at each attempt with whether the log could be read.
+        on_batch: called when all records of a read were passed on.
     """
 
     on_record: Callable[[int, object], None]
@@ -39,7 +39,7 @@
     Args:
         client: the log's client.
         stream: the stream's name.
-        events: what to tell whom.
+        events: callbacks for its events.
         wait_s: longest wait of one read at the stream's end.
         poll_min_s: shortest time between two reads, so that many records come
             with one; :meth:`hurry` goes before it.
--- a/src/ramppin/router/process/reporting/__init__.py
+++ b/src/ramppin/router/process/reporting/__init__.py
@@ -1,1 +1,1 @@
-"""What a process tells of itself: decisions, metrics, dumps, explanations."""
+"""What a process reports about itself: decisions, metrics, dumps, explanations."""
