Partition soak: moments in which no VM that runs reaches a server don't count

The soak's record shows six of eight VMs cut from 8.3 s on, vm-4 stopped from 11.99 to 14.82 s, and vm-2 killed at about 13.2 s and back at 14.18 s: for that second none of the eight could serve, and nearly all failures lie in it. The check leaves out requests that begin or end while that is so, by its record of cuts, stops and outages; all others count as before, and the bounds are unchanged.

--- a/features/partition_soak.py
+++ b/features/partition_soak.py
@@ -145,6 +145,7 @@
         self._ids = 0
         self._cut_until = float("-inf")
         self._stops: list[tuple[str, float, float]] = []
+        self._outages: list[tuple[str, float, float]] = []
         self.excused: list[str] = []
         self.events: list[str] = []
         self._tries: dict[tuple[float, bool], Tries] = {
@@ -187,6 +188,15 @@
         }
         await super()._begin(vm)
         self._note_event(f"{vm} started")
+        now = time.monotonic()
+        self._outages = [
+            (name, begin, now if name == vm and end == float("inf") else end)
+            for name, begin, end in self._outages
+        ]
+
+    async def _kill(self, vm: str) -> None:
+        self._outages.append((vm, time.monotonic(), float("inf")))
+        await super()._kill(vm)
 
     async def _harm_until(self, until: float) -> None:
         if self.silence_s:
@@ -292,6 +302,7 @@
         if self.running.pop(vm, None) is None:
             return
         self.disturbed_at[vm].append(time.monotonic())
+        self._outages.append((vm, time.monotonic(), float("inf")))
         process = self.fixture.processes[vm]
         process.send_signal(signal.SIGTERM)
         await process.wait()
@@ -343,6 +354,8 @@
         """Count a first try; return whether its VM should have served it."""
         is_due = False
         for span in self.spans:
+            if not self._has_way(span, sent_at) or not self._has_way(span, now):
+                continue
             for after_s in (RULE_S, TARGET_S):
                 if span.begin + after_s <= sent_at < span.end:
                     self._tries[after_s, vm in span.vms].note(served)
@@ -353,6 +366,12 @@
                     self.held_s.append(now - sent_at)
         return is_due
 
+    def _has_way(self, span: CutSpan, at: float) -> bool:
+        """Return whether a VM that runs reaches the servers during a cut."""
+        absences = (*self._stops, *self._outages)
+        absent = {vm for vm, begin, end in absences if begin <= at < end}
+        return bool(set(self.hosts) - span.vms - absent)
+
     def _check_answer(self, path: str, request_id: str, answer: RawAnswer) -> None:
         runs = self.servers.runs.get(request_id, 0)
         if path.startswith("/a/") and runs > 1:
