A VM announces every service that it avoids, also one for another's sake

At that moment vm-8's path to `plain` was lost and `llm` working with no failure: it avoids `llm` since the path to another service is lost (/dump of all VMs, taken when a request failed). But a VM announced the services that it had failed to reach, not those it avoids for that reason, so that others forwarded through it, were refused, and spent one of three tries.

The new row failed before: announced was `model` alone, where `other` is avoided too. Announced and refused are the same services now, so that no VM is tried in vain that knows it.

--- a/features/partitioned_vms/reachability.feature
+++ b/features/partitioned_vms/reachability.feature
@@ -47,6 +47,13 @@
     When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2 f:b1 p:b1"
     Then it avoids the service "other" until a server of it answers
 
+  Scenario: requests were refused after tries at VMs that avoided their service and did not say so
+    # A VM said which services it had failed to reach, not which it avoids since another is lost.
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2 f:b1 p:b1"
+    Then it announces that it does not reach "model other"
+    When 0 s later it observes "o:x1"
+    Then it announces that it does not reach "model"
+
   Scenario: crashes, lost failure domains and slow servers are no fault of the path
     Then in 10000 random runs without a cut the path is never lost
 
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -92,6 +92,12 @@
     assert observer.directory.find_newest(name).health.is_suspect(observer.now)
 
 
+@then('it announces that it does not reach "{services}"')
+def step_announced(context, services):
+    found = context.observer.reachability.list_avoided()
+    assert sorted(found) == services.split(), found
+
+
 @then('it avoids the service "{service}" until a server of it answers')
 def step_other(context, service):
     reachability = context.observer.reachability
--- a/src/ramppin/gateway/process/routing/reachability.py
+++ b/src/ramppin/gateway/process/routing/reachability.py
@@ -209,11 +209,13 @@
         return frozenset(series.failed_at) if series else frozenset()
 
     def list_avoided(self) -> list[str]:
-        """Return the services whose servers this VM does not reach, for other VMs."""
+        """Return the services that this VM avoids, for other VMs."""
+        if not self._series:
+            return []
         return [
             service
-            for service, series in self._series.items()
-            if self._find_status(service, series) is not PathStatus.WORKING
+            for service in self._directory.list_services()
+            if self.avoids(service)
         ]
 
     def list_to_probe(self, now: float) -> dict[str, list[ServerState]]:
