--- a/features/gateway_lines.py
+++ b/features/gateway_lines.py
@@ -159,7 +159,7 @@
         await self._wait_for_event("server_gone")
         gateway.reload(gateway.config)
         await self._wait_for_event("reloaded")
-        gateway._note_tick(STALL_S, asyncio.get_running_loop().time())
+        gateway.upkeep.note_tick(STALL_S, asyncio.get_running_loop().time())
         await self._wait_for_event("stalled")
         gateway.start_drain()
         await self._wait_for_event("draining")
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -24,7 +24,6 @@
 from ramppin.gateway.connection.datagrams import DatagramLink, PeerHints
 from ramppin.gateway.connection.httpwire import find_header
 from ramppin.gateway.connection.pool import ConnectionPool
-from ramppin.gateway.process.allocator import release_free_memory
 from ramppin.gateway.process.config import Address, GatewayConfig
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.limits.coldquota import ColdQuota
@@ -46,8 +45,6 @@
 from ramppin.gateway.process.recovery.peeranswers import RecordsResponder
 from ramppin.gateway.process.recovery.tables import GatewaySources, GatewayTables
 from ramppin.gateway.process.reporting.decisions import DecisionLog
-from ramppin.gateway.process.reporting.noticelines import NoticeLines
-from ramppin.gateway.process.reporting.quarantinelines import note_quarantine
 from ramppin.gateway.process.routing.directory import ServerDirectory
 from ramppin.gateway.process.routing.failuregossip import FailureGossip
 from ramppin.gateway.process.routing.forwarders import Forwarders
@@ -56,24 +53,15 @@
 from ramppin.gateway.process.routing.nearestselection import NearestSelection
 from ramppin.gateway.process.routing.noticegossip import NoticeGossip
 from ramppin.gateway.process.routing.prefixselection import PrefixSelection
-from ramppin.gateway.process.stalldetector import STALL_S, StallDetector
+from ramppin.gateway.process.stalldetector import StallDetector
+from ramppin.gateway.process.upkeep import SWEEP_S, Upkeep
 from ramppin.gateway.request.forwardresponder import ForwardResponder
 from ramppin.gateway.request.responder import ExchangeResponder
 from ramppin.gateway.version.routing import RoutingTable
 
-SWEEP_S = 0.25
-"""Interval in seconds of checks for idle connections, missing servers and pending
-decision lines, much shorter than the time limits that they enforce."""
-
-REFILL_S = 1.0
-"""Interval in seconds at which the rate limit of the decision log is refilled."""
-
 LISTEN_BACKLOG = 1024
 """Maximum connections that the kernel queues until they are accepted."""
 
-MAX_LISTED_SERVERS = 8
-"""Maximum servers listed in a line about a path."""
-
 MAX_LOGGED_BYTES = 100
 """Maximum logged bytes of a refused request's target."""
 
@@ -145,8 +133,15 @@
             config.brittle_overload,
         )
         self.context.note_table = self._apply_table
-        self.context.note_brittle = self._note_brittle
         self._memory = self._build_memory_budget()
+        self.upkeep = Upkeep(
+            self.context,
+            self.tables,
+            self._memory,
+            self.overload,
+            self._stall_detector,
+        )
+        self.context.note_brittle = self.upkeep.note_brittle
         self._apply_memory_budget()
         self.context.find_home = self.homes.find
         self._hints: HintExchange | None = None
@@ -210,7 +205,7 @@
             ),
             self.context.reachability,
             self.context.brittle,
-            self._note_brittle,
+            self.upkeep.note_brittle,
         )
         await self._listen_for_vms(link.port)
         probe = PathProbe(
@@ -220,7 +215,7 @@
             self._stall_detector.is_behind,
         )
         self.context.prove_path = probe.prove
-        work_items = (*self.tables.list_work(), self._hints.run(), self._sweep())
+        work_items = (*self.tables.list_work(), self._hints.run(), self.upkeep.run())
         for work in (*work_items, probe.run()):
             task = asyncio.create_task(work)
             task.add_done_callback(_log_failure)
@@ -423,82 +418,9 @@
         if self.context.overload is not None:
             self.context.overload.note_change()
 
-    async def _sweep(self) -> None:
-        """Run periodic checks, evict expired state and write decision lines."""
-        loop = asyncio.get_running_loop()
-        context = self.context
-        notices = NoticeLines(context)
-        refilled_at = loop.time()
-        while True:
-            await asyncio.sleep(SWEEP_S)
-            now = loop.time()
-            self._note_tick(self._stall_detector.note_tick(now), now)
-            for connection in list(context.listener.connections):
-                connection.check_timeouts(now)
-            context.pool.sweep(now)
-            if self._memory is not None:
-                self._memory.sweep(now)
-                if self._memory.should_trim():
-                    release_free_memory()
-            self.tables.remove_missing(now)
-            context.quarantine.evict_expired(now)
-            note_quarantine(context, now)
-            notices.note(now)
-            self._note_paths()
-            self._note_brittle()
-            context.live_vms = 1 + len(self.tables.members.list_live(now))
-            context.retry_budget.set_live_vms(context.live_vms)
-            if now - refilled_at >= REFILL_S:
-                refilled_at = now
-                context.decisions.refill()
-            context.decisions.flush()
-
-    def _note_brittle(self) -> None:
-        """Apply and log that servers of a service became brittle, or are no more."""
-        context = self.context
-        now = asyncio.get_running_loop().time()
-        changes = context.brittle.pop_changes(now)
-        for change in changes:
-            context.decisions.note(
-                "service_brittle",
-                service=change.service,
-                tolerated_per_s=change.tolerance,
-                version=context.version,
-            )
-        if changes:
-            self.overload.update()
-
-    def _note_paths(self) -> None:
-        """Write a line for each change of this VM's path to a service's servers."""
-        for change in self.context.reachability.pop_changes():
-            self.context.decisions.note(
-                "path_changed",
-                service=change.service,
-                status=change.status.value,
-                failed=list(change.failed[:MAX_LISTED_SERVERS]),
-                lasted_s=round(change.lasted_s, 2),
-                version=self.context.version,
-            )
-
     def _list_sharing_vms(self, now: float) -> list[str]:
         return self.tables.list_sharing_vms(now)
 
-    def _note_tick(self, late_s: float, now: float) -> None:
-        """Record a late tick, caused by a stall of the machine or of the event loop.
-
-        Args:
-            late_s: delay of the tick in seconds.
-            now: event-loop time.
-        """
-        if late_s < STALL_S:
-            return
-        self.tables.members.note_stall(late_s, now)
-        context = self.context
-        context.metrics.stalls.inc()
-        context.decisions.note(
-            "stalled", late_ms=round(late_s * 1000), in_flight=context.in_flight
-        )
-
 
 def _log_failure(task: asyncio.Task[None]) -> None:
     """Log the exception of a background task that failed."""
