A VM whose port number is chosen forwards although the first number is taken

What callers of a cut-off VM get from it: one forwarder less.

Cause: with port 0 the operating system chooses a number that is free for datagrams; the port for requests of other VMs has the same number, which another connection can hold. The VM then served, but for no other VM until its end. Excluded: the move of the periodic work, as the line is written at the start.

The test failed before: "a VM forwarded for no other, as its number was taken: chosen". Now another number is chosen, 8 at most; a configured number is kept, and its line is written as before (second row). A configured number that is taken at the start isn't tried again; that is as before.

behave features/partitioned_vms/exchanges.feature -n "a VM forwarded for no other"

--- a/features/partitioned_vms/exchanges.feature
+++ b/features/partitioned_vms/exchanges.feature
@@ -109,3 +109,12 @@
     When a caller of "vm-1" sends a request to "/once/" with a forwarding header
     Then it is served with 200, and ran once
     And neither its server nor its caller got a header of those that VMs send each other
+
+  Scenario Outline: a VM forwarded for no other, as its number was taken: <number>
+    When a gateway starts whose first number is taken for connections, <number>
+    Then it accepts requests of other VMs: <accepts>
+
+    Examples:
+      | number     | accepts |
+      | chosen     | yes     |
+      | configured | no      |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -5,7 +5,9 @@
 import asyncio
 import errno
 import json
+import socket
 import time
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -17,6 +19,7 @@
     encode_request,
 )
 from ramppin.errors import NotSentError
+from ramppin.gateway.connection.datagrams import DatagramLink
 from ramppin.gateway.connection.httpwire import HeaderNames
 from standins.common import wait_for
 from standins.tables import TableStandIn
@@ -451,3 +454,37 @@
 def step_denied_line(context, vm):
     lines = context.fleet.list_lines(vm)
     assert [x for x in lines if x["event"] == "forward_denied"], lines
+
+
+@when("a gateway starts whose first number is taken for connections, {number}")
+def step_start_on_taken_number(context, number):
+    open_link = DatagramLink.open
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        chosen = iter([port])
+
+        async def choose(host, wanted, on_message):
+            return await open_link(host, wanted or next(chosen, 0), on_message)
+
+        context.fixture = GatewayFixture(peer_port=0 if number == "chosen" else port)
+        context.cleanups.append(context.fixture.stop)
+        with patch.object(DatagramLink, "open", choose):
+            run(context, context.fixture.start())
+
+
+@then("it accepts requests of other VMs: {accepts}")
+def step_accept_other_vms(context, accepts):
+    gateway = context.fixture.gateway
+    gateway.context.decisions.flush()
+    lines = context.fixture.log_path.read_text().splitlines()
+    events = [json.loads(line)["event"] for line in lines]
+    assert ("forwards_unavailable" in events) == (accepts == "no"), events
+    assert gateway.caller_port
+    opening = asyncio.open_connection("127.0.0.1", gateway.context.forward_port)
+    try:
+        _, writer = run(context, opening)
+    except ConnectionRefusedError:
+        assert accepts == "no"
+        return
+    writer.close()
+    assert accepts == "yes"
--- a/src/ramppin/gateway/process/gateway.py
+++ b/src/ramppin/gateway/process/gateway.py
@@ -62,6 +62,9 @@
 LISTEN_BACKLOG = 1024
 """Maximum connections that the kernel queues until they are accepted."""
 
+PORT_TRIES = 8
+"""Maximum port numbers that are tried if the operating system chooses them."""
+
 MAX_LOGGED_BYTES = 100
 """Maximum logged bytes of a refused request's target."""
 
@@ -184,9 +187,7 @@
         await self._listen("readiness", config.readiness, self._build_readiness)
         await self._listen("records", config.records, self._build_records)
         await self._listen_for_operators()
-        link = await DatagramLink.open(
-            config.peers.host, config.peers.port, self._apply_hints
-        )
+        link = await self._open_peer_port()
         self._hints = HintExchange(
             config.vm,
             link,
@@ -207,7 +208,7 @@
             self.context.brittle,
             self.upkeep.note_brittle,
         )
-        await self._listen_for_vms(link.port)
+        self._use_forwarders(link.port)
         probe = PathProbe(
             self.context.reachability,
             self.context.pool,
@@ -309,19 +310,35 @@
         except OSError as error:
             self.context.decisions.note("operations_unavailable", reason=str(error))
 
-    async def _listen_for_vms(self, port: int) -> None:
-        """Accept requests of other VMs; on failure the gateway serves without it.
+    async def _open_peer_port(self) -> DatagramLink:
+        """Open one port number for datagrams and for requests of other VMs.
+
+        A number that the operating system chose is replaced if it is taken for
+        requests; without a free one the gateway serves, but not for other VMs.
+        """
+        peers = self.config.peers
+        tries = 1 if peers.port else PORT_TRIES
+        while True:
+            tries -= 1
+            link = await DatagramLink.open(peers.host, peers.port, self._apply_hints)
+            address = Address(peers.host, link.port)
+            try:
+                await self._listen("forwards", address, self._build_forwards)
+                return link
+            except OSError as error:
+                if not tries:
+                    reason = str(error)
+                    self.context.decisions.note("forwards_unavailable", reason=reason)
+                    return link
+                link.close()
+
+    def _use_forwarders(self, port: int) -> None:
+        """Use other VMs as forwarders.
 
         Args:
             port: the number of the port for datagrams, which is the same on every VM.
         """
         context, config = self.context, self.config
-        try:
-            await self._listen(
-                "forwards", Address(config.peers.host, port), self._build_forwards
-            )
-        except OSError as error:
-            context.decisions.note("forwards_unavailable", reason=str(error))
         context.forward_host, context.forward_port = config.peers.host, port
         context.forwarders = Forwarders(
             self.tables.members,
