--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import difflib
 import json
 import os
 import tomllib
@@ -420,4 +421,6 @@
     text = json.dumps(context.found, indent=1, ensure_ascii=False) + "\n"
     if os.environ.get("RAMPPIN_WRITE_GOLDEN"):
         path.write_text(text)
-    assert text == path.read_text(), text
+    recorded = path.read_text()
+    changes = difflib.unified_diff(recorded.splitlines(), text.splitlines(), n=1)
+    assert text == recorded, "\n".join(changes)
