Stand-in for servers ignores empty lines before a request

As servers should (RFC 9112, section 2.2): it took one for a request whose line was empty, and the next line for a header. What it records of requests is unchanged.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -162,10 +162,12 @@
 
 
 async def _read_request(reader: asyncio.StreamReader, number: int) -> Received | None:
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return None
+    head = b""
+    while not head:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).lstrip(b"\r\n")
+        except asyncio.IncompleteReadError:
+            return None
     line, *rest = head[:-4].split(b"\r\n")
     headers = {}
     for text in rest:
