Callers got 502 on and on at a VM whose connections were reset once data arrives

What callers saw, three VMs, one of them cut in this form: 18 to 41 of 80 requests in a row got 502 (/once/ 18, /again/ 19, /stream/ 40, /resume/ 41), four at a time, for as long as the cut lasted. And a VM that had just started took requests of others over such a path (KNOWN-RED until now).

Cause: a probe opened a connection, sent nothing, and found the path working, as it did each 0.3 to 2 s; callers' requests then were the first data. Excluded: the other path (none of the 502 went through another VM), and the form that is reset at once (1 or 2 of 80).

The tests failed before: "callers got 502 on and on" in the two forms that end connections with data, and "callers got 502 through a VM that had just started" in the same two; both forms are rows, reset and closed. Now a probe sends an empty line, which servers ignore before a request (RFC 9112, section 2.2), but only on a VM that has just started, or for 30 s after a connection that was opened since the failures began was lost without an answer. A connection that ends then shows no path; a server that answers is reached. Ordinary probes send nothing, as before. After, both forms: 2 of 80 (/once/) and 1 of 80 (/again/) in 9 s, and in a cut of 48 s 6 of 80 (/stream/, /resume/), of which 4 and 5 follow the end of the 30 s.

--- a/features/partitioned_vms/exchanges.feature
+++ b/features/partitioned_vms/exchanges.feature
@@ -63,17 +63,30 @@
     When callers of "vm-1" send 6 requests to "/once/"
     Then each is served within 0.5 s, and ran once
 
-  Scenario Outline: callers got 502 through a VM that had just started, whose connections were reset <when>
+  Scenario Outline: callers got 502 through a VM that had just started, whose connections were <ended>
     # It was cut off too, and had no answer of a server yet.
     Given "vm-1" is cut off from all servers
-    And connections of "vm-2" to servers are reset <when>, and it does not know it yet
+    And connections of "vm-2" to servers are <ended>, and it does not know it yet
     When callers of "vm-1" send 6 requests to "/once/"
     Then each is served within 0.5 s, and ran once
 
     Examples:
-      | when              |
-      | once established  |
-      | once data arrives |
+      | ended                    |
+      | reset once established   |
+      | reset once data arrives  |
+      | closed once data arrives |
+
+  Scenario Outline: callers got 502 on and on, as connections were <ended>
+    # Probes that send nothing found the path working each time.
+    Given connections of "vm-1" to servers are <ended>, and it does not know it yet
+    When a caller of "vm-1" sends requests to "<path>" for 5 s
+    Then from 1.5 s on at least 0.95 of them are served, none within more than 0.4 s
+
+    Examples:
+      | ended                    | path    |
+      | reset once established   | /once/  |
+      | reset once data arrives  | /once/  |
+      | closed once data arrives | /again/ |
 
   Scenario: a VM that says that it is cut off is not asked
     Given "vm-1 vm-2" is cut off from all servers
--- a/features/partitioned_vms/reachability.feature
+++ b/features/partitioned_vms/reachability.feature
@@ -25,6 +25,27 @@
       | it is lost again soon, and two probes succeed              | f:a1 f:a2 f:b1 k:a1 k:b1 f:a1 f:a2 f:b1 k:a1 k:b1 | suspected |
       | it is lost again soon, and four probes succeed             | f:a1 f:a2 f:b1 k:a1 k:b1 f:a1 f:a2 f:b1 k:a1 k:b1 k:a1 k:b1 | working |
 
+  Scenario Outline: probes send data or not: <case>
+    # u: a new connection was lost before its answer, v: one opened long ago
+    When a VM before servers a1 a2 a3 b1 c1 observes "<events>"
+    Then its probes send data: <data>
+
+    Examples:
+      | case                                             | events              | data |
+      | connections are refused                          | f:a1 f:a2 f:b1      | no   |
+      | the first connection that is lost was open       | u:a1                | no   |
+      | a connection opened after a failure is lost      | f:a1 u:a2           | yes  |
+      | open connections are lost                        | f:a1 v:a2 v:b1      | no   |
+      | one is lost, and another one is refused          | f:a1 u:a2 f:b1      | yes  |
+      | one is lost, and another one answers             | f:a1 u:a2 n:b1      | no   |
+      | one is lost, and probes succeed                  | f:a1 f:b1 u:a2 k:a1 k:b1 | no |
+
+  Scenario: probes that send data do not keep a path lost for good
+    When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2 u:b1"
+    And 31 s later it observes "f:a2"
+    Then its path is suspected
+    And its probes send data: no
+
   Scenario: failures of long ago do not add up
     When a VM before servers a1 a2 a3 b1 c1 observes "f:a1 f:a2"
     And 4 s later it observes "f:b1"
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import socket
+import struct
 import time
 from unittest.mock import patch
 
@@ -32,6 +33,13 @@
 BODY = b"a body of the caller"
 
 
+def end_by_reset(writer: asyncio.StreamWriter) -> None:
+    """Let the close of a connection be a reset."""
+    linger = struct.pack("ii", 1, 0)
+    found = writer.get_extra_info("socket")
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def run(context, work):
     return context.loop.run_until_complete(asyncio.wait_for(work, 60))
 
@@ -48,7 +56,7 @@
         self.answers: list[RawAnswer] = []
         self.took_s: list[float] = []
         self.gap_s = EVENT_GAP_S
-        self.resetter: asyncio.Server | None = None
+        self.ender: asyncio.Server | None = None
 
     @property
     def first(self) -> GatewayFixture:
@@ -87,8 +95,8 @@
     async def stop(self) -> None:
         for fixture in self.vms.values():
             await fixture.stop()
-        if self.resetter is not None:
-            self.resetter.close()
+        if self.ender is not None:
+            self.ender.close()
 
     async def _answer(self, reply) -> None:
         await asyncio.sleep(self.gap_s)
@@ -124,24 +132,26 @@
 
         pool.open = open_unless_cut
 
-    async def reset_links(self, vm: str, *, after_data: bool) -> None:
-        """Let a VM's connections to backend servers be reset once established."""
+    async def end_links(self, vm: str, ended: str) -> None:
+        """Let a VM's connections to backend servers be ended as a row says."""
         pool = self.vms[vm].gateway.context.pool
         open_call = self.open_calls[vm] = pool.open
 
-        async def reset(reader, writer) -> None:
-            if after_data:
+        async def end(reader, writer) -> None:
+            if ended.endswith("once data arrives"):
                 await reader.read(1)
+            if ended.startswith("reset"):
+                end_by_reset(writer)
             writer.transport.abort()
 
-        self.resetter = await asyncio.start_server(reset, HOSTS[vm], 0)
-        away = self.resetter.sockets[0].getsockname()
+        self.ender = await asyncio.start_server(end, HOSTS[vm], 0)
+        away = self.ender.sockets[0].getsockname()
 
-        async def open_to_be_reset(peer, host, port, **options):
+        async def open_to_be_ended(peer, host, port, **options):
             host, port = (host, port) if peer.startswith("vm:") else away
             return await open_call(peer, host, port, **options)
 
-        pool.open = open_to_be_reset
+        pool.open = open_to_be_ended
 
     def heal(self, vm: str) -> None:
         self.vms[vm].gateway.context.pool.open = self.open_calls[vm]
@@ -195,9 +205,9 @@
     context.fleet.break_links(vm)
 
 
-@given('connections of "{vm}" to servers are reset {when}, and it does not know it yet')
-def step_reset_links(context, vm, when):
-    run(context, context.fleet.reset_links(vm, after_data=when == "once data arrives"))
+@given('connections of "{vm}" to servers are {ended}, and it does not know it yet')
+def step_end_links(context, vm, ended):
+    run(context, context.fleet.end_links(vm, ended))
 
 
 @given('"{vm}" has heard that "{other}" is cut off')
@@ -272,6 +282,35 @@
     run(context, ask())
 
 
+@when('a caller of "{vm}" sends requests to "{path}" for {duration:d} s')
+def step_ask_for(context, vm, path, duration):
+    fleet = context.fleet
+    context.asked_at = []
+
+    async def ask() -> None:
+        began = time.monotonic()
+        while (asked_at := time.monotonic() - began) < duration:
+            context.asked_at.append(asked_at)
+            await fleet.ask(vm, path)
+            await asyncio.sleep(EVENT_GAP_S)
+
+    run(context, ask())
+
+
+@then(
+    "from {begin:g} s on at least {share:g} of them are served, none within more than "
+    "{most:g} s"
+)
+def step_served_from(context, begin, share, most):
+    fleet = context.fleet
+    rows = zip(context.asked_at, fleet.answers, fleet.took_s, strict=True)
+    late = [row for row in rows if row[0] >= begin]
+    served = [answer for _, answer, _ in late if answer.status == 200]
+    statuses = "".join("." if a.status == 200 else "X" for a in fleet.answers)
+    assert len(served) >= share * len(late), statuses
+    assert max(took_s for *_, took_s in late) <= most, fleet.took_s
+
+
 @when('a caller of "{vm}" sends a request to "{path}" and leaves while it runs')
 def step_leave(context, vm, path):
     fleet = context.fleet
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -47,6 +47,9 @@
         if kind == "f":
             state.health.note_outcome(Outcome.UNREACHABLE, now)
             reachability.note_failed(state, now)
+        elif kind in "uv":
+            opened_at = now - STEP_S / 2 if kind == "u" else OLD
+            reachability.note_failed(state, now, opened_at)
         elif kind in "pq":
             at = now if kind == "p" else now - LATE_S
             reachability.note_peer_reached(state.id, at, now)
@@ -80,6 +83,13 @@
     assert found is PathStatus(status), found
 
 
+@then("its probes send data: {data}")
+def step_probes_send_data(context, data):
+    observer = context.observer
+    found = observer.reachability.requires_data(SERVICE, observer.now)
+    assert found == (data == "yes"), found
+
+
 @then("none of its servers is suspect")
 def step_none_suspect(context):
     observer = context.observer
--- a/src/ramppin/gateway/connection/pool.py
+++ b/src/ramppin/gateway/connection/pool.py
@@ -126,7 +126,7 @@
             connection.abort()
 
     def release_unused(self, connection: UpstreamConnection) -> None:
-        """Return a connection to the pool over which nothing was sent."""
+        """Return a connection to the pool over which no request was sent."""
         connection.idle_since = asyncio.get_running_loop().time()
         self.release(connection)
 
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -87,6 +87,7 @@
             None.
         was_timed_out: whether it ended because the peer sent no acknowledgements.
         was_lost: whether it ended for another reason while a request was in flight.
+        was_unasked: whether it ended because data arrived without a request in flight.
 
     .. versionadded:: 0.2
     """
@@ -98,6 +99,7 @@
         self.keep_alive_s: float | None = None
         self.was_timed_out = False
         self.was_lost = False
+        self.was_unasked = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._receiver: AnswerReceiver | None = None
@@ -139,6 +141,7 @@
         """Feed received bytes to the parser."""
         if self._receiver is None or self._parser is None:
             # Data without a request in flight: the connection can't be reused.
+            self.was_unasked = True
             self.abort()
             return
         try:
@@ -219,6 +222,11 @@
         self._rest = memoryview(data)
         self._send_rest()
 
+    def send_empty_line(self) -> None:
+        """Send what servers ignore before a request (RFC 9112, section 2.2)."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.write(b"\r\n")
+
     def pause(self) -> None:
         """Stop reading, to apply backpressure to the server."""
         if self._transport and not self._transport.is_closing():
--- a/src/ramppin/gateway/process/membership/pathprobe.py
+++ b/src/ramppin/gateway/process/membership/pathprobe.py
@@ -4,9 +4,12 @@
 requests of other VMs, it probes its path too.
 
 A probe opens a connection, sends nothing, and keeps the connection for use if it is not
-reset at once. Two servers of a service are probed at a time, at intervals that grow and
-differ from VM to VM, so that VMs whose path returns at the same moment do not connect
-together.
+reset at once. Some paths reset connections only once data arrives. Where new
+connections ended so, and on a VM that has just started, a probe sends an empty line,
+which servers ignore before a request.
+
+Two servers of a service are probed at a time, at intervals that grow and differ from VM
+to VM, so that VMs whose path returns at the same moment do not connect together.
 """
 
 from __future__ import annotations
@@ -88,8 +91,11 @@
         try:
             while True:
                 await asyncio.sleep(CHECK_S)
-                for state in self._choose(loop.time()):
-                    task = loop.create_task(self._probe(state))
+                now = loop.time()
+                for state in self._choose(now):
+                    service = state.server.service
+                    with_data = self._reachability.requires_data(service, now)
+                    task = loop.create_task(self._probe(state, with_data=with_data))
                     self._running.add(task)
                     task.add_done_callback(self._running.discard)
         finally:
@@ -120,9 +126,10 @@
         states = self._reachability.list_for_proof(service)
         count = min(SERVERS_PER_ROUND, len(states))
         chosen = self._generator.sample(states, count)
-        await asyncio.gather(*map(self._probe, chosen))
+        probes = [self._probe(state, with_data=True) for state in chosen]
+        await asyncio.gather(*probes)
 
-    async def _probe(self, state: ServerState) -> None:
+    async def _probe(self, state: ServerState, *, with_data: bool) -> None:
         server, loop = state.server, asyncio.get_running_loop()
         try:
             connection = await self._pool.open(state.id, server.host, server.port)
@@ -131,9 +138,12 @@
             if error.is_refused or not self._is_behind(now):
                 self._reachability.note_failed(state, now)
             return
+        if with_data:
+            connection.send_empty_line()
         await asyncio.sleep(SURVIVAL_S)
-        if not connection.alive:
+        # A server that does not ignore an empty line answers it, and was reached too.
+        if connection.alive or connection.was_unasked:
+            self._pool.release_unused(connection)
+            self._reachability.note_probe(state, loop.time())
+        else:
             self._reachability.note_failed(state, loop.time())
-            return
-        self._pool.release_unused(connection)
-        self._reachability.note_probe(state, loop.time())
--- a/src/ramppin/gateway/process/routing/reachability.py
+++ b/src/ramppin/gateway/process/routing/reachability.py
@@ -43,6 +43,11 @@
 """Seconds since the path's return within which another loss counts as soon."""
 
 
+DATA_PROBES_S = 30.0
+"""Seconds after a new connection was lost without an answer for which probes must send
+data. Bounded, since a server may close connections with data that is no request."""
+
+
 class PathStatus(Enum):
     """Status of the path to the servers of one service."""
 
@@ -78,6 +83,8 @@
         confirmed: whether another VM reached one of the servers since.
         probed: ids of the servers of the probes in a row that succeeded.
         required_probes: probes in a row that must succeed.
+        lost_unanswered_at: event-loop time at which a connection that was opened since
+            was lost before it carried an answer.
         reported: status in the last reported change.
     """
 
@@ -86,6 +93,7 @@
     failed_at: dict[str, float] = field(default_factory=dict)
     confirmed: bool = False
     probed: list[str] = field(default_factory=list)
+    lost_unanswered_at: float = float("-inf")
     reported: PathStatus = PathStatus.WORKING
 
 
@@ -113,8 +121,17 @@
 
     # observations
 
-    def note_failed(self, state: ServerState, now: float) -> None:
-        """Record that a server was not reached: no connection, or no byte over it."""
+    def note_failed(
+        self, state: ServerState, now: float, opened_at: float | None = None
+    ) -> None:
+        """Record that a server was not reached: no connection, or no byte over it.
+
+        Args:
+            state: the server.
+            now: event-loop time.
+            opened_at: event-loop time at which the connection was opened over which a
+                request was sent; None if none was.
+        """
         service = state.server.service
         series = self._series.get(service)
         if series is None:
@@ -122,6 +139,8 @@
             series = self._series[service] = _Series(now, required)
         elif self._find_status(service, series) is PathStatus.WORKING:
             _drop_old(series, now)
+        if opened_at is not None and opened_at >= series.since:
+            series.lost_unanswered_at = now
         series.failed_at[state.id] = now
         series.probed.clear()
         self._note_status(service, series, now)
@@ -234,6 +253,11 @@
                 found[service] = self._order_for_probes(service, series)
         return found
 
+    def requires_data(self, service: str, now: float) -> bool:
+        """Return whether a probe shows that the path works only if it sends data."""
+        series = self._series.get(service)
+        return series is not None and now - series.lost_unanswered_at < DATA_PROBES_S
+
     def list_for_proof(self, service: str) -> list[ServerState]:
         """Return the servers of a service of which one shows that the path works."""
         return list(self._directory.list_open(service))
--- a/src/ramppin/gateway/request/directpath.py
+++ b/src/ramppin/gateway/request/directpath.py
@@ -174,7 +174,8 @@
         # Not if it timed out: a server that does not read its requests is reached.
         is_cut = connection.was_lost and result.end is AttemptEnd.FAILED
         if is_cut and result.status == 0:
-            context.reachability.note_failed(state, self._loop.time())
+            now = self._loop.time()
+            context.reachability.note_failed(state, now, connection.opened_at)
         if connection.was_timed_out:
             context.pool.note_timed_out(connection)
         share = context.share_connections(served.admission.service)
