Tests of a VM's path: connections closed once established, and servers that answer an empty line

That a server which answers an empty line is reached had no test.

behave features/partitioned_vms/exchanges.feature

--- a/features/partitioned_vms/exchanges.feature
+++ b/features/partitioned_vms/exchanges.feature
@@ -73,6 +73,7 @@
     Examples:
       | ended                    |
       | reset once established   |
+      | closed once established  |
       | reset once data arrives  |
       | closed once data arrives |
 
@@ -85,6 +86,7 @@
     Examples:
       | ended                    | path    |
       | reset once established   | /once/  |
+      | closed once established  | /once/  |
       | reset once data arrives  | /once/  |
       | closed once data arrives | /again/ |
 
@@ -123,6 +125,16 @@
     Then it is served with 200, and ran once
     And neither its server nor its caller got a header of those that VMs send each other
 
+  Scenario Outline: a server that <does> an empty line shows that the path works: <works>
+    When a VM that has just started probes a server that <does> an empty line
+    Then its path is proven: <works>
+
+    Examples:
+      | does                      | works |
+      | ignores                   | yes   |
+      | answers                   | yes   |
+      | closes the connection on  | no    |
+
   Scenario Outline: a VM forwarded for no other, as its number was taken: <number>
     When a gateway starts whose first number is taken for connections, <number>
     Then it accepts requests of other VMs: <accepts>
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import json
+import random
 import socket
 import struct
 import time
@@ -22,6 +23,11 @@
 from ramppin.errors import NotSentError
 from ramppin.gateway.connection.datagrams import DatagramLink
 from ramppin.gateway.connection.httpwire import HeaderNames
+from ramppin.gateway.connection.pool import ConnectionPool
+from ramppin.gateway.process.membership.pathprobe import PathProbe
+from ramppin.gateway.process.routing.directory import ServerDirectory
+from ramppin.gateway.process.routing.reachability import Reachability
+from ramppin.gateway.process.routing.serverstate import BackendServer
 from standins.common import wait_for
 from standins.tables import TableStandIn
 
@@ -527,3 +533,36 @@
         return
     writer.close()
     assert accepts == "yes"
+
+
+@when("a VM that has just started probes a server that {does} an empty line")
+def step_probe_server(context, does):
+    async def serve(reader, writer) -> None:
+        await reader.read(1)
+        if does == "answers":
+            writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+        if does != "ignores":
+            writer.close()
+
+    async def probe() -> bool:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        directory = ServerDirectory()
+        directory.put(BackendServer("a1", "plain", "127.0.0.1", port, "porto"))
+        probe = PathProbe(
+            Reachability(directory),
+            ConnectionPool(),
+            random.Random(1),
+            lambda now: False,
+        )
+        try:
+            return await probe.prove("plain")
+        finally:
+            server.close()
+
+    context.proven = run(context, probe())
+
+
+@then("its path is proven: {works}")
+def step_proven(context, works):
+    assert context.proven == (works == "yes")
