--- a/review/standins.py
+++ b/review/standins.py
@@ -582,7 +582,8 @@
     with tempfile.TemporaryDirectory() as scratch:
         try:
             held = asyncio.run(_play(record, Path(scratch), play))
-        except (CaseError, OSError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Python would exit with 1, which means that the rule was broken.
             record.tell(f"could not run: {error!r}")
             sys.exit(2)
     record.tell("held" if held else "BROKEN")
@@ -592,6 +593,10 @@
 async def _play(
     record: Record, scratch: Path, play: Callable[[Record, Path], Awaitable[bool]]
 ) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    # So that the case ends its processes.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(115):
         return await play(record, scratch)
 
