A line for each window tells how many retries a VM sent, and by what it was allowed to

The incident's report could come from VMs that have just started, from VMs that divide the fleet's extra by too few, or from arrivals that nobody counts. Lines told none of it. No decision changes.

--- a/features/gateway_lines.py
+++ b/features/gateway_lines.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from features.gateway_support import GatewayFixture, build_tree, encode_request
+from ramppin.gateway.process.limits.retrybudget import RetryRules
 from ramppin.gateway.process.membership.servernotices import NoticeSource
 from ramppin.gateway.process.memory import AbortedConnection, Peer
 from ramppin.gateway.process.reporting.decisions import DecisionLog
@@ -46,6 +47,7 @@
         await self._hear_words()
         await self._quarantine_request()
         await self._abort_slow_reader()
+        await self._spend_retry()
         answers = await self._ask_operator()
         await self._restart_server()
         await self._end()
@@ -129,6 +131,15 @@
         self._gateway._note_memory_abort(aborted)
         await self._wait_for_event("connection_aborted")
 
+    async def _spend_retry(self) -> None:
+        budget, now = (
+            self._gateway.context.retry_budget,
+            asyncio.get_running_loop().time(),
+        )
+        budget.replace_rules(RetryRules(window_s=1.0))
+        assert budget.consume("plain", now)
+        await self._wait_for_event("retries")
+
     async def _ask_operator(self) -> dict[str, Any]:
         operator = Operator(self._gateway.operations_port)
         names = ("/dump", "/explain served", "/explain failed", "/explain unknown")
--- a/src/ramppin/gateway/process/limits/retrybudget.py
+++ b/src/ramppin/gateway/process/limits/retrybudget.py
@@ -52,6 +52,25 @@
         return min(MAX_EXTRA, int(EXTRA_SHARE * self.fleet_extra / live_vms))
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUse:
+    """Use of a VM's retry budget for one service in the last window.
+
+    Attributes:
+        service: name of the service.
+        requests: number of requests from callers.
+        retries: number of retries.
+        extra: retries that were allowed beyond the ratio.
+        sharing_vms: number of VMs by which the fleet's extra was divided.
+    """
+
+    service: str
+    requests: int
+    retries: int
+    extra: float
+    sharing_vms: int
+
+
 class RetryWindow:
     """Allows retries of one service in proportion to its recent requests.
 
@@ -94,8 +113,17 @@
 
     def measure_requests_per_s(self, now: float) -> float:
         """Return the rate of requests from callers, averaged over the window."""
+        return self.count_requests(now) / self._window_s
+
+    def count_requests(self, now: float) -> int:
+        """Return the number of requests from callers in the window."""
         self._discard_old(self._requests, now)
-        return len(self._requests) / self._window_s
+        return len(self._requests)
+
+    def count_retries(self, now: float) -> int:
+        """Return the number of retries in the window."""
+        self._discard_old(self._retries, now)
+        return len(self._retries)
 
     def _discard_old(self, times: deque[float], now: float) -> None:
         while times and times[0] < now - self._window_s:
@@ -150,6 +178,20 @@
         """Return the request rate of a service, averaged over the window."""
         return self._find_window(service).measure_requests_per_s(now)
 
+    def list_use(self, now: float) -> list[RetryUse]:
+        """Return the use of each service's budget, where there were retries."""
+        return [
+            RetryUse(
+                service,
+                window.count_requests(now),
+                window.count_retries(now),
+                window.extra,
+                self._live_vms,
+            )
+            for service, window in self._windows.items()
+            if window.count_retries(now)
+        ]
+
     def _find_window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
--- a/src/ramppin/gateway/process/reporting/metrics.py
+++ b/src/ramppin/gateway/process/reporting/metrics.py
@@ -186,6 +186,11 @@
             ("service",),
             SECONDS_BUCKETS,
         )
+        self.retries = CounterTally(
+            "ramppin_gateway_retries_total",
+            "Retries that the fleet's budget allowed.",
+            ("service",),
+        )
         self.retries_refused = CounterTally(
             "ramppin_gateway_retries_refused_total",
             "Retries that the fleet's budget did not allow.",
--- a/src/ramppin/gateway/process/upkeep.py
+++ b/src/ramppin/gateway/process/upkeep.py
@@ -15,6 +15,7 @@
 from ramppin.gateway.process.recovery.tables import GatewayTables
 from ramppin.gateway.process.reporting.noticelines import NoticeLines
 from ramppin.gateway.process.reporting.quarantinelines import note_quarantine
+from ramppin.gateway.process.reporting.retrylines import RetryLines
 from ramppin.gateway.process.stalldetector import STALL_S, StallDetector
 
 SWEEP_S = 0.25
@@ -60,6 +61,7 @@
         loop = asyncio.get_running_loop()
         context = self._context
         notices = NoticeLines(context)
+        retries = RetryLines(context, loop.time())
         refilled_at = loop.time()
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -78,6 +80,7 @@
             context.continuity.origins.evict_expired(now)
             note_quarantine(context, now)
             notices.note(now)
+            retries.note(now)
             self._note_paths()
             self.note_brittle()
             context.live_vms = 1 + len(self._tables.members.list_live(now))
--- a/src/ramppin/gateway/request/report.py
+++ b/src/ramppin/gateway/request/report.py
@@ -242,6 +242,10 @@
         if rule is RefusalRule.DISPLACED:
             metrics.displaced.inc(service)
 
+    def count_retry(self, service: str) -> None:
+        """Count a retry that the budget allowed."""
+        self._context.metrics.retries.inc(service)
+
     def count_refused_retry(self, service: str) -> None:
         """Count a retry that the budget did not allow."""
         self._context.metrics.retries_refused.inc(service)
--- a/src/ramppin/gateway/request/retrying.py
+++ b/src/ramppin/gateway/request/retrying.py
@@ -85,6 +85,7 @@
             self._report.count_refused_retry(service)
         elif verdict.allows and result.end is not AttemptEnd.NOT_SENT:
             self._budget.consume(service, now)
+            self._report.count_retry(service)
         return verdict
 
     def judge_takeover(self, now: float) -> Verdict:
