Parts of the fleet's retry budget add up over restarts and views

Cause: each process kept its own window and divided the extra by the VMs that it saw live. One that started had its whole extra and ratio again, while what its predecessor spent counted at the servers; one that saw few others took more than its part.

Why it works: in any window a VM keeps to half of the ratio of its own requests in that window and the one before, and its part of the extra. That adds up: over all VMs it is at most the ratio of the larger window, wherever the traffic goes, and a process that starts counts no earlier requests. The extra is used by a VM only while its list of VMs is current, and only one window after all others are known to count it (each has sent it a message, or the time has passed in which lists become current); it is divided by all VMs seen within an hour, live or not. Rules that are read again no longer empty what was counted.

Rows of 'retries of a window' gave the whole ratio at one moment; they now check what one moment and what the whole window allows, the latter with the old figures. Rows of the parts: one VM alone has the whole, eight have 7 in place of 4 each, and the product with their number is checked for one VM, too.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -15,13 +15,13 @@
       | [::1]          | /x/        |              |
 
   Scenario Outline: retries of a window: <requests> requests
-    Then <requests> requests and <asked> retries allow <allowed>
+    Then <requests> requests and <asked> retries allow <at_once>, and as many again in the window <allowed>
 
     Examples:
-      | requests | asked | allowed |
-      | 0        | 5     | 2       |
-      | 10       | 10    | 4       |
-      | 100      | 50    | 22      |
+      | requests | asked | at_once | allowed |
+      | 0        | 5     | 2       | 2       |
+      | 10       | 10    | 3       | 4       |
+      | 100      | 50    | 12      | 22      |
 
   Scenario Outline: a rule is inherited from the <level>
     Then the time limit set at "<levels>" is <value>
@@ -89,18 +89,20 @@
   Scenario: a server that leaves moves only its own homes
     Then 200 prefixes on 4 servers move only from the one that leaves
 
-  Scenario Outline: a VM's part of the fleet's extra retries: <fleet> of <live> VMs
-    Then of <fleet> extra retries of <live> live VMs one may make <extra>, and all keep within them
+  Scenario Outline: a VM's part of the fleet's extra retries: <fleet> of <sharing> VMs
+    Then of <fleet> extra retries of <sharing> VMs one may make <extra>, and all keep within them
 
     Examples:
-      | fleet | live | extra |
-      | none  | 80   | 2     |
-      | 56    | 1    | 2     |
-      | 56    | 8    | 4     |
-      | 214   | 87   | 2     |
-      | 200   | 80   | 2     |
-      | 214   | 360  | 0     |
-      | 0     | 5    | 0     |
+      | fleet | sharing | extra |
+      | none  | 80      | 2     |
+      | none  | unknown | 2     |
+      | 56    | 1       | 56    |
+      | 56    | 8       | 7     |
+      | 56    | unknown | 0     |
+      | 214   | 87      | 2     |
+      | 200   | 80      | 2     |
+      | 214   | 360     | 0     |
+      | 0     | 5       | 0     |
 
   Scenario: no server gets a request while it is at the bound
     Then 2000 generated placements leave no server above the bound
--- a/features/retry_fleet.py
+++ b/features/retry_fleet.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from ramppin.gateway.process.limits.retrybudget import RetryBudget, RetryRules
+from ramppin.gateway.process.limits.retryshare import RetryShare
 from ramppin.gateway.process.membership.members import FleetMembers, MemberRecord
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin_platform.settings import RETRY_RATIO_SHARE
@@ -87,6 +88,8 @@
         )
         self.budget = RetryBudget(rules)
         self.members = FleetMembers(self.name, self.domain)
+        self.sharing = RetryShare(self.members, now)
+        self.confirmed_at = float("-inf")
 
     @property
     def domain(self) -> str:
@@ -105,6 +108,7 @@
         if not self.announced:
             self.announced = True
             log.append((now, self.name))
+        self.confirmed_at = now - TABLE_LAG_S
         while self.read_up_to < len(log):
             at, name = log[self.read_up_to]
             if at > now - TABLE_LAG_S and name != self.name:
@@ -117,7 +121,8 @@
     def sweep(self, now: float) -> None:
         """Do what the product does at each sweep."""
         self.read_table(now)
-        self.budget.set_live_vms(1 + len(self.members.list_live(now)))
+        sharing_vms = self.sharing.count_sharing_vms(self.confirmed_at, WINDOW_S, now)
+        self.budget.set_sharing_vms(sharing_vms)
 
     def hears(self, other: Vm, now: float) -> bool:
         cut = now < max(self.cut_until, other.cut_until)
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -60,12 +60,24 @@
     assert table.find_route(host, path) is None
 
 
-@then("{requests:d} requests and {asked:d} retries allow {allowed:d}")
-def step_retries(context, requests, asked, allowed):
+@then(
+    "{requests:d} requests and {asked:d} retries allow {at_once:d}, "
+    "and as many again in the window {allowed:d}"
+)
+def step_retries(context, requests, asked, at_once, allowed):
     window = RetryWindow(ratio=0.2, window_s=10.0, extra=2)
+
+    def ask(now):
+        return sum(window.consume(now) for _ in range(asked))
+
     for _ in range(requests):
         window.note_request(5.0)
-    assert sum(window.consume(6.0) for _ in range(asked)) == allowed
+    made = ask(6.0)
+    assert made == at_once, made
+    for _ in range(requests):
+        window.note_request(11.9)
+    made += ask(12.0)
+    assert made == allowed, made
     if requests:
         assert not window.consume(14.9)
     assert window.consume(16.5)
@@ -335,14 +347,15 @@
 
 
 @then(
-    "of {fleet} extra retries of {live:d} live VMs one may make {extra:d}, "
+    "of {fleet} extra retries of {sharing} VMs one may make {extra:d}, "
     "and all keep within them"
 )
-def step_extra(context, fleet, live, extra):
+def step_extra(context, fleet, sharing, extra):
     fleet_extra = None if fleet == "none" else int(fleet)
     budget = RetryBudget(RetryRules(ratio=0.0, fleet_extra=fleet_extra))
-    budget.set_live_vms(live)
-    made = sum(budget.consume("plain", 0.0) for _ in range(20))
+    sharing_vms = None if sharing == "unknown" else int(sharing)
+    budget.set_sharing_vms(sharing_vms)
+    made = sum(budget.consume("plain", 0.0) for _ in range(100))
     assert made == extra, made
-    if fleet_extra is not None and live > 1:
-        assert extra * live <= fleet_extra
+    if fleet_extra is not None and sharing_vms:
+        assert extra * sharing_vms <= fleet_extra
--- a/src/ramppin/gateway/process/limits/retrybudget.py
+++ b/src/ramppin/gateway/process/limits/retrybudget.py
@@ -1,37 +1,30 @@
 """Retry budget of the fleet, enforced by each VM without a shared counter.
 
-Each VM allows retries in proportion to the requests that it received itself in a
-sliding window, so that the sum over all VMs is proportional to all requests. The
-extra retries that each VM allows beyond the ratio add up to a known number.
-
-Owns the times of requests and retries in the last window, by service.
+In any window the fleet may retry a ratio of the requests of that window or of the one
+before it, whichever are more, and a fixed number beyond. No VM sees the others'
+requests, so each one keeps to what can be added up: in each window, half of the ratio
+of its own requests in the window and the one before it, and its part of the extra. The
+sum over all VMs holds wherever the traffic goes, and however often processes restart:
+one that starts counts no earlier requests, and has no extra
+(:mod:`~.retryshare`).
+
+Owns the times of requests and retries, by service.
 """
 
 from __future__ import annotations
 
-from collections import deque
+from bisect import bisect_left
 from dataclasses import dataclass
 
-EXTRA_SHARE = 0.9
-"""Fraction of the fleet's extra retries that is divided among the VMs. The rest is a
-reserve, since VMs that have just started are not yet known to all others."""
-
-MAX_EXTRA = 4
-"""Maximum extra retries of one VM: in a small fleet, a VM with bad network links must
-not use up the budget of the others."""
-
 
 @dataclass(frozen=True, slots=True)
 class RetryRules:
     """Retry budget of the fleet and this VM's share of it.
 
     Attributes:
-        ratio: retries per request of a service. The default is 0.85 of the 0.2 that
-            the platform allows, since the windows of the VMs are not aligned.
-        window_s: length of the sliding window in seconds; same as the platform's
-            default.
-        extra: retries that one VM may make beyond the ratio while it has no peers in
-            its member list.
+        ratio: retries per request of a service.
+        window_s: length of a window in seconds; same as the platform's default.
+        extra: retries that this VM may make beyond the ratio if the fleet has no limit.
         fleet_extra: retries that all VMs together may make beyond the ratio; None if
             each VM may make ``extra``.
     """
@@ -41,15 +34,41 @@
     extra: int = 2
     fleet_extra: int | None = None
 
-    def share_extra(self, live_vms: int) -> int:
+    def share_extra(self, sharing_vms: int | None) -> float:
         """Return the retries that one VM may make beyond the ratio.
 
         Args:
-            live_vms: number of live VMs in the fleet, including this one.
+            sharing_vms: number of VMs that share the fleet's extra, including this
+                one; None while this VM may not use its part.
         """
-        if self.fleet_extra is None or live_vms <= 1:
+        if self.fleet_extra is None:
             return self.extra
-        return min(MAX_EXTRA, int(EXTRA_SHARE * self.fleet_extra / live_vms))
+        return self.fleet_extra / sharing_vms if sharing_vms else 0.0
+
+
+class EventTimes:
+    """The times of events, kept for a while.
+
+    Args:
+        kept_s: how long a time is kept, in seconds.
+    """
+
+    def __init__(self, kept_s: float) -> None:
+        self._kept_s = kept_s
+        self._times: list[float] = []
+
+    def add(self, now: float) -> None:
+        """Add an event, and discard the old ones."""
+        del self._times[: bisect_left(self._times, now - self._kept_s)]
+        self._times.append(now)
+
+    def count_since(self, start: float) -> int:
+        """Return the number of events since a time."""
+        return len(self._times) - bisect_left(self._times, start)
+
+    def list_since(self, start: float) -> list[float]:
+        """Return the times of the events since a time, oldest first."""
+        return self._times[bisect_left(self._times, start) :]
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,54 +80,60 @@
         requests: number of requests from callers.
         retries: number of retries.
         extra: retries that were allowed beyond the ratio.
-        sharing_vms: number of VMs by which the fleet's extra was divided.
+        sharing_vms: number of VMs by which the fleet's extra was divided; None if this
+            VM had no part.
     """
 
     service: str
     requests: int
     retries: int
     extra: float
-    sharing_vms: int
+    sharing_vms: int | None
 
 
 class RetryWindow:
-    """Allows retries of one service in proportion to its recent requests.
+    """Allows retries of one service in proportion to its requests.
 
     Args:
         ratio: retries per request.
-        window_s: length of the sliding window in seconds.
+        window_s: length of a window in seconds.
         extra: retries that are always allowed in a window.
 
     Attributes:
-        extra: as above; updated when the number of live VMs changes.
+        ratio: as above; updated when the rules change.
+        extra: as above; updated when this VM's part of the fleet's extra changes.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, *, ratio: float, window_s: float, extra: int) -> None:
-        self._ratio = ratio
-        self._window_s = window_s
+    def __init__(self, *, ratio: float, window_s: float, extra: float) -> None:
+        self.ratio = ratio
         self.extra = extra
-        self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._window_s = window_s
+        self._requests = EventTimes(2 * window_s)
+        self._retries = EventTimes(window_s)
 
     def note_request(self, now: float) -> None:
         """Record a request from a caller."""
-        self._requests.append(now)
-        self._discard_old(self._requests, now)
+        self._requests.add(now)
 
     def allows_retry(self, now: float) -> bool:
-        """Return whether a retry is allowed now, without counting it."""
-        self._discard_old(self._requests, now)
-        self._discard_old(self._retries, now)
-        allowed = self._ratio * len(self._requests) + self.extra
-        return len(self._retries) + 1 <= allowed
+        """Return whether a retry is allowed now, without counting it.
+
+        A window may begin at any time. More retries than before are in it only if it
+        begins at one of them, so that those windows are checked.
+        """
+        begins = [*self._retries.list_since(now - self._window_s), now]
+        return all(
+            len(begins) - index <= self._measure_allowance(begin)
+            for index, begin in enumerate(begins)
+        )
 
     def consume(self, now: float) -> bool:
         """Count a retry if one is allowed; return whether it is."""
         if not self.allows_retry(now):
             return False
-        self._retries.append(now)
+        self._retries.add(now)
         return True
 
     def measure_requests_per_s(self, now: float) -> float:
@@ -116,18 +141,17 @@
         return self.count_requests(now) / self._window_s
 
     def count_requests(self, now: float) -> int:
-        """Return the number of requests from callers in the window."""
-        self._discard_old(self._requests, now)
-        return len(self._requests)
+        """Return the number of requests from callers in the last window."""
+        return self._requests.count_since(now - self._window_s)
 
     def count_retries(self, now: float) -> int:
-        """Return the number of retries in the window."""
-        self._discard_old(self._retries, now)
-        return len(self._retries)
+        """Return the number of retries in the last window."""
+        return self._retries.count_since(now - self._window_s)
 
-    def _discard_old(self, times: deque[float], now: float) -> None:
-        while times and times[0] < now - self._window_s:
-            times.popleft()
+    def _measure_allowance(self, begin: float) -> float:
+        """Return the retries allowed since a time in the last window."""
+        requests = self._requests.count_since(begin - self._window_s)
+        return self.ratio / 2 * requests + self.extra
 
 
 class RetryBudget:
@@ -141,7 +165,7 @@
 
     def __init__(self, rules: RetryRules) -> None:
         self._rules = rules
-        self._live_vms = 1
+        self._sharing_vms: int | None = None
         self._windows: dict[str, RetryWindow] = {}
 
     @property
@@ -150,17 +174,25 @@
         return self._rules
 
     def replace_rules(self, rules: RetryRules) -> None:
-        """Replace the rules; if they changed, reset all windows."""
-        if rules != self._rules:
-            self._rules = rules
+        """Replace the rules. What was counted stays, unless windows change in length.
+
+        Then this VM has no extra until its part is set again.
+        """
+        if rules.window_s != self._rules.window_s:
             self._windows.clear()
+            self._sharing_vms = None
+        self._rules = rules
+        self._update_windows()
 
-    def set_live_vms(self, live_vms: int) -> None:
-        """Set how many live VMs, including this one, share the fleet's budget."""
-        if live_vms != self._live_vms:
-            self._live_vms = live_vms
-            for window in self._windows.values():
-                window.extra = self._rules.share_extra(live_vms)
+    def set_sharing_vms(self, sharing_vms: int | None) -> None:
+        """Set how many VMs, including this one, share the fleet's extra.
+
+        Args:
+            sharing_vms: their number; None while this VM may not use its part.
+        """
+        if sharing_vms != self._sharing_vms:
+            self._sharing_vms = sharing_vms
+            self._update_windows()
 
     def note_request(self, service: str, now: float) -> None:
         """Record a request to a service."""
@@ -186,12 +218,17 @@
                 window.count_requests(now),
                 window.count_retries(now),
                 window.extra,
-                self._live_vms,
+                self._sharing_vms,
             )
             for service, window in self._windows.items()
             if window.count_retries(now)
         ]
 
+    def _update_windows(self) -> None:
+        for window in self._windows.values():
+            window.ratio = self._rules.ratio
+            window.extra = self._rules.share_extra(self._sharing_vms)
+
     def _find_window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
@@ -199,6 +236,6 @@
             window = self._windows[service] = RetryWindow(
                 ratio=rules.ratio,
                 window_s=rules.window_s,
-                extra=rules.share_extra(self._live_vms),
+                extra=rules.share_extra(self._sharing_vms),
             )
         return window
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -42,6 +42,14 @@
 """Seconds for which a VM without messages still counts when VMs divide a scarce
 resource: partitioned VMs must not each use the whole of it."""
 
+SHARING_MEMBER_S = 3600.0
+"""Seconds for which a VM without messages still counts when VMs divide what none may
+exceed. Longer than a partition between VMs that all reach the log."""
+
+MEMBER_BOUND_S = 50.0
+"""Seconds within which a new VM must be in the lists of all VMs. Until then it is no
+relay, receives no hints, and may have no part of the fleet's extra retries."""
+
 MAX_LOGGED_CHARS = 200
 """Maximum logged characters of an entry's key, or of the error in it."""
 
@@ -87,13 +95,20 @@
         vm: this VM's name.
         failure_domain: the failure domain in which this VM runs.
 
+    Attributes:
+        own_entry_at: event-loop time at which this VM's own entry was first read; None
+            before that.
+
     .. versionadded:: 0.2
     """
 
     def __init__(self, vm: str, failure_domain: str) -> None:
+        self.own_entry_at: float | None = None
         self._vm = vm
         self._failure_domain = failure_domain
         self._members: dict[str, Member] = {}
+        self._heard: set[str] = set()
+        self._counted_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._members)
@@ -101,6 +116,8 @@
     def apply_record(self, record: Record, now: float) -> bool:
         """Apply a VM's log entry; return whether it could be decoded."""
         if record.key == self._vm:
+            if self.own_entry_at is None:
+                self.own_entry_at = now
             return True
         if record.value is None:
             self._members.pop(record.key, None)
@@ -116,6 +133,7 @@
         self._members[record.key] = Member(
             record.key, entry.host, now, entry.failure_domain, entry.weight
         )
+        self._counted_at[record.key] = now
         return True
 
     def note_received(
@@ -140,6 +158,8 @@
         if member is None or member.host != host:
             return False
         member.last_seen_at = now
+        self._heard.add(vm)
+        self._counted_at[vm] = now
         member.log_up = log_up
         member.unreachable = frozenset(unreachable)
         return True
@@ -213,6 +233,21 @@
             m for m in self._members.values() if now - m.last_seen_at <= RECENT_MEMBER_S
         ]
 
+    def count_sharing(self, now: float) -> int:
+        """Return the number of VMs, with this one, seen within ``SHARING_MEMBER_S``.
+
+        An entry that is removed counts as long: its VM may still run.
+        """
+        oldest = now - SHARING_MEMBER_S
+        return 1 + sum(seen_at >= oldest for seen_at in self._counted_at.values())
+
+    def has_heard_all(self) -> bool:
+        """Return whether each VM in the list has sent a message to this process.
+
+        A VM sends messages only to those in its own list.
+        """
+        return self._members.keys() <= self._heard
+
     def list_last_seen_first(self) -> list[Member]:
         """Return all members, the most recently seen first."""
         return sorted(
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -16,6 +16,7 @@
 from ramppin.gateway.process.config import GatewayConfig
 from ramppin.gateway.process.context import GatewayContext
 from ramppin.gateway.process.membership.members import (
+    MEMBER_BOUND_S,
     FleetMembers,
     Member,
     announce,
@@ -53,10 +54,6 @@
 MEMBER_INTERVAL_S = 1.0
 """Seconds between two reads of the list of VMs, which rarely changes."""
 
-MEMBER_BOUND_S = 50.0
-"""Seconds within which a new VM must be in the lists of all VMs. Until then it is no
-relay and receives no hints; nothing else depends on it."""
-
 MEMBER_WAIT_S = 20.0
 """Seconds that a read of the list of VMs waits: heartbeats show which VMs are live; the
 table only adds new ones."""
@@ -160,6 +157,11 @@
         """The replica of the backend servers."""
         return self._servers.replica
 
+    @property
+    def member_list(self) -> Replica:
+        """The replica of the list of VMs."""
+        return self._member_table.replica
+
     @property
     def settings_follower(self) -> Follower:
         """The follower that keeps the settings current."""
--- a/src/ramppin/gateway/process/upkeep.py
+++ b/src/ramppin/gateway/process/upkeep.py
@@ -10,6 +10,7 @@
 
 from ramppin.gateway.process.allocator import release_free_memory
 from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.limits.retryshare import RetryShare
 from ramppin.gateway.process.memory import MemoryBudget
 from ramppin.gateway.process.overload.activation import OverloadActivation
 from ramppin.gateway.process.recovery.tables import GatewayTables
@@ -62,6 +63,7 @@
         context = self._context
         notices = NoticeLines(context)
         retries = RetryLines(context, loop.time())
+        share = RetryShare(self._tables.members, loop.time())
         refilled_at = loop.time()
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -84,12 +86,19 @@
             self._note_paths()
             self.note_brittle()
             context.live_vms = 1 + len(self._tables.members.list_live(now))
-            context.retry_budget.set_live_vms(context.live_vms)
+            self._share_retries(share, now)
             if now - refilled_at >= REFILL_S:
                 refilled_at = now
                 context.decisions.refill()
             context.decisions.flush()
 
+    def _share_retries(self, share: RetryShare, now: float) -> None:
+        """Set this VM's part of the fleet's extra retries."""
+        budget = self._context.retry_budget
+        confirmed_at = self._tables.member_list.confirmed_at
+        sharing_vms = share.count_sharing_vms(confirmed_at, budget.rules.window_s, now)
+        budget.set_sharing_vms(sharing_vms)
+
     def note_brittle(self) -> None:
         """Apply and log that servers of a service became brittle, or are no more."""
         context = self._context
