Bytes that are no answer and come without end are cut at a limit

Cause: the parser keeps or drops whatever precedes or follows a body, and nobody counts it. Now one guard (answerlimits) counts what comes beside the body of an answer, in the one class that reads answers of servers, the store, relays and other VMs: 64 KiB and 1,000 lines of a head with its interim answers and blank lines, 3 s from a head's first byte, 16 KiB between two parts of a body, 1 MiB of an error's body; fetched answers 32 MiB, reports of a start 64 KiB. Beyond one the connection is reset and the attempt fails as with a malformed answer, which the server's health counts. All connections read 32 KiB at a time.

Legal answers near each limit pass: a head of 30 kB, 100 interim answers, 900 headers, 50,000 chunks of a byte, 7 kB of an extension.

--- a/src/ramppin/gateway/connection/fetch.py
+++ b/src/ramppin/gateway/connection/fetch.py
@@ -19,6 +19,9 @@
     open_connection,
 )
 
+MAX_FETCHED_BYTES = 33_554_432
+"""Bytes of an answer: several times the tables of the largest fleet."""
+
 CONNECT_TIMEOUT_S = 0.6
 """Seconds within which a connection must be established."""
 
@@ -108,13 +111,18 @@
 
 
 class BufferingReceiver(AnswerReceiver):
-    """Buffers an answer until it is complete."""
+    """Buffers an answer until it is complete.
+
+    Args:
+        max_bytes: bytes of its body beyond which it fails.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_FETCHED_BYTES) -> None:
         loop = asyncio.get_running_loop()
         self.answer: asyncio.Future[FetchedAnswer] = loop.create_future()
         self._status = 0
         self._body: list[bytes] = []
+        self._bytes_left = max_bytes
 
     def accept_head(self, head: AnswerHead) -> bool:
         """Keep the status."""
@@ -123,6 +131,14 @@
 
     def accept_body(self, data: bytes) -> None:
         """Keep part of the body."""
+        if self.answer.done():
+            return
+        self._bytes_left -= len(data)
+        if self._bytes_left < 0:
+            self._body = []
+            message = "the answer's body exceeds its limit"
+            self.answer.set_exception(BrokenAnswerError(message, step="answer"))
+            return
         self._body.append(data)
 
     def accept_end(self, end: AnswerEnd) -> None:
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -22,6 +22,11 @@
     find_stated_end,
     read_length,
 )
+from ramppin.gateway.connection.answerlimits import (
+    HEAD_FEED_BYTES,
+    MAX_HEAD_S,
+    AnswerLimits,
+)
 from ramppin.gateway.connection.httpwire import Headers, find_header
 from ramppin.gateway.connection.tcptimeouts import UPSTREAM_TIMEOUTS, set_tcp_timeouts
 
@@ -33,8 +38,9 @@
 written at once is copied into the write buffer if the server does not read it."""
 
 READ_BYTES = 32_768
-"""Largest read of a connection whose memory is counted. With asyncio's 256 KiB, a read
-could exceed what its caller's connection may hold by four times."""
+"""Largest read of a connection. With asyncio's 256 KiB, a read could exceed what its
+caller's connection may hold by four times, and a peer that always has bytes to send
+would delay all others."""
 
 
 @dataclass(slots=True)
@@ -125,6 +131,8 @@
         self._stated_end = AnswerEnd.NOT_SEEN
         self._head_request = False
         self._rest = memoryview(b"")
+        self._limits = AnswerLimits()
+        self._head_timer: asyncio.TimerHandle | None = None
 
     @property
     def unsent_bytes(self) -> int:
@@ -151,6 +159,7 @@
         self._transport = transport
         self.opened_at = self._loop.time()
         set_tcp_timeouts(transport, UPSTREAM_TIMEOUTS)
+        _limit_reads(transport)
 
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser."""
@@ -160,12 +169,13 @@
             self.abort()
             return
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserError as error:
             self._fail(f"malformed HTTP answer: {error}", AnswerEnd.MALFORMED)
         except httptools.HttpParserCallbackError as error:
             message = f"error while processing the answer: {error.__context__}"
             self._fail(message, AnswerEnd.MALFORMED)
+        self._time_head()
         if self._receiver is None and not self._reusable:
             # An unsolicited answer arrived in the same read as the expected one.
             self._close()
@@ -221,8 +231,7 @@
         self._skipping = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
-        if counted:
-            _limit_reads(self._transport)
+        self._limits = AnswerLimits()
         if counted and len(body) > PIECE_BYTES:
             self._transport.set_write_buffer_limits(high=0)
             self._rest = memoryview(body)[PIECE_BYTES:]
@@ -258,6 +267,7 @@
     def abort(self) -> None:
         """Reset the connection; the receiver of a request in flight is not called."""
         self._receiver = None
+        self._stop_head_timer()
         self._reusable = False
         self._rest = memoryview(b"")
         if self._transport:
@@ -268,11 +278,15 @@
     def on_message_begin(self) -> None:
         """Start an answer; an unsolicited one makes the connection unusable."""
         self._headers = []
+        self._limits.note_begin()
         if self._receiver is None:
             self._reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        if self._limits.note_line():
+            self._fail("too many lines in the answer's head", AnswerEnd.MALFORMED)
+            return
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -281,10 +295,13 @@
         if parser is None or receiver is None:
             return
         status = parser.get_status_code()
+        self._stop_head_timer()
         if status < 200:
+            self._limits.note_interim()
             if status == CONTINUE_STATUS:
                 receiver.accept_continue()
             return
+        self._limits.note_head()
         self._stated_end = find_stated_end(
             status, self._headers, is_head=self._head_request
         )
@@ -303,6 +320,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass part of the body to the receiver."""
+        self._limits.note_body()
         if self._receiver is not None and not self._skipping:
             self._receiver.accept_body(data)
 
@@ -318,6 +336,40 @@
             self._reusable = False
         self._finish()
 
+    # limits
+
+    def _parse(self, data: bytes) -> None:
+        """Feed data to the parser in pieces, and check the limits after each."""
+        rest = memoryview(data)
+        while rest and self._parser is not None and not self._is_closing():
+            # A body that is cut into smaller pieces than were read takes more memory.
+            size = HEAD_FEED_BYTES if self._limits.in_head else READ_BYTES
+            piece, rest = rest[:size], rest[size:]
+            self._parser.feed_data(piece)
+            exceeded = self._limits.note_parsed(len(piece))
+            if exceeded and self._receiver is not None:
+                message = f"the answer's {exceeded} exceeds its limit"
+                self._fail(message, AnswerEnd.MALFORMED)
+
+    def _is_closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _time_head(self) -> None:
+        """Limit the time of a head of which only a part has arrived."""
+        is_due = self._receiver is not None and self._limits.is_head_begun
+        if is_due and self._head_timer is None:
+            self._head_timer = self._loop.call_later(MAX_HEAD_S, self._end_slow_head)
+
+    def _end_slow_head(self) -> None:
+        self._head_timer = None
+        message = f"no complete head within {MAX_HEAD_S:.0f} s of its first byte"
+        self._fail(message, AnswerEnd.MALFORMED)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     # completion
 
     def _finish(self) -> None:
@@ -356,6 +408,7 @@
         receiver, self._receiver = self._receiver, None
         self._reusable = False
         self._rest = memoryview(b"")
+        self._stop_head_timer()
         if self._transport and not self._transport.is_closing():
             self._transport.abort()
         if receiver is not None:
--- a/src/ramppin/gateway/request/attempt.py
+++ b/src/ramppin/gateway/request/attempt.py
@@ -31,6 +31,9 @@
 from ramppin.gateway.request.servernotice import NO_NOTICE, ServerNotice
 from ramppin.gateway.request.streampauses import StreamPauses
 
+MAX_ERROR_BYTES = 1_048_576
+"""Bytes of an answer without success that are kept until its end."""
+
 MAX_BUFFERED_BYTES = 262_144
 """Maximum number of bytes of an answer that are buffered before it is forwarded in
 pieces. Until forwarding starts, a failure can be answered or the request retried."""
@@ -235,16 +238,20 @@
             return
         self._buffered.append(data)
         self._buffered_size += len(data)
+        is_success = self._kind is AnswerKind.SUCCESS
+        if not is_success and self._buffered_size > MAX_ERROR_BYTES:
+            self._fail("answer without success exceeds its limit")
+            return
         is_large = self._buffered_size > MAX_BUFFERED_BYTES
         if memory is not None and self._buffered_size > FREE_BYTES:
             memory.set_buffered(self._buffered_size)
             if self._result.done():
                 return
             is_large = is_large or memory.is_over_allowance
-            if is_large and self._kind is not AnswerKind.SUCCESS:
+            if is_large and not is_success:
                 self._fail("answer without success exceeds the memory budget")
                 return
-        if self._kind is AnswerKind.SUCCESS and (self._streams or is_large):
+        if is_success and (self._streams or is_large):
             self._start_forwarding()
 
     def accept_end(self, end: AnswerEnd) -> None:
--- a/src/ramppin/gateway/request/processcheck.py
+++ b/src/ramppin/gateway/request/processcheck.py
@@ -16,6 +16,9 @@
 from ramppin.gateway.connection.httpwire import encode_request
 from ramppin.gateway.connection.upstream import UpstreamConnection
 
+MAX_REPORT_BYTES = 65_536
+"""Bytes of a server's report."""
+
 REPORT_TIMEOUT_S = 0.1
 """Seconds to wait for a report: several round trips between failure domains."""
 
@@ -53,13 +56,14 @@
         return found is not None and found != started_ms
 
     async def _read(self, connection: UpstreamConnection) -> FetchedAnswer | None:
-        receiver = BufferingReceiver()
+        receiver = BufferingReceiver(MAX_REPORT_BYTES)
         head = encode_request(b"GET", self._path, [(b"Host", b"report")])
         try:
             connection.send(head, b"", receiver)
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 return await receiver.answer
         except (NotSentError, BrokenAnswerError):
+            connection.abort()
             return None
         except (TimeoutError, asyncio.CancelledError) as error:
             # A late report would be taken for the answer to the next request.
