A killed gateway no longer ends an answer without a length as if it were whole

Cause: a killed process leaves its sockets to the kernel, which sends FIN; for an answer that ends with its connection that is its end. Now the caller's socket resets on close (SO_LINGER, 0 s) while such an answer is passed on, and ends in order again once the kernel has all of it and the FIN is queued; only then does the time run after which it is closed, since a close with bytes left would reset a whole answer.

The test failed before: 'ends an answer without a length as if it were whole', HTTP/1.1 and 1.0, ended in order; now reset. A caller that reads 8 MB only after 3 s has them whole.

--- a/features/gateway/program.feature
+++ b/features/gateway/program.feature
@@ -19,3 +19,25 @@
       | an unknown field | unknown key       |
       | a port too large | caller_port       |
       | no tables        | tables            |
+
+  Scenario Outline: a killed gateway ends an answer without a length as if it were whole: <protocol>
+    Given the gateway program with tables in a file before one plain server
+    And its server sends half of an answer of <size> kB without a length, and waits
+    When a caller of <protocol> has that half, and the program is killed
+    Then the caller's connection is reset
+
+    Examples:
+      | protocol | size |
+      | HTTP/1.1 | 800  |
+      | HTTP/1.0 | 800  |
+
+  Scenario Outline: an answer without a length ends in order: <how>
+    Given the gateway program with tables in a file before one plain server
+    And its server sends an answer of <size> kB without a length
+    When a caller that reads nothing for <pause> s reads it then
+    Then the caller has the whole answer, and its connection ended in order
+
+    Examples:
+      | how                           | size | pause |
+      | a caller that reads at once   | 800  | 0     |
+      | a caller that is slow to read | 8000 | 3     |
--- a/features/steps/gateway_program_steps.py
+++ b/features/steps/gateway_program_steps.py
@@ -12,7 +12,7 @@
 from behave import given, then, when
 
 from features.gateway_support import HOST, KEY, RawCaller, encode_request
-from standins.backend import BackendStandIn
+from standins.backend import BackendStandIn, Reply
 from standins.common import wait_for
 
 
@@ -99,6 +99,76 @@
     run(context, check())
 
 
+@given("its server sends half of an answer of {size:d} kB without a length, and waits")
+def step_half(context, size):
+    context.half = size * 500
+
+    async def answer(reply: Reply) -> None:
+        await reply.send(reply.head(200) + b"\r\n" + b"x" * context.half)
+        await asyncio.sleep(60)
+
+    context.backend.script = answer
+
+
+@given("its server sends an answer of {size:d} kB without a length")
+def step_unframed(context, size):
+    context.size = size * 1000
+
+    async def answer(reply: Reply) -> None:
+        await reply.send(reply.head(200) + b"\r\n" + b"x" * context.size)
+        reply.writer.close()
+
+    context.backend.script = answer
+
+
+@when("a caller of {protocol} has that half, and the program is killed")
+def step_killed(context, protocol):
+    request = encode_request("/old/").replace(b"HTTP/1.1", protocol.encode(), 1)
+
+    async def ask():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.port)
+        writer.write(request)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        assert b"chunked" not in head.lower(), head
+        assert b"content-length" not in head.lower(), head
+        await asyncio.wait_for(reader.readexactly(context.half), 10)
+        context.process.kill()
+        try:
+            rest = await asyncio.wait_for(reader.read(), 10)
+            context.end = "in order" if not rest else "more"
+        except ConnectionResetError:
+            context.end = "reset"
+        writer.close()
+
+    run(context, ask())
+
+
+@then("the caller's connection is reset")
+def step_reset(context):
+    assert context.end == "reset", context.end
+
+
+@when("a caller that reads nothing for {pause:d} s reads it then")
+def step_slow(context, pause):
+    async def ask():
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", context.port, limit=1024
+        )
+        writer.write(encode_request("/old/"))
+        await asyncio.sleep(pause)
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        body = await asyncio.wait_for(reader.read(), 30)
+        writer.close()
+        return body
+
+    context.body = run(context, ask())
+
+
+@then("the caller has the whole answer, and its connection ended in order")
+def step_whole(context):
+    assert len(context.body) == context.size, len(context.body)
+
+
 @when("the file becomes unreadable")
 def step_unreadable(context):
     context.tables.write_text("{ not JSON")
--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -16,7 +16,11 @@
 from dataclasses import dataclass, field
 
 from ramppin.gateway.connection.answerend import NO_BODY_STATUSES
-from ramppin.gateway.connection.heldmemory import HeldMemory, reset_on_close
+from ramppin.gateway.connection.heldmemory import (
+    HeldMemory,
+    end_on_close,
+    reset_on_close,
+)
 from ramppin.gateway.connection.httpwire import (
     LAST_CHUNK,
     Headers,
@@ -41,6 +45,10 @@
 """Seconds after which a request whose body found no memory may be sent again: slow
 readers are aborted or drained within seconds."""
 
+SENT_CHECK_S = 0.05
+"""Interval in seconds of checks whether the kernel has all of an answer that ends with
+its connection."""
+
 DISCARD_S = 2.0
 """Seconds for which what a caller still sends is read and discarded after the last
 answer. Closing at once would reset the connection, and the caller might lose the
@@ -313,6 +321,8 @@
             sent.append((b"Transfer-Encoding", b"chunked"))
         else:
             request.keep_alive = False
+            # Otherwise the kernel ends it as a whole answer if this process is killed.
+            reset_on_close(self._transport)
         sent += self._build_connection_headers(request)
         self._write(encode_answer(status, sent))
 
@@ -454,6 +464,16 @@
         self.closed = True
         transport.write_eof()
         transport.resume_reading()
+        self._close_when_sent(transport)
+
+    def _close_when_sent(self, transport: asyncio.Transport) -> None:
+        """Close once the kernel has the whole answer, which it sends to its end."""
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > 0:
+            self._loop.call_later(SENT_CHECK_S, self._close_when_sent, transport)
+            return
+        end_on_close(transport)
         self._loop.call_later(DISCARD_S, transport.close)
 
     def _refuse(self, error: RefusedRequestError) -> None:
--- a/src/ramppin/gateway/connection/heldmemory.py
+++ b/src/ramppin/gateway/connection/heldmemory.py
@@ -26,6 +26,9 @@
 """Value of SO_LINGER with which closing a socket resets the connection and discards
 what the kernel has buffered."""
 
+LINGER_OFF = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which the kernel sends the rest after the close."""
+
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Let the transport's socket reset the connection when it is closed."""
@@ -35,6 +38,14 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NEVER)
 
 
+def end_on_close(transport: asyncio.BaseTransport) -> None:
+    """Let the transport's socket send what it holds, and end in order, when closed."""
+    raw = transport.get_extra_info("socket")
+    if raw is not None:
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+
+
 class SendingRequest(ABC):
     """A request that is being sent to a server."""
 
