A store that is silent twice while VMs start keeps them from serving no longer than its silence

Cause: the first read of a table waits 3, 6, then 12 s on one connection, and a store that swallowed the call never answers it. The time-outs stay, for the reason that they have.

--- a/src/ramppin/gateway/connection/fetch.py
+++ b/src/ramppin/gateway/connection/fetch.py
@@ -50,6 +50,18 @@
         self._host = host
         self._port = port
         self._connection: UpstreamConnection | None = None
+        self._receiver: BufferingReceiver | None = None
+        self._called_at = float("-inf")
+
+    @property
+    def active_at(self) -> float:
+        """Event-loop time of the last call, or of the last part of its answer."""
+        received_at = self._receiver.received_at if self._receiver else float("-inf")
+        return max(self._called_at, received_at)
+
+    def build_another(self) -> Fetcher:
+        """Return a fetcher for the same peer, with a connection of its own."""
+        return Fetcher(self._host, self._port, self.peer)
 
     async def get(self, target: str, *, timeout_s: float) -> FetchedAnswer:
         """Return the answer to a GET.
@@ -79,6 +91,8 @@
     async def _call(
         self, method: bytes, target: str, body: bytes, timeout_s: float
     ) -> FetchedAnswer:
+        self._receiver = None
+        self._called_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._exchange(method, target, body)
@@ -104,7 +118,7 @@
         headers: Headers = [(b"Host", f"{self._host}:{self._port}".encode())]
         if method == b"POST":
             headers.append((b"Content-Length", b"%d" % len(body)))
-        receiver = BufferingReceiver()
+        receiver = self._receiver = BufferingReceiver()
         head = encode_request(method, target.encode(), headers)
         self._connection.send(head, body, receiver)
         return await receiver.answer
@@ -115,17 +129,23 @@
 
     Args:
         max_bytes: bytes of its body beyond which it fails.
+
+    Attributes:
+        answer: the answer, once it is complete.
+        received_at: event-loop time at which the last part arrived; -inf before any.
     """
 
     def __init__(self, max_bytes: int = MAX_FETCHED_BYTES) -> None:
-        loop = asyncio.get_running_loop()
-        self.answer: asyncio.Future[FetchedAnswer] = loop.create_future()
+        self._loop = asyncio.get_running_loop()
+        self.answer: asyncio.Future[FetchedAnswer] = self._loop.create_future()
+        self.received_at = float("-inf")
         self._status = 0
         self._body: list[bytes] = []
         self._bytes_left = max_bytes
 
     def accept_head(self, head: AnswerHead) -> bool:
         """Keep the status."""
+        self.received_at = self._loop.time()
         self._status = head.status
         return True
 
@@ -133,6 +153,7 @@
         """Keep part of the body."""
         if self.answer.done():
             return
+        self.received_at = self._loop.time()
         self._bytes_left -= len(data)
         if self._bytes_left < 0:
             self._body = []
