--- a/features/retry_budget/fleet.feature
+++ b/features/retry_budget/fleet.feature
@@ -13,3 +13,10 @@
       | additions | 4 7                 |
       | moves     | 4 7 11              |
       | mixed     | 1 2 3 4 5 7 8 10 11 |
+
+  # The same class: VMs that see few others took more of a server's connections.
+  Scenario: a VM that is cut off from the others takes their connections to a server
+    Given a gateway before two plain servers
+    And servers that take 100 connections in all
+    When the VM has heard nothing of 9 others for 30 s
+    Then its share of a server's connections is 9
