--- a/src/ramppin/gateway/process/limits/retryshare.py
+++ b/src/ramppin/gateway/process/limits/retryshare.py
@@ -66,4 +66,4 @@
         listed_at = self._members.own_entry_at
         if listed_at is None:
             return False
-        return self._members.has_heard_all() or now - listed_at >= MEMBER_BOUND_S
+        return self._members.has_message_from_all() or now - listed_at >= MEMBER_BOUND_S
--- a/src/ramppin/gateway/process/membership/members.py
+++ b/src/ramppin/gateway/process/membership/members.py
@@ -107,7 +107,7 @@
         self._vm = vm
         self._failure_domain = failure_domain
         self._members: dict[str, Member] = {}
-        self._heard: set[str] = set()
+        self._senders: set[str] = set()
         self._counted_at: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -158,7 +158,7 @@
         if member is None or member.host != host:
             return False
         member.last_seen_at = now
-        self._heard.add(vm)
+        self._senders.add(vm)
         self._counted_at[vm] = now
         member.log_up = log_up
         member.unreachable = frozenset(unreachable)
@@ -241,12 +241,12 @@
         oldest = now - SHARING_MEMBER_S
         return 1 + sum(seen_at >= oldest for seen_at in self._counted_at.values())
 
-    def has_heard_all(self) -> bool:
+    def has_message_from_all(self) -> bool:
         """Return whether each VM in the list has sent a message to this process.
 
         A VM sends messages only to those in its own list.
         """
-        return self._members.keys() <= self._heard
+        return self._members.keys() <= self._senders
 
     def list_last_seen_first(self) -> list[Member]:
         """Return all members, the most recently seen first."""
