--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -12,19 +12,18 @@
 from features.gateway_support import keep_lines
 from features.platform_support import build_config
 from ramppin.errors import LogTrimmedError, LogUnavailableError
-from ramppin.gateway.connection.fetch import FetchedAnswer
+from ramppin.gateway.connection.fetch import FetchedAnswer, Fetcher
 from ramppin.gateway.process.recovery.replica import Record
 from ramppin_platform.records import PlatformDecoder
 from ramppin_platform.settings import PlatformSettings
 from ramppin_platform.store import StoreTable
 
 
-class ScriptedFetcher:
+class ScriptedFetcher(Fetcher):
     """Answers every call alike."""
 
-    peer = "store"
-
     def __init__(self, status: int, body: bytes) -> None:
+        super().__init__("127.0.0.1", 1, "store")
         self._answer = FetchedAnswer(status, body)
 
     async def get(self, target: str, *, timeout_s: float) -> FetchedAnswer:
