Review: scripts end their processes when they are stopped

Cause: a script that got SIGTERM left its gateway behind. Done: standins2.py ends everything and exits with 2.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -217,8 +217,8 @@
 
     Attributes:
         engine_id: its id in the store.
+        record: where that is noted.
         runs: ids of the requests that it began to work on.
-        draining: whether its answers close their connections.
     """
 
     def __init__(self, engine_id: str, record: Record, script: Script) -> None:
@@ -226,7 +226,6 @@
         self.engine_id = engine_id
         self.record = record
         self.runs: list[str] = []
-        self.ran: list[Request] = []
         self._script = script
 
     def describe(self, service: str, state: str = "ready") -> dict[str, object]:
@@ -261,7 +260,6 @@
         """Note that the engine begins to work on a request."""
         attempt = request.headers.get("attempt-id", "")
         self.runs.append(attempt)
-        self.ran.append(request)
         tenant = request.headers.get("tenant-id", "(none)")
         self.record.note(
             f"engine {self.engine_id} runs {attempt}, Tenant-Id {tenant}, "
@@ -582,6 +580,9 @@
     record = Record(folder / "record.txt")
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             fleet = Fleet(record, Path(scratch))
             try:
@@ -589,7 +590,12 @@
                 record.note(f"trouble: {has_trouble()}")
                 async with asyncio.timeout(110):
                     is_broken = await case(fleet)
-            except (CannotRunError, OSError, TimeoutError) as error:
+            except (
+                CannotRunError,
+                OSError,
+                TimeoutError,
+                asyncio.CancelledError,
+            ) as error:
                 record.note(f"could not run: {error!r}")
                 return 2
             finally:
