A server's 503 to a request that ran promised that it had not run

What callers saw: a booking that a failing server ran was answered 503 with Retry-After, though the server's answer had no mark of a rejection. The same for 408, 425 and 429, for streams that can't be resumed, and through another VM.

Cause: answer_failed relayed every complete error of a server. The runs that the VM knows of decided about retries and about its own answers, not about relayed ones; another VM's answer was relayed with nothing known of its runs.

Evidence: lines of the VM: attempt_failed with end failed, given_up with runs 1 and status 503, so the answer was classified well and passed on all the same.

Why the fix works: every final answer passes one rule, limit_promise, whose input is what is known of the runs. Another VM states it with a mark of its own; without the mark the request may have run. An attempt over a connection that closed before a byte was sent no longer counts as a run.

--- a/src/ramppin/gateway/connection/httpwire.py
+++ b/src/ramppin/gateway/connection/httpwire.py
@@ -61,6 +61,8 @@
         forwarded: version of the protocol between VMs, in requests that one VM passes
             to another.
         forward_refused: why a VM did not pass such a request on; it has not run.
+        confirmed_not_run: marks the final answer to such a request if it has not run
+            and never will; without the mark it may have run.
         served_by: the backend server that answered such a request.
         unconfirmed_end: marks the answer to such a request if nothing but the close of
             the server's connection showed its end.
@@ -98,6 +100,7 @@
     weights_version: bytes = b"ramppin-weights-version"
     forwarded: bytes = b"ramppin-forwarded"
     forward_refused: bytes = b"ramppin-forward-refused"
+    confirmed_not_run: bytes = b"ramppin-confirmed-not-run"
     served_by: bytes = b"ramppin-served-by"
     unconfirmed_end: bytes = b"ramppin-unconfirmed-end"
 
@@ -110,6 +113,7 @@
         between = {
             self.forwarded,
             self.forward_refused,
+            self.confirmed_not_run,
             self.served_by,
             self.unconfirmed_end,
         }
--- a/src/ramppin/gateway/request/answerkind.py
+++ b/src/ramppin/gateway/request/answerkind.py
@@ -16,7 +16,7 @@
 from ramppin.gateway.request.result import AttemptEnd
 from ramppin.gateway.request.servernotice import MISDIRECTED
 
-NOT_RUN_STATUSES = frozenset({400, 408, 421, 429, 503})
+NOT_RUN_STATUSES = frozenset({400, 408, 421, 425, 429, 503})
 """HTTP statuses with which a server may state that it did not run a request."""
 
 
--- a/src/ramppin/gateway/request/directpath.py
+++ b/src/ramppin/gateway/request/directpath.py
@@ -184,7 +184,7 @@
         served.progress.runs += 1
         state.health.note_sent(now)
         result = await attempt.run(connection, head, served.request, served.ends_at)
-        if result.end is AttemptEnd.REJECTED:
+        if result.end.proves_not_run:
             served.progress.runs -= 1
         served.progress.answer_started = attempt.answer_started
         return result
--- a/src/ramppin/gateway/request/exchange.py
+++ b/src/ramppin/gateway/request/exchange.py
@@ -50,6 +50,7 @@
 )
 from ramppin.gateway.request.forwardedpath import ForwardedPath
 from ramppin.gateway.request.path import Path, ServedRequest
+from ramppin.gateway.request.promise import limit_promise
 from ramppin.gateway.request.queueing import Queueing
 from ramppin.gateway.request.report import RequestReport
 from ramppin.gateway.request.result import AttemptEnd, AttemptResult
@@ -128,6 +129,7 @@
         final = answer_ended(self._progress)
         served = self._served
         if served is not None:
+            final = self._limit_promise(served.admission, final)
             self._note_given_up(served.admission, final)
         else:
             self._report.note_denied(Denial.STOPPING)
@@ -455,11 +457,17 @@
         """End a request for which no attempt delivered an answer."""
         if self._disconnected:
             return
+        final = self._limit_promise(admission, final)
         self._note_given_up(admission, final, closed)
         self._report.count_request(admission.service, final.status)
         is_unreached = self._context.reachability.avoids(admission.service)
         self._answer(final, may_forward_elsewhere=may_forward_elsewhere or is_unreached)
 
+    def _limit_promise(self, admission: Admission, final: FinalAnswer) -> FinalAnswer:
+        """Return the answer, without a promise that may not hold."""
+        is_repeatable = admission.route.repeatable
+        return limit_promise(final, self._progress, repeatable=is_repeatable)
+
     def _note_given_up(
         self,
         admission: Admission,
@@ -505,6 +513,8 @@
         is_own = final.ending is Ending.REFUSE and final.status == NOT_RUN_STATUS
         if self._is_forwarded and may_forward_elsewhere and is_own:
             headers.append((names.forward_refused, final.reason.name.encode()))
+        if self._is_forwarded and self._progress.runs == 0:
+            headers.append((names.confirmed_not_run, b"1"))
         if self._request_id and find_header(headers, names.request_id) is None:
             headers = [(names.request_id, self._request_id), *headers]
         self._connection.send_answer(
--- a/src/ramppin/gateway/request/finalanswer.py
+++ b/src/ramppin/gateway/request/finalanswer.py
@@ -3,7 +3,8 @@
 Such a request is answered immediately. ``503`` with ``Retry-After`` states that it did
 not run and when to retry; ``502`` and ``504`` state that it may have run, so they have
 no ``Retry-After``. A stream that has started is aborted, so that the caller can't
-mistake it for a complete answer.
+mistake it for a complete answer. What a relayed status may promise is limited by
+:mod:`~.promise`.
 """
 
 from __future__ import annotations
--- a/src/ramppin/gateway/request/forwardedpath.py
+++ b/src/ramppin/gateway/request/forwardedpath.py
@@ -10,6 +10,7 @@
 import asyncio
 
 from ramppin.errors import NotSentError
+from ramppin.gateway.connection.httpwire import find_header
 from ramppin.gateway.connection.upstream import UpstreamConnection
 from ramppin.gateway.process.membership.health import Outcome
 from ramppin.gateway.process.routing.forwarders import Forwarder
@@ -131,13 +132,20 @@
         head = self._builder.build(time_left_s, served.last_event_id)
         served.progress.runs += 1
         result = await attempt.run(connection, head, served.request, served.ends_at)
-        if result.end is AttemptEnd.NOT_SENT:
+        if result.end.proves_not_run or self._is_confirmed_not_run(result):
             served.progress.runs -= 1
         served.progress.answer_started = attempt.answer_started
         result.served_by = destination.served_by
         context.pool.release(connection)
         return result
 
+    def _is_confirmed_not_run(self, result: AttemptResult) -> bool:
+        """Return whether the other VM's final answer states that nothing has run."""
+        if result.end is not AttemptEnd.RELAYED or result.answer is None:
+            return False
+        name = self._context.names.confirmed_not_run
+        return find_header(result.answer[0].headers, name) is not None
+
     def _may_take_over(self) -> bool:
         """Return whether another VM may take over from the current one."""
         served = self._served
--- a/src/ramppin/gateway/request/result.py
+++ b/src/ramppin/gateway/request/result.py
@@ -37,6 +37,11 @@
     STOPPED = "stopped"
     """The gateway process stopped."""
 
+    @property
+    def proves_not_run(self) -> bool:
+        """Whether the request has certainly not run in this attempt."""
+        return self in (AttemptEnd.REJECTED, AttemptEnd.NOT_SENT)
+
 
 @dataclass(slots=True)
 class AttemptResult:
