A late heartbeat brought a leaving server back

Cause: the place of a record in the log was taken for the time at which the server wrote it; sequence was validated and dropped.

Evidence: server_known with draining false at a higher offset, while the store's list shows the lower sequence behind draining.

Why the fix works: two facts of an incarnation hold in whatever order its entries come, its highest sequence and that it leaves, also after its entry is removed. An entry that contradicts them is outdated. Three in rising order, half a heartbeat and more apart, are a new incarnation, so that no sound server stays out.

announce() of the tests' platform, and the gateway's soak, count as a server does; they wrote sequence 1 each time.

--- a/features/gateway_lines.py
+++ b/features/gateway_lines.py
@@ -179,6 +179,9 @@
         await self._wait_for_event("server_restarted")
         fixture.announce("p1", "plain", slots=2, started_ms=1000)
         await self._wait_for_event("server_older")
+        fixture.announce("p1", "plain", slots=2, started_ms=2000, sequence=2)
+        fixture.announce("p1", "plain", slots=2, started_ms=2000, sequence=1)
+        await self._wait_for_event("server_outdated")
 
     async def _end(self) -> None:
         fixture, gateway = self._fixture, self._gateway
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -92,6 +92,7 @@
     version: int = 1
     names: dict[str, str] = field(default_factory=dict)
     starts: Counter = field(default_factory=Counter)
+    sequences: Counter = field(default_factory=Counter)
     down: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -145,6 +146,7 @@
         self._announce(server_id)
 
     def _announce(self, server_id: str, state: str = "ready") -> None:
+        self.sequences[server_id] += 1
         entry = {
             "service": self.names[server_id],
             "address": f"127.0.0.1:{self.proxies[server_id].port}",
@@ -153,7 +155,7 @@
             "capacity": 8,
             "state": state,
             "cold_remaining_ms": 0,
-            "sequence": 1,
+            "sequence": self.sequences[server_id],
             "born": 1 + self.starts[server_id],
         }
         value = json.dumps(entry).encode()
--- a/features/platform_support.py
+++ b/features/platform_support.py
@@ -230,6 +230,7 @@
     backends: dict[str, BackendStandIn] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     views: dict[str, StoreView] = field(default_factory=dict)
+    sequences: dict[str, int] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
     shared_ports: tuple[int, int] | None = None
     more_settings: dict[str, str] = field(default_factory=dict)
@@ -280,7 +281,12 @@
         cold_ms: int = 0,
         version: str = "v1",
         capacity: int = 8,
+        sequence: int | None = None,
     ) -> None:
+        """Write a server's entry; without a sequence it is the server's next one."""
+        if sequence is None:
+            sequence = self.sequences.get(server_id, 0) + 1
+        self.sequences[server_id] = max(sequence, self.sequences.get(server_id, 0))
         entry = {
             "service": service,
             "address": f"127.0.0.1:{self.backends[server_id].port}",
@@ -289,7 +295,7 @@
             "capacity": capacity,
             "state": state,
             "cold_remaining_ms": cold_ms,
-            "sequence": 1,
+            "sequence": sequence,
         }
         if born is not None:
             entry["born"] = born
--- a/src/ramppin/gateway/process/config.py
+++ b/src/ramppin/gateway/process/config.py
@@ -12,6 +12,7 @@
 from ramppin.gateway.process.limits.drain import DrainTimes
 from ramppin.gateway.process.limits.retrybudget import RetryRules
 from ramppin.gateway.process.overload.rules import OverloadRules
+from ramppin.gateway.process.recovery.entryorder import DEFAULT_HEARTBEAT_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,7 @@
         weight: relative capacity of this VM, in any unit.
         server_pace_s: seconds between two reads of the backend servers' table; 0.8
             keeps a change within the bound of 2.
+        heartbeat_s: seconds between two entries that a backend server writes.
         settings_wait_s: longest wait in seconds of one read of the settings' table.
         settings_bound_s: seconds within which accepted settings, and the evacuation
             of a failure domain, must be in effect.
@@ -75,6 +77,7 @@
     settings_key: str = "settings"
     weight: float = 1.0
     server_pace_s: float = 0.8
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     settings_wait_s: float = 2.0
     settings_bound_s: float = 2.0
     leaving_bound_s: float = 2.0
--- a/src/ramppin/gateway/process/recovery/recordapplier.py
+++ b/src/ramppin/gateway/process/recovery/recordapplier.py
@@ -1,9 +1,11 @@
 """Applies records of the shared log to the state of the gateway.
 
 Updates the settings and the backend servers that exchanges use, and writes a decision
-line for each change. Settings that can't be decoded are ignored, and the previous ones
-stay in force. A backend server whose entry can't be decoded gets no new requests until
-its next valid entry: the entry comes from a foreign writer, or the server is faulty.
+line for each change. Records that the log took later than newer ones are outdated: of
+the settings by their version, of a server by :mod:`~.entryorder`. Settings that can't
+be decoded are ignored, and the previous ones stay in force. A backend server whose
+entry can't be decoded gets no new requests until its next valid entry: the entry comes
+from a foreign writer, or the server is faulty.
 """
 
 from __future__ import annotations
@@ -13,6 +15,12 @@
 
 from ramppin.errors import SettingsError
 from ramppin.gateway.process.context import GatewayContext
+from ramppin.gateway.process.recovery.entryorder import (
+    DEFAULT_HEARTBEAT_S,
+    EntryMark,
+    EntryOrder,
+    EntryVerdict,
+)
 from ramppin.gateway.process.recovery.replica import MAX_LOGGED_KEY, Record
 from ramppin.gateway.process.recovery.sources import RecordDecoder
 from ramppin.gateway.process.routing.buildhistory import MAX_VIEW_AGE_S
@@ -30,6 +38,7 @@
         context: contains the settings in force and the backend servers.
         find_hold_end: returns until when an entry that is removed now stays in use, or
             None if it is not retained.
+        heartbeat_s: seconds between two entries of a server.
 
     .. versionadded:: 0.2
     """
@@ -40,34 +49,40 @@
         decoder: RecordDecoder,
         context: GatewayContext,
         find_hold_end: Callable[[float], float | None],
+        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
     ) -> None:
         self._settings_key = settings_key
         self._decoder = decoder
         self._context = context
         self._find_hold_end = find_hold_end
+        self._order = EntryOrder(heartbeat_s)
 
-    def apply_settings(self, record: Record) -> None:
-        """Put settings in force, unless they are outdated or can't be decoded."""
+    def apply_settings(self, record: Record) -> bool:
+        """Put settings in force, unless they are outdated or can't be decoded.
+
+        Returns:
+            Whether the settings of this record apply from now on.
+        """
         context = self._context
         try:
             domain = self._decoder.find_evacuated(record)
             if domain is not None:
                 self._apply_evacuation(domain, record)
-                return
+                return True
             if record.key != self._settings_key:
-                return
+                return True
             table = self._decoder.decode_table(record)
         except SettingsError as error:
             context.metrics.refused_entries.inc("settings")
             context.decisions.note(
                 "settings_refused", offset=record.offset, reason=error.show()
             )
-            return
+            return False
         if table is None:
-            return
+            return True
         if context.table is not None and table.version < context.version:
             context.decisions.note("settings_older", version=table.version)
-            return
+            return False
         context.table = table
         context.listener.limits = table.limits
         context.note_table(table)
@@ -77,6 +92,7 @@
             offset=record.offset,
             routes=len(table.routes),
         )
+        return True
 
     def _apply_evacuation(self, domain: str, record: Record) -> None:
         """Evacuate a failure domain, or restore it."""
@@ -117,20 +133,74 @@
             if spec is not None and spec.cold_s:
                 state.coldness.assume_cold(spec.cold_s, now)
 
-    def apply_server(self, record: Record) -> None:
-        """Apply a backend server's entry, or its removal."""
+    def apply_server(self, record: Record) -> bool:
+        """Apply a backend server's entry, or its removal.
+
+        Returns:
+            False if the entry is outdated.
+        """
         if record.value is None:
             self._apply_removal(record.key)
-            return
-        context = self._context
+            return True
         try:
             server = self._decoder.decode_server(record)
         except SettingsError as error:
             self._refuse_server(record, error.show())
-            return
+            return True
+        mark = EntryMark(server.started_ms, server.sequence, server.draining)
+        if not self._is_current(record, mark):
+            return False
+        return self._apply_entry(server, record)
+
+    def _is_current(self, record: Record, mark: EntryMark) -> bool:
+        """Return whether an entry is current; log an outdated one."""
+        context, now = self._context, asyncio.get_running_loop().time()
+        verdict = self._order.judge(record.key, mark, now)
+        if verdict.is_current:
+            return True
+        known = self._order.find(record.key)
+        if mark.draining and verdict is EntryVerdict.OLDER:
+            # It announced that it is leaving, whatever it has written since.
+            context.directory.mark_draining(record.key)
+        assert known is not None
+        if verdict is EntryVerdict.EARLIER_START:
+            self._note_older(record, mark.started_ms, known.started_ms)
+            return False
+        context.decisions.note(
+            "server_outdated",
+            server=record.key[:MAX_LOGGED_KEY],
+            reason=verdict.value,
+            sequence=mark.sequence,
+            draining=mark.draining,
+            known_sequence=known.sequence,
+            known_leaving=known.leaving,
+            known_removed=known.removed,
+            offset=record.offset,
+        )
+        return False
+
+    def _note_older(
+        self, record: Record, started_ms: int | None, known_ms: int | None
+    ) -> None:
+        """Log an entry of an earlier start."""
+        self._context.decisions.note(
+            "server_older",
+            server=record.key[:MAX_LOGGED_KEY],
+            started_ms=started_ms,
+            known_ms=known_ms,
+            offset=record.offset,
+        )
+
+    def _apply_entry(self, server: BackendServer, record: Record) -> bool:
+        """Apply a current entry; return False if it is of an earlier start."""
+        context = self._context
         known = context.directory.find_newest(server.name)
-        if known is not None and not self._apply_start(known, server, record):
-            return
+        verdict = self._judge_start(known, server)
+        if known is not None and verdict is StartVerdict.EARLIER:
+            self._note_older(record, server.started_ms, known.server.started_ms)
+            return False
+        if known is not None and not self._apply_start(known, verdict, server, record):
+            return True
         was_unreadable = known is not None and known.unreadable
         state = context.directory.put(server)
         if context.continuity.history.is_new(server.service, server.build):
@@ -138,26 +208,29 @@
         self._apply_coldness(state, record.offset)
         if known is None or known.server != server or was_unreadable:
             self._note_known(server, record.offset)
+        return True
+
+    def _judge_start(
+        self, known: ServerState | None, server: BackendServer
+    ) -> StartVerdict:
+        """Return how an entry's start time compares to the one in use."""
+        if known is None:
+            return StartVerdict.SAME
+        return judge_start(known.server.started_ms, server.started_ms)
 
     def _apply_start(
-        self, known: ServerState, server: BackendServer, record: Record
+        self,
+        known: ServerState,
+        verdict: StartVerdict,
+        server: BackendServer,
+        record: Record,
     ) -> bool:
-        """Compare an entry's start time to the known one; return whether it applies."""
+        """Apply an entry's start time; return whether the entry applies."""
         context = self._context
         entry_started_ms, known_ms = server.started_ms, known.server.started_ms
-        verdict = judge_start(known_ms, entry_started_ms)
         if verdict is StartVerdict.UNSTATED:
             self._refuse_server(record, f"no start time; the known one is {known_ms}")
             return False
-        if verdict is StartVerdict.EARLIER:
-            context.decisions.note(
-                "server_older",
-                server=server.name,
-                started_ms=entry_started_ms,
-                known_ms=known_ms,
-                offset=record.offset,
-            )
-            return False
         if verdict is StartVerdict.LATER:
             self._doubt_origins(known.server, server)
             context.pool.drop_peer(known.id)
@@ -224,8 +297,9 @@
         )
 
     def _apply_removal(self, name: str) -> None:
-        directory = self._context.directory
-        hold_end = self._find_hold_end(asyncio.get_running_loop().time())
+        directory, now = self._context.directory, asyncio.get_running_loop().time()
+        self._order.note_removed(name, now)
+        hold_end = self._find_hold_end(now)
         if hold_end is not None:
             directory.hold(name, hold_end)
         else:
--- a/src/ramppin/gateway/process/recovery/tables.py
+++ b/src/ramppin/gateway/process/recovery/tables.py
@@ -135,7 +135,11 @@
         self._first_reads_due = 2
         self._relays = RelaySelector(self._own, self.members, self.monitor)
         applier = RecordApplier(
-            config.settings_key, sources.decoder, context, self._find_hold_end
+            config.settings_key,
+            sources.decoder,
+            context,
+            self._find_hold_end,
+            config.heartbeat_s,
         )
         self._settings = self._follow_settings(applier)
         self._servers = self._follow_servers(applier)
--- a/src/ramppin/gateway/process/routing/directory.py
+++ b/src/ramppin/gateway/process/routing/directory.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from ramppin.gateway.process.load.times import ServiceTimes
 from ramppin.gateway.process.routing.closure import find_lasting_closure
@@ -83,6 +84,12 @@
         self._by_service.setdefault(server.service, {})[server.id] = state
         return state
 
+    def mark_draining(self, name: str) -> None:
+        """Record that a backend server is leaving, whatever else its entry states."""
+        state = self._newest.get(name)
+        if state is not None:
+            state.server = replace(state.server, draining=True)
+
     def mark_unreadable(self, name: str) -> None:
         """Stop using a backend server until a readable entry of it arrives."""
         state = self._newest.get(name)
--- a/src/ramppin/gateway/process/routing/serverstate.py
+++ b/src/ramppin/gateway/process/routing/serverstate.py
@@ -41,6 +41,7 @@
         build: version of its software; empty if not stated.
         cold_s: seconds for which it is still cold when it writes its entry; ignored
             when entries are compared, since it decreases from entry to entry.
+        sequence: number of its heartbeat, ignored in the same way; None if not stated.
     """
 
     name: str
@@ -53,6 +54,7 @@
     started_ms: int | None = None
     build: str = ""
     cold_s: float = field(default=0.0, compare=False)
+    sequence: int | None = field(default=None, compare=False)
 
     @property
     def id(self) -> str:
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -150,6 +150,8 @@
             id means that it has restarted and lost its state.
         cold_s: remaining seconds for which it is cold.
         build: version of its software.
+        sequence: number of its entry, which increases; None if its entries are always
+            read in the order in which they are written.
     """
 
     service: str
@@ -160,6 +162,7 @@
     started_ms: int | None = None
     cold_s: float = 0.0
     build: str = ""
+    sequence: int | None = None
 
 
 class TreeDecoder(RecordDecoder):
@@ -197,6 +200,7 @@
             draining=node.draining,
             started_ms=node.started_ms,
             build=node.build,
+            sequence=node.sequence,
             cold_s=node.cold_s,
         )
 
