With the last key gone any key opened a route

Cause: whether requests need a key was derived from whether any key is left, so an absent field and an empty one were read alike.

Evidence: settings_in_force names the new version, requests have no customer.

Why the fix works: a table's customers are None only if the configuration has no such field. An empty one closes all routes that are not public. The same in the gateway's own format; the router always asked for a key.

The row 'no customers' of the admission table was built with an empty list and took the fault for the rule. It leaves the field out now; rows for an empty list, for customers without keys and for a blank key stand beside it.

--- a/features/gateway/rules.feature
+++ b/features/gateway/rules.feature
@@ -16,6 +16,14 @@
       | no key, public                     | 10.0 s                        |
       | key                                | 10.0 s choir                  |
       | no customers, no key               | 10.0 s                        |
+      | no customers, key                  | 10.0 s                        |
+      | customers empty, key               | 401 unknown key               |
+      | customers empty, no key            | 401 unknown key               |
+      | customers empty, no key, public    | 10.0 s                        |
+      | customers without keys, key        | 401 unknown key               |
+      | customers without keys, no key     | 401 unknown key               |
+      | customers with a blank key, empty key | 401 unknown key            |
+      | customers with a blank key, no key | 401 unknown key               |
       | key, deadline 2000                 | 2.0 s choir                   |
       | key, deadline 60000                | 10.0 s choir                  |
       | key, deadline soon                 | 10.0 s choir, ignored "soon"  |
--- a/features/steps/gateway_rule_steps.py
+++ b/features/steps/gateway_rule_steps.py
@@ -62,11 +62,19 @@
 # admission
 
 
+CUSTOMERS: dict[str, dict] = {
+    "without keys": {"customers": {"choir": {"keys": []}}},
+    "empty": {"customers": {}},
+    "with a blank key": {"customers": {"choir": {"keys": ["", " "]}}},
+}
+
+
 def build_table(words: set[str]) -> RoutingTable | None:
     if "no settings" in words:
         return None
-    changes = {"customers": {}} if "no customers" in words else {}
-    tree = build_tree(**changes)
+    tree = build_tree(**CUSTOMERS.get(find_value(words, "customers ") or "", {}))
+    if "no customers" in words:
+        del tree["customers"]
     record = Record("settings", json.dumps(tree).encode(), 0)
     return TreeDecoder().decode_table(record)
 
@@ -82,6 +90,8 @@
         headers.append((b"Host", host.encode()))
     if "another key" in words:
         headers.append((NAMES.api_key, b"other"))
+    elif "empty key" in words:
+        headers.append((NAMES.api_key, b""))
     elif "key" in words:
         headers.append((NAMES.api_key, KEY.encode()))
     deadline = find_value(words, "deadline ")
--- a/src/ramppin/gateway/request/admission.py
+++ b/src/ramppin/gateway/request/admission.py
@@ -122,7 +122,7 @@
     if route is None:
         return Denial.NO_ROUTE
     customer = find_customer(request, table, names)
-    if table.customers and customer is None and not route.public:
+    if table.customers is not None and customer is None and not route.public:
         return Denial.UNKNOWN_KEY
     deadline = request.find(names.deadline_ms)
     deadline_s = parse_deadline(deadline)
@@ -160,7 +160,9 @@
 ) -> Customer | None:
     """Return the customer that owns the request's API key, or None."""
     key = request.find(names.api_key)
-    return table.customers.get(key.decode("latin-1")) if key is not None else None
+    if key is None or table.customers is None:
+        return None
+    return table.customers.get(key.decode("latin-1"))
 
 
 def parse_deadline(value: bytes | None) -> float | None:
--- a/src/ramppin/gateway/version/routing.py
+++ b/src/ramppin/gateway/version/routing.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 from ramppin.gateway.process.overload.rules import OverloadRules
 
+LOG = logging.getLogger(__name__)
+
 
 class RouteKind(Enum):
     """Which requests of a route may be sent again."""
@@ -139,7 +142,8 @@
         version: number set by the publisher; it increases, possibly by more than 1.
         routes: all routes.
         services: services by name.
-        customers: customers by API key; empty if no keys are used.
+        customers: customers by API key; None if no keys are used. Without any key only
+            public routes are open.
         limits: limits for callers.
         overload: rules of overload control; None if the settings contain none.
 
@@ -149,7 +153,7 @@
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceSpec]
-    customers: Mapping[str, Customer] = field(default_factory=dict)
+    customers: Mapping[str, Customer] | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     overload: OverloadRules | None = None
     _by_host: dict[str, dict[str, Route]] = field(
@@ -179,6 +183,33 @@
         return None
 
 
+def index_keys(
+    holders: Iterable[tuple[Customer, Iterable[str]]],
+) -> dict[str, Customer]:
+    """Return customers by API key.
+
+    A blank key opens nothing: a header without a value would match it. A key of several
+    customers belongs to the last one.
+
+    Args:
+        holders: customers and the keys of each.
+    """
+    found: dict[str, Customer] = {}
+    for customer, keys in holders:
+        for key in keys:
+            if not key.strip():
+                _warn_of_key("a blank API key of customer %r is ignored", customer)
+                continue
+            if found.get(key, customer).name != customer.name:
+                _warn_of_key("an API key of customer %r is another's too", customer)
+            found[key] = customer
+    return found
+
+
+def _warn_of_key(message: str, customer: Customer) -> None:
+    LOG.warning(message, customer.name, extra={"step": "settings"})
+
+
 def strip_port(host: str) -> str:
     """Return a host without its port."""
     if host.endswith("]"):
--- a/src/ramppin/gateway/version/routingfile.py
+++ b/src/ramppin/gateway/version/routingfile.py
@@ -29,6 +29,7 @@
     RoutingTable,
     ServiceSpec,
     WeightedService,
+    index_keys,
 )
 
 MAX_WEIGHT = 1_000.0
@@ -126,12 +127,16 @@
 
 
 class RoutingTree(msgspec.Struct, forbid_unknown_fields=True):
-    """The root of the routing settings."""
+    """The root of the routing settings.
+
+    Attributes:
+        customers: customers by name; without this field no keys are used.
+    """
 
     version: int
     hosts: dict[str, HostNode]
     services: dict[str, ServiceNode]
-    customers: dict[str, CustomerNode] = {}
+    customers: dict[str, CustomerNode] | msgspec.UnsetType = msgspec.UNSET
     limits: LimitsNode = msgspec.field(default_factory=LimitsNode)
     overload: OverloadNode | None = None
     rules: RouteRules = msgspec.field(default_factory=RouteRules)
@@ -217,9 +222,6 @@
         for host, host_node in tree.hosts.items()
         for prefix, node in host_node.routes.items()
     ]
-    customers = {
-        name: _build_customer(name, node) for name, node in tree.customers.items()
-    }
     return RoutingTable(
         version=tree.version,
         routes=tuple(routes),
@@ -235,16 +237,23 @@
             )
             for name, node in tree.services.items()
         },
-        customers={
-            key: customer
-            for name, customer in customers.items()
-            for key in tree.customers[name].keys
-        },
+        customers=_build_customers(tree.customers),
         limits=CallerLimits(**msgspec.structs.asdict(tree.limits)),
         overload=_build_overload(tree.overload),
     )
 
 
+def _build_customers(
+    nodes: dict[str, CustomerNode] | msgspec.UnsetType,
+) -> dict[str, Customer] | None:
+    """Return customers by API key; None if no keys are used."""
+    if isinstance(nodes, msgspec.UnsetType):
+        return None
+    return index_keys(
+        (_build_customer(name, node), node.keys) for name, node in nodes.items()
+    )
+
+
 def _build_customer(name: str, node: CustomerNode) -> Customer:
     if not 0 < node.weight <= MAX_WEIGHT:
         raise SettingsError(
