A request that a cut held up reached a leaving server

The same bytes may run after a caller was told otherwise, or beyond max_attempts.

Cause: UpstreamConnection.abort called transport.abort(), which closes the socket; the kernel goes on sending what it holds.

Evidence: the attempt's line lies seconds before the arrival; the stand-in sees an orderly end where the connection was said to be reset.

Why the fix works: a connection resets when it is closed, from its first moment, so also if the process is killed. Only one without a request in flight is closed in order. Attempts, forwarded requests, calls to the log and to peers, probes of a server's start and the stop all use it.

--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -27,6 +27,7 @@
     MAX_HEAD_S,
     AnswerLimits,
 )
+from ramppin.gateway.connection.heldmemory import end_on_close, reset_on_close
 from ramppin.gateway.connection.httpwire import Headers, find_header
 from ramppin.gateway.connection.tcptimeouts import UPSTREAM_TIMEOUTS, set_tcp_timeouts
 
@@ -159,6 +160,9 @@
         self._transport = transport
         self.opened_at = self._loop.time()
         set_tcp_timeouts(transport, UPSTREAM_TIMEOUTS)
+        # Whatever ends the connection, also the end of the process, takes back what
+        # the kernel has not delivered.
+        reset_on_close(transport)
         _limit_reads(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -265,7 +269,13 @@
             self._transport.resume_reading()
 
     def abort(self) -> None:
-        """Reset the connection; the receiver of a request in flight is not called."""
+        """End the connection; the receiver of a request in flight is not called.
+
+        A request in flight is taken back by a reset. Otherwise the kernel would deliver
+        it later, even after its caller was told that it had failed.
+        """
+        if self._receiver is None:
+            self._close_in_order()
         self._receiver = None
         self._stop_head_timer()
         self._reusable = False
@@ -402,8 +412,15 @@
     def _close(self) -> None:
         self._rest = memoryview(b"")
         if self._transport is not None:
+            self._close_in_order()
             self._transport.close()
 
+    def _close_in_order(self) -> None:
+        """Let the close of a connection without a request in flight be no reset."""
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            end_on_close(transport)
+
     def _fail(self, message: str, end: AnswerEnd) -> None:
         receiver, self._receiver = self._receiver, None
         self._reusable = False
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -114,6 +114,7 @@
         script: answers each request.
         received: all requests that arrived whole.
         closed: connections that callers closed while a request was at work.
+        resets: those of them that were reset.
         connections: connections that were opened.
         ended: those of them that ended.
         names: names of headers.
@@ -122,6 +123,7 @@
     script: Script = answer_well
     received: list[Received] = field(default_factory=list)
     closed: int = 0
+    resets: int = 0
     connections: int = 0
     ended: int = 0
     names: HeaderNames = field(default_factory=HeaderNames)
@@ -147,6 +149,7 @@
             await asyncio.wait({work, leave}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 self.closed += 1
+                self.resets += isinstance(reader.exception(), ConnectionResetError)
                 work.cancel()
                 raise ConnectionResetError
             work.result()
