A status that HTTP does not have was taken for an answer, or for none yet

What callers saw: a server in trouble sent a head with status 000 to 099. A request that may run once got 504 at its deadline, one that may be repeated lost the time until its server counted as silent. Heads with 600 to 999 were passed on as answers, with the signature (MIXED). 000 itself never reached a caller.

Cause: the parser takes any three digits, and a status below 200 was taken for interim.

Evidence: the attempt's line has end timed out, though a head had arrived.

Why the fix works: one place, judge_status, says at the head what it begins: 100 to 199 without 101 are interim, 200 to 599 are answers, all else is none, and its attempt fails at once. All readers of answers pass it.

--- a/features/gateway_scripts.py
+++ b/features/gateway_scripts.py
@@ -19,9 +19,28 @@
         self.sent = 0
 
     def find(self, name: str):
+        if name.startswith("status "):
+            return self._build_status_script(name.split()[1:])
         plain = name.replace(",", "").replace("'", "").replace(" ", "_")
         return getattr(self, f"do_{plain}")
 
+    def _build_status_script(self, words: list[str]):
+        """Return what answers a status, ``closed`` or kept, maybe well afterwards."""
+        digits = words[0].encode() if words[0] != "none" else b""
+
+        async def answer(reply: Reply) -> None:
+            head = reply.head(200).replace(b" 200 ", b" %b " % digits)
+            await reply.send(head + b"Content-Length: 5\r\n\r\nwrong")
+            if "closed" in words:
+                reply.writer.close()
+            else:
+                await asyncio.sleep(60)
+
+        async def answer_first(reply: Reply) -> None:
+            await self._first(reply, answer, self.do_well)
+
+        return answer_first if "then well" in " ".join(words) else answer
+
     async def do_well(self, reply: Reply) -> None:
         await reply.answer()
 
--- a/src/ramppin/gateway/connection/upstream.py
+++ b/src/ramppin/gateway/connection/upstream.py
@@ -27,6 +27,7 @@
     MAX_HEAD_S,
     AnswerLimits,
 )
+from ramppin.gateway.connection.answerstatus import HeadKind, judge_status
 from ramppin.gateway.connection.heldmemory import end_on_close, reset_on_close
 from ramppin.gateway.connection.httpwire import Headers, find_header
 from ramppin.gateway.connection.tcptimeouts import UPSTREAM_TIMEOUTS, set_tcp_timeouts
@@ -174,6 +175,8 @@
             return
         try:
             self._parse(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("another protocol was not asked for", AnswerEnd.MALFORMED)
         except httptools.HttpParserError as error:
             self._fail(f"malformed HTTP answer: {error}", AnswerEnd.MALFORMED)
         except httptools.HttpParserCallbackError as error:
@@ -306,7 +309,11 @@
             return
         status = parser.get_status_code()
         self._stop_head_timer()
-        if status < 200:
+        kind = judge_status(status)
+        if kind is HeadKind.NO_ANSWER:
+            self._fail(f"status {status:03d} is no answer", AnswerEnd.MALFORMED)
+            return
+        if kind is HeadKind.INTERIM:
             self._limits.note_interim()
             if status == CONTINUE_STATUS:
                 receiver.accept_continue()
@@ -339,7 +346,8 @@
         parser = self._parser
         if parser is None or self._receiver is None:
             return
-        if parser.get_status_code() < 200 or self._skipping:
+        is_interim = judge_status(parser.get_status_code()) is HeadKind.INTERIM
+        if is_interim or self._skipping:
             self._skipping = False
             return
         if not parser.should_keep_alive():
