Requests behind an announced close ran, or got no answer

What callers saw: a stopping VM announced the close with the last answer of a connection. Of requests that arrived behind it the first was refused and the others ran, though their caller may have sent them elsewhere; those of a slow reader under a memory budget were dropped, and the connection closed in order without an answer (LOST, TWICE).

Cause: the queue was refused by starting its first request as usual, which asked the memory budget, and the rest went on as if no close had been announced.

Evidence: of three requests behind the announced close two reached a server.

Why the fix works: all queued requests are refused in turn, 503 with Retry-After, whatever the budget says: a refusal is a hundred bytes.

--- a/src/ramppin/gateway/connection/callerwire.py
+++ b/src/ramppin/gateway/connection/callerwire.py
@@ -164,6 +164,7 @@
         self._chunked = False
         self._until_close = False
         self._answer_started = False
+        self._ends_queued = False
         self.opened_at = self._loop.time()
         self.idle_until: float | None = None
         self.head_due: float | None = None
@@ -468,9 +469,12 @@
         With a memory budget, a caller must have read most of its last answer: answers
         to pipelined requests are otherwise buffered without limit.
         """
+        if self.memory is None or self.memory.may_start_next:
+            self._start_first()
+
+    def _start_first(self) -> None:
+        """Start the first of the queued requests."""
         if self.memory is not None:
-            if not self.memory.may_start_next:
-                return
             self.memory.start_answer(self._queue[0].headers)
         self._current = self._queue.popleft()
         self._answer_started = False
@@ -516,18 +520,19 @@
             self._expect_head()
 
     def _end_queued(self) -> None:
-        """Answer a request that arrived after the close was announced.
+        """Answer the requests that arrived after the close was announced.
 
-        A caller that received the announcement may send it again elsewhere, so it must
-        not run here.
+        A caller that received the announcement may send them again elsewhere, so none
+        may run here. However slowly it reads, refusals are small enough to be sent.
         """
-        self._start_queued()
-        if self._current is not None:
+        if self._ends_queued:
+            return
+        self._ends_queued = True
+        while self._queue and self._current is None and not self.closed:
+            self._queue[0].keep_alive = False
+            self._start_first()
             self._responder.end_request()
-        elif self._transport is not None:
-            # Its caller has not read enough of the answers before.
-            self._drop_queue(Unanswered.QUEUED)
-            self._close(self._transport)
+        self._ends_queued = False
 
     def _drop_queue(self, reason: Unanswered) -> None:
         """Drop the queued requests, which get no answer, and report them."""
