A VM kept all bytes of a request that does not end

What callers saw: nothing; a caller that sends a trailer without end let its VM keep every byte, and one that sends a chunk's extension without end was read for as long as it sent.

Test that failed before: features/gateway/wire.feature, "a VM kept all bytes of a request that does not end": 3 of 7 rows failed, now 0.

Cause: what the parser holds was counted only while a head was due, and trailers only once their line had ended.

Evidence: no answer while the bytes go on, and after them 200 for the extension.

Why the fix works: all reads that bring nothing of a body are counted, by the limit of a head, and the request is refused with 431. Each part of a body begins the count anew, so bodies in chunks of any size are as before.

--- a/features/gateway/wire.feature
+++ b/features/gateway/wire.feature
@@ -50,6 +50,21 @@
     When through the gateway a caller sends a header of 9000 bytes without its end
     Then the answer is 431
 
+  Scenario Outline: a VM kept all bytes of a request that does not end: <part>
+    # The parser keeps a line until its end, and a trailer has none.
+    When through the gateway a caller sends a chunked body with <part> of <size> bytes that <ends>
+    Then the answer is <status>
+
+    Examples: the limit of a head is 2000 bytes
+      | part         | size  | ends    | status |
+      | a trailer    | 90000 | goes on | 431    |
+      | a chunk line | 90000 | goes on | 431    |
+      | trailers     | 90000 | goes on | 431    |
+      | a trailer    | 90000 | ends    | 431    |
+      | a chunk line | 90000 | ends    | 431    |
+      | a trailer    | 900   | ends    | 200    |
+      | a chunk line | 900   | ends    | 200    |
+
   Scenario Outline: a caller that stops sending is not waited for: <sent>
     When through the gateway a caller sends "<sent>" and stops
     Then after <limit> without a byte the connection ends with <end>
--- a/features/steps/gateway_wire_steps.py
+++ b/features/steps/gateway_wire_steps.py
@@ -245,6 +245,41 @@
     send_in_pieces(context, request[:200], request[200 : size - 200])
 
 
+ENDLESS = {
+    "a trailer": (b"0\r\nX-Long: ", b"x", b"\r\n\r\n"),
+    "a chunk line": (b"1;x=", b"x", b"\r\nb\r\n0\r\n\r\n"),
+    "trailers": (b"0\r\n", b"X-Some: 1\r\n", b"\r\n"),
+}
+"""What begins a part of a request, what it goes on with, and its end."""
+
+PIECE_BYTES = 900
+
+
+@when(
+    "through the gateway a caller sends a chunked body with {part} of {size:d} bytes "
+    "that {ends}"
+)
+def step_endless_part(context, part, size, ends):
+    begin, more, end = ENDLESS[part]
+    head = encode_request("/once/", method="PUT")[:-2]
+    head += b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n"
+    pieces = size // PIECE_BYTES
+    piece = more * (PIECE_BYTES // len(more))
+
+    async def send():
+        caller = await context.fixture.connect()
+        await caller.send(head + begin)
+        for _ in range(pieces):
+            # Each piece is read by itself.
+            await asyncio.sleep(0.002)
+            await caller.send(piece)
+        if ends == "ends":
+            await caller.send(end)
+        return await caller.read()
+
+    context.answer = run(context, send())
+
+
 def send_in_pieces(context, first: bytes, second: bytes) -> None:
     listener = context.fixture.gateway.context.listener
 
--- a/src/ramppin/gateway/connection/requestreader.py
+++ b/src/ramppin/gateway/connection/requestreader.py
@@ -97,6 +97,7 @@
         self._unfinished_size = 0
         self._body_size = 0
         self._announced = 0
+        self._has_body = False
         self.incoming: CallerRequest | None = None
         self.reads_head = False
 
@@ -107,6 +108,8 @@
             RefusedRequestError: the request is malformed or exceeds a limit.
         """
         began_before = self.reads_head
+        in_body_before = self._is_in_body
+        self._has_body = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -118,7 +121,14 @@
                 400, f"bytes that form no request: {error}"
             ) from error
         if began_before and self.reads_head:
-            self._count_unfinished(len(data))
+            self._count_unfinished(len(data), "head")
+        elif in_body_before and self._is_in_body and not self._has_body:
+            self._count_unfinished(len(data), "chunk line or trailer")
+
+    @property
+    def _is_in_body(self) -> bool:
+        """Whether the head of a request is complete and its end is still due."""
+        return self.incoming is not None and not self.reads_head
 
     # callbacks of httptools
 
@@ -152,6 +162,7 @@
         request = self.incoming
         assert request is not None
         self.reads_head = False
+        self._unfinished_size = 0
         length = request.find(b"content-length")
         if length is not None:
             self._check_body(int(length))
@@ -163,6 +174,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Store part of the body."""
+        self._has_body = True
+        self._unfinished_size = 0
         self._body.append(data)
         self._body_size += len(data)
         self._check_body(self._body_size)
@@ -189,16 +202,16 @@
         if self._head_size > limit:
             raise RefusedRequestError(431, f"head over {limit} bytes")
 
-    def _count_unfinished(self, size: int) -> None:
-        """Count bytes that the parser buffers until the current header is complete.
+    def _count_unfinished(self, size: int, part: str) -> None:
+        """Count bytes that the parser buffers until the current line is complete.
 
-        Only reads that neither start nor end the head are counted: any other may
-        contain bytes of a body.
+        Only reads that neither start nor end the head, or that bring nothing of a body,
+        are counted: any other may contain bytes of a body.
         """
         self._unfinished_size += size
         limit = self._get_limits().max_header_bytes
         if self._unfinished_size > limit:
-            raise RefusedRequestError(431, f"head over {limit} bytes")
+            raise RefusedRequestError(431, f"{part} over {limit} bytes")
 
     def _check_body(self, size: int) -> None:
         limit = self._get_limits().max_body_bytes
