--- a/features/platform/late_entries.feature
+++ b/features/platform/late_entries.feature
@@ -54,6 +54,18 @@
       | draining:40 read           |
       | draining:40 read gone read |
 
+  Scenario Outline: a VM that reads through others takes such a server two heartbeats later at the latest: <before>
+    Given a gateway process before the servers "i-1 i-2"
+    And a second one that the store turns away once it has started
+    When the store takes the entries "<before>" of "i-1"
+    And it starts again under its id and writes 5 entries, one each heartbeat
+    Then requests go to "i-1 i-2" alone
+
+    Examples:
+      | before                     |
+      | draining:40 read           |
+      | draining:40 read gone read |
+
   Scenario Outline: which entry of a server is current: <entries>
     Then after the entries "<entries>" the last one is "<verdict>"
 
