--- a/src/ramppin/gateway/process/recovery/entryorder.py
+++ b/src/ramppin/gateway/process/recovery/entryorder.py
@@ -27,15 +27,15 @@
 each heartbeat; writes that were held up come in no such order, or all at once."""
 
 MIN_RESTART_SPAN = 0.5
-"""Heartbeats that these entries span at least. They are written two heartbeats apart,
-of which a read of the table each 0.8 s takes a part."""
+"""Heartbeats between the first and the last of these entries, at least. They are
+written two heartbeats apart and may be read closer together."""
 
 MIN_SILENCE = 1.0
-"""Heartbeats for which no entry of the known incarnation was read before them."""
+"""Heartbeats since the last entry of the known incarnation was read, at least."""
 
 REMEMBERED_S = 900.0
-"""Seconds for which an incarnation is remembered after its entry was removed: TCP sends
-data that was held up for as long."""
+"""Seconds for which an incarnation is remembered after its entry was removed: about as
+long as TCP goes on sending data that was held up."""
 
 
 @dataclass(frozen=True, slots=True)
