Test of a server's rest took a relayed 503 for the rule: replaced by two as strict

'a caller was told a server's time of rest, though another server is open' sent a request that must not run twice to a server which answers 503 without the mark of a rejection, and expected that 503 with a Retry-After of the gateway's.

What it guards against stays, on a route whose requests may run again: all three servers answer 503 and want 30 s of rest, two are tried, and the caller is told one time to come back, of 1 s at most. Beside it, for the request that must not run twice: 502, and no time to come back.

--- a/features/server_words/exchanges.feature
+++ b/features/server_words/exchanges.feature
@@ -116,9 +116,13 @@
     Then it is served
 
   Scenario: a caller was told a server's time of rest, though another server is open
-    When "p1" answers 503 to "/once/", and that it wants 30 s of rest
+    When the servers "p1 p2 p3" answer 503 to "/again/", and that they want 30 s of rest
     Then its caller was told one time to come back, of 1 s at most
 
+  Scenario: a caller whose request may have run once was told to come back
+    When "p1" answers 503 to "/once/", and that it wants 30 s of rest
+    Then its caller got 502 and was told no time to come back
+
   Scenario: operators see what closes a server, and a request why it went elsewhere
     When the servers "p1" say in an answer 200 to "/once/" that they leave
     And the servers "p2" ask for 30 s of rest by 503 not run
--- a/features/steps/server_word_exchange_steps.py
+++ b/features/steps/server_word_exchange_steps.py
@@ -297,6 +297,25 @@
     run(context, ask())
 
 
+@when(
+    'the servers "{names}" answer 503 to "/again/", and that they want {rest} s of rest'
+)
+def step_all_relayed(context, names, rest):
+    fixture = context.fixture
+    headers = b"Retry-After: %b\r\n" % rest.encode()
+    for name in names.split():
+        fixture.backends[name].script = partial(ask_for_rest, 503, headers)
+    context.answer = run(context, fixture.ask("/again/"))
+    # The one that was not tried is open.
+    assert len(fixture.list_received()) == len(names.split()) - 1
+
+
+@then("its caller got {status:d} and was told no time to come back")
+def step_told_none(context, status):
+    assert context.answer.status == status, context.answer.data
+    assert not RETRY_AFTER.findall(context.answer.head), context.answer.data
+
+
 @then("its caller was told one time to come back, of {most:g} s at most")
 def step_told_once(context, most):
     assert context.answer.status == 503, context.answer.data
