Known red: a VM writes no line when a server's entry changes

What operators see: server_known is written for a new server alone, not when its entry says draining, or names another address.

Cause: the entry in use is replaced before it is compared to the new one. Not mended here, as product code stood; the failing test and its line are, and the suite's limit rises by one, to 21.

--- a/features/platform/late_entries.feature
+++ b/features/platform/late_entries.feature
@@ -30,6 +30,12 @@
       | ready:5 read gone read ready:6                 | i-1 i-2 |
       | ready:5 bad read ready:6                       | i-1 i-2 |
 
+  # The entry in use is replaced before it is compared to the new one.
+  Scenario: a VM writes no line when a server's entry changes
+    Given a gateway process before the servers "i-1 i-2"
+    When the store takes the entries "ready:5 read draining:6 read" of "i-1"
+    Then a line "server_known" says that "i-1" is leaving
+
   Scenario Outline: late entries that reach a VM through others: <entries>
     Given a gateway process before the servers "i-1 i-2"
     And a second one that the store turns away once it has started
--- a/features/steps/late_entry_steps.py
+++ b/features/steps/late_entry_steps.py
@@ -25,6 +25,8 @@
 NAME = "i-1"
 LATE = b"late"
 AS_OF = 100.0
+LINE_S = 3.0
+"""Seconds within which a line is written; a VM writes its lines every 0.25 s."""
 
 
 class EntryWriter:
@@ -93,6 +95,17 @@
     run(context, wait_until_served(context, set(names.split())))
 
 
+@then('a line "{event}" says that "{name}" is leaving')
+def step_line(context, event, name):
+    def is_written() -> bool:
+        lines = context.platform.find_log(context.asked_vm).read_text().splitlines()
+        found = [json.loads(line) for line in lines if f'"event":"{event}"' in line]
+        return any(line["server"] == name and line["draining"] for line in found)
+
+    written = wait_for(is_written, "the line is written")
+    run(context, asyncio.wait_for(written, LINE_S))
+
+
 def read_mark(text: str) -> EntryMark:
     """Return the mark of an entry such as ``ready:9/5``."""
     state, _, rest = text.partition(":")
--- a/features/suite.py
+++ b/features/suite.py
@@ -22,7 +22,7 @@
 
 ROOT = Path(__file__).parent
 KNOWN_RED = ROOT.parent / "KNOWN-RED.txt"
-MAX_KNOWN_RED = 20
+MAX_KNOWN_RED = 21
 AT_A_TIME = 4
 
 ALONE = frozenset(
